--- /dev/null
+++ b/crates/core/src/failover.rs
@@ -0,0 +1,5 @@
+//! Suspicion of primaries, and promotions by this host.
+
+/// Suspicions and promotions by group.
+#[derive(Default)]
+pub struct FailoverTable {}
--- /dev/null
+++ b/crates/core/src/host.rs
@@ -0,0 +1,112 @@
+//! State of one host, and the systems that run over its tables.
+
+mod fleet;
+mod groups;
+mod traffic;
+
+use std::time::Instant;
+
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+use crate::catalog::CatalogTable;
+use crate::confirm::ConfirmTable;
+use crate::counter::HostCounters;
+use crate::drain::DrainState;
+use crate::failover::FailoverTable;
+use crate::limit::LimitTable;
+use crate::membership::HostTable;
+use crate::message::{HostInput, HostOutput};
+use crate::profile::HostProfile;
+use crate::retry::RetryTable;
+use crate::routing::EndpointTable;
+use crate::schedule::QueueTable;
+use crate::session::SessionTable;
+use crate::share::ShareTable;
+
+/// All state of one host; [`HostState::handle`] and [`HostState::tick`] are its only mutators.
+pub struct HostState {
+    pub(crate) profile: HostProfile,
+    pub(crate) random: SmallRng,
+    pub(crate) counters: HostCounters,
+    pub(crate) catalog: CatalogTable,
+    pub(crate) sessions: SessionTable,
+    pub(crate) endpoints: EndpointTable,
+    pub(crate) queues: QueueTable,
+    pub(crate) limits: LimitTable,
+    pub(crate) shares: ShareTable,
+    pub(crate) hosts: HostTable,
+    pub(crate) failovers: FailoverTable,
+    pub(crate) confirms: ConfirmTable,
+    pub(crate) retries: RetryTable,
+    pub(crate) drain: DrainState,
+}
+
+impl HostState {
+    /// State of a host that has just started and knows nothing yet.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use tanagerdeal_core::host::HostState;
+    /// use tanagerdeal_core::profile::{HostIdentity, HostPolicies, HostProfile, HostTiming};
+    /// use tanagerdeal_wire::{DomainName, HostName};
+    ///
+    /// let identity = HostIdentity {
+    ///     host: HostName::new("h1").unwrap(),
+    ///     domain: DomainName::new("d1").unwrap(),
+    ///     incarnation: 1,
+    ///     peer_address: "127.0.0.1:1".to_owned(),
+    ///     admin_address: "127.0.0.1:2".to_owned(),
+    /// };
+    /// let profile = HostProfile {
+    ///     identity,
+    ///     timing: HostTiming::default(),
+    ///     policies: HostPolicies::default(),
+    ///     fleet_secret: b"secret".to_vec(),
+    ///     seed: 1,
+    /// };
+    /// let mut state = HostState::new(profile);
+    /// let mut outputs = Vec::new();
+    /// state.tick(Instant::now(), &mut outputs);
+    /// ```
+    pub fn new(profile: HostProfile) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(profile.seed),
+            profile,
+            counters: HostCounters::default(),
+            catalog: CatalogTable::default(),
+            sessions: SessionTable::default(),
+            endpoints: EndpointTable::default(),
+            queues: QueueTable::default(),
+            limits: LimitTable::default(),
+            shares: ShareTable::default(),
+            hosts: HostTable::default(),
+            failovers: FailoverTable::default(),
+            confirms: ConfirmTable::default(),
+            retries: RetryTable::default(),
+            drain: DrainState::default(),
+        }
+    }
+
+    /// Handles one input; outputs are appended in the order in which they must be carried out.
+    pub fn handle(&mut self, now: Instant, input: HostInput, outputs: &mut Vec<HostOutput>) {
+        match input {
+            HostInput::Caller(tag, call) => traffic::handle_call(self, now, tag, call, outputs),
+            HostInput::Member(event) => groups::handle_member(self, now, event, outputs),
+            HostInput::Store(event) => fleet::handle_store(self, now, event, outputs),
+            HostInput::Peer(event) => fleet::handle_peer(self, now, event, outputs),
+            HostInput::AskStatus(tag) => fleet::answer_status(self, now, tag, outputs),
+            HostInput::ShutDown => fleet::shut_down(self, now, outputs),
+        }
+        traffic::wake_waiters(self, now, outputs);
+    }
+
+    /// Runs all systems; called every 20 ms.
+    pub fn tick(&mut self, now: Instant, outputs: &mut Vec<HostOutput>) {
+        fleet::run_systems(self, now, outputs);
+        groups::run_systems(self, now, outputs);
+        traffic::run_systems(self, now, outputs);
+        traffic::wake_waiters(self, now, outputs);
+    }
+}
--- /dev/null
+++ b/crates/core/src/session.rs
@@ -0,0 +1,5 @@
+//! Client sessions.
+
+/// Sessions by key.
+#[derive(Default)]
+pub struct SessionTable {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/proxy/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
