Route requests, probe members and confirm commits

Waits for confirmation are settled after each input, because a tick would add up to 20 ms to a commit.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -99,6 +99,7 @@
             HostInput::AskStatus(tag) => fleet::answer_status(self, now, tag, outputs),
             HostInput::ShutDown => fleet::shut_down(self, now, outputs),
         }
+        groups::settle_waits(self, now, outputs);
         traffic::wake_waiters(self, now, outputs);
     }
 
--- a/crates/core/src/host/groups.rs
+++ b/crates/core/src/host/groups.rs
@@ -1,25 +1,64 @@
 //! Probes, confirmations, suspicion and promotion.
 
+mod probe;
+mod report;
+
 use std::time::Instant;
 
+use tanagerdeal_wire::member::LogPosition;
 use tanagerdeal_wire::peer::{GroupAnnouncement, GroupSuspicion};
 
 use super::HostState;
 use crate::message::HostOutput;
-use crate::message::fleet::MemberEvent;
+use crate::message::fleet::{GroupReport, MemberEvent};
+use crate::routing::{GroupState, RouteSettings};
 
 pub(super) fn handle_member(
-    _state: &mut HostState,
-    _now: Instant,
-    _event: MemberEvent,
+    state: &mut HostState,
+    now: Instant,
+    event: MemberEvent,
     _outputs: &mut Vec<HostOutput>,
 ) {
+    match event {
+        MemberEvent::Answered { endpoint, asked_at, status } => {
+            if let Some(member) = state.endpoints.members.get_mut(endpoint) {
+                member.probe.succeed(asked_at);
+                state.endpoints.observe(now, endpoint, asked_at, status);
+            }
+        }
+        MemberEvent::Unreachable { endpoint, asked_at } => {
+            if let Some(member) = state.endpoints.members.get_mut(endpoint) {
+                member.probe.fail(asked_at);
+            }
+        }
+        MemberEvent::Commanded { .. } => {}
+    }
 }
 
-pub(super) fn run_systems(_state: &mut HostState, _now: Instant, _outputs: &mut Vec<HostOutput>) {}
+pub(super) fn run_systems(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    probe::send_periodic(state, now, outputs);
+    settle_waits(state, now, outputs);
+}
+
+/// Ends waits for confirmation that are decided, and sends the probes that the others need.
+pub(super) fn settle_waits(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    for group in state.confirms.groups() {
+        state.confirms.settle(now, &mut state.endpoints, group);
+        probe::send_needed(state, now, group, outputs);
+    }
+}
 
 /// Adopts services, failure domain states and endpoint states after a catalog change.
-pub(super) fn adopt_catalog(_state: &mut HostState, _now: Instant) {}
+pub(super) fn adopt_catalog(state: &mut HostState, now: Instant) {
+    let HostState { catalog, endpoints, profile, .. } = state;
+    endpoints.adopt_settings(RouteSettings::new(profile));
+    endpoints.adopt_services(catalog.services());
+    endpoints.adopt_phases(
+        now,
+        |domain| catalog.domain_phase(domain),
+        |endpoint| catalog.endpoint_phase(endpoint),
+    );
+}
 
 /// This host's suspicions, for other hosts.
 pub(super) fn suspicions(_state: &HostState, _now: Instant) -> Vec<GroupSuspicion> {
@@ -27,14 +66,29 @@
 }
 
 /// Primaries known to this host, for other hosts.
-pub(super) fn announcements(_state: &HostState) -> Vec<GroupAnnouncement> {
-    Vec::new()
+pub(super) fn announcements(state: &HostState) -> Vec<GroupAnnouncement> {
+    let announce = |group: &GroupState| {
+        let primary = state.endpoints.address(group.primary?)?.name.clone();
+        Some(GroupAnnouncement { group: group.name.clone(), primary, start: group.term_start() })
+    };
+    state.endpoints.groups.values().filter_map(announce).collect()
 }
 
 /// Takes announcements of another host; older terms are ignored.
-pub(super) fn adopt_announcements(
-    _state: &mut HostState,
-    _now: Instant,
-    _list: &[GroupAnnouncement],
-) {
+pub(super) fn adopt_announcements(state: &mut HostState, now: Instant, list: &[GroupAnnouncement]) {
+    for announcement in list {
+        let LogPosition { term, .. } = announcement.start;
+        let primary = state.endpoints.member_named(&announcement.primary);
+        let Some(key) = state.endpoints.group(&announcement.group) else { continue };
+        let group = &mut state.endpoints.groups[key];
+        let primary = primary.filter(|primary| group.members.contains(primary));
+        if term > group.term && primary.is_some() {
+            group.set_primary(now, term, primary);
+        }
+    }
+}
+
+/// Groups as the status page shows them.
+pub(super) fn reports(state: &HostState, now: Instant) -> Vec<GroupReport> {
+    report::all(state, now)
 }
--- /dev/null
+++ b/crates/core/src/routing/adopt.rs
@@ -0,0 +1,90 @@
+//! Adoption of services, failure domain states and endpoint states from the catalog.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use tanagerdeal_wire::record::{
+    DomainPhase, EndpointPhase, GroupRecord, MemberRecord, ServiceRecord,
+};
+use tanagerdeal_wire::{DomainName, EndpointName, ServiceName};
+
+use super::{DomainState, EndpointTable, GroupState, MemberState, RouteSettings};
+use crate::message::{EndpointKey, GroupKey};
+
+impl EndpointTable {
+    /// Takes the settings of the host.
+    pub(crate) fn adopt_settings(&mut self, settings: RouteSettings) {
+        self.settings = settings;
+    }
+
+    /// Replaces the services. Groups and endpoints whose name remains keep their key and state.
+    pub(crate) fn adopt_services<'a>(
+        &mut self,
+        services: impl Iterator<Item = (&'a ServiceName, &'a ServiceRecord)>,
+    ) {
+        self.services.clear();
+        let (mut groups, mut members) = (BTreeSet::new(), BTreeSet::new());
+        for (name, record) in services {
+            let keys: Vec<_> =
+                record.groups.iter().map(|record| self.adopt_group(record)).collect();
+            groups.extend(keys.iter().copied());
+            self.services.insert(name.clone(), keys);
+        }
+        self.groups.retain(|key, _| groups.contains(&key));
+        members.extend(self.groups.values().flat_map(|group| group.members.iter().copied()));
+        self.members.retain(|key, _| members.contains(&key));
+    }
+
+    fn adopt_group(&mut self, record: &GroupRecord) -> GroupKey {
+        let key = match self.group(&record.group) {
+            Some(key) => key,
+            None => self.groups.insert(GroupState::new(record.group.clone())),
+        };
+        let members: Vec<_> =
+            record.members.iter().map(|record| self.adopt_member(key, record)).collect();
+        let group = &mut self.groups[key];
+        group.primary = group.primary.filter(|primary| members.contains(primary));
+        group.members = members;
+        key
+    }
+
+    fn adopt_member(&mut self, group: GroupKey, record: &MemberRecord) -> EndpointKey {
+        match self.member_named(&record.endpoint) {
+            Some(key) => {
+                self.members[key].adopt(group, record);
+                key
+            }
+            None => self.members.insert(MemberState::new(group, record)),
+        }
+    }
+
+    /// Takes the states of failure domains and endpoints.
+    pub(crate) fn adopt_phases(
+        &mut self,
+        now: Instant,
+        domain_phase: impl Fn(&DomainName) -> DomainPhase,
+        endpoint_phase: impl Fn(&EndpointName) -> EndpointPhase,
+    ) {
+        for member in self.members.values_mut() {
+            member.is_leaving = endpoint_phase(&member.address.name) == EndpointPhase::Leaving;
+        }
+        let names: BTreeSet<_> = self.members.values().map(|member| &member.domain).collect();
+        for name in names {
+            let is_out = domain_phase(name) == DomainPhase::Out;
+            if !is_out && !self.domains.contains_key(name) {
+                continue;
+            }
+            let domain: &mut DomainState = self.domains.entry(name.clone()).or_default();
+            if domain.is_out != is_out {
+                domain.returned_at = (!is_out).then_some(now);
+                domain.is_out = is_out;
+            }
+        }
+    }
+
+    /// An endpoint by name.
+    pub(crate) fn member_named(&self, name: &EndpointName) -> Option<EndpointKey> {
+        let mut members = self.members.iter();
+        members.find(|(_, member)| member.address.name == *name).map(|(key, _)| key)
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/observe.rs
@@ -0,0 +1,117 @@
+//! Answers of members, and what follows from them for their group.
+
+use std::time::{Duration, Instant};
+
+use tanagerdeal_wire::member::{LogPosition, MemberStatus};
+
+use super::{Coverage, EndpointTable, GroupState, MemberState, compare};
+use crate::message::{EndpointKey, GroupKey};
+
+impl EndpointTable {
+    /// Takes the answer of a member to a probe sent at `asked_at`.
+    ///
+    /// A status of another group or member, or one asked for before the last one, is ignored.
+    pub(crate) fn observe(
+        &mut self,
+        now: Instant,
+        endpoint: EndpointKey,
+        asked_at: Instant,
+        status: MemberStatus,
+    ) -> Option<GroupKey> {
+        let member = self.members.get_mut(endpoint)?;
+        let group = self.groups.get_mut(member.group)?;
+        if status.group != group.name || status.member != member.address.name {
+            return None;
+        }
+        let key = member.group;
+        if member.observe(asked_at, status) {
+            let status = member.status()?;
+            group.observe(now, endpoint, status);
+            self.sight(key);
+        }
+        Some(key)
+    }
+
+    /// Notes the offset of a group's primary when a majority has confirmed it.
+    fn sight(&mut self, key: GroupKey) {
+        if let Some((at, position)) = self.confirmed(key) {
+            self.groups[key].sight(at, position.offset);
+        }
+    }
+
+    /// The members of a group.
+    pub(crate) fn members_of<'a>(
+        &'a self,
+        group: &'a GroupState,
+    ) -> impl Iterator<Item = (EndpointKey, &'a MemberState)> {
+        group.members.iter().filter_map(|key| self.members.get(*key).map(|member| (*key, member)))
+    }
+
+    /// Latest instant as of which a majority of a group, its primary included, has confirmed that
+    /// no primary of a higher term was promoted; with the primary's last position.
+    ///
+    /// All probes counted were sent at that instant or later and were answered with a promised term
+    /// equal to that of the primary. A promotion before that instant would have needed a majority
+    /// that had already promised a higher term.
+    pub(crate) fn confirmed(&self, group: GroupKey) -> Option<(Instant, LogPosition)> {
+        let group = self.groups.get(group)?;
+        let primary = self.members.get(group.primary?)?;
+        if !primary.is_primary_of(group.term) {
+            return None;
+        }
+        let view = primary.view.as_ref()?;
+        let asked_at = self.members_of(group).filter_map(|(_, m)| m.promised_at(group.term));
+        let at = majority_of(group, asked_at.collect())?.min(view.asked_at);
+        Some((at, LogPosition { term: group.term, offset: view.status.received.offset }))
+    }
+
+    /// Latest instant as of which a majority of a group answered with at least the group's term.
+    pub(crate) fn heard_at(&self, group: &GroupState) -> Option<Instant> {
+        let views = self.members_of(group).filter_map(|(_, member)| member.view.as_ref());
+        let current = views.filter(|view| view.status.promised_term >= group.term);
+        majority_of(group, current.map(|view| view.asked_at).collect())
+    }
+
+    /// Members of a group that have answered within a time.
+    pub(crate) fn count_reachable(&self, now: Instant, group: &GroupState) -> usize {
+        let after = self.settings.suspect_after;
+        self.members_of(group).filter(|(_, member)| !member.is_unreachable(now, after)).count()
+    }
+
+    /// Members whose log contains a position, as of their last status.
+    pub(crate) fn count_received(&self, group: &GroupState, position: LogPosition) -> usize {
+        let statuses = self.members_of(group).filter_map(|(_, member)| member.status());
+        let holds = |status: &&MemberStatus| {
+            compare(&status.term_history, position, status.received) == Coverage::Contained
+                && compare(&group.history, position, status.received) == Coverage::Contained
+        };
+        statuses.filter(holds).count()
+    }
+
+    /// Members that have promised a term above the given one.
+    pub(crate) fn count_above(&self, group: &GroupState, term: u64) -> usize {
+        let statuses = self.members_of(group).filter_map(|(_, member)| member.status());
+        statuses.filter(|status| status.promised_term > term).count()
+    }
+
+    /// Notes a position that this host has acknowledged.
+    pub(crate) fn note_acknowledged(&mut self, group: GroupKey, position: LogPosition) {
+        if let Some(group) = self.groups.get_mut(group) {
+            group.acknowledged = group.acknowledged.max(position);
+        }
+    }
+
+    /// Moves the start of unanswered probes forward by a time in which this host did not run.
+    pub(crate) fn forgive(&mut self, now: Instant, gap: Duration) {
+        for member in self.members.values_mut() {
+            let since = member.probe.unanswered_since;
+            member.probe.unanswered_since = since.map(|since| (since + gap).min(now));
+        }
+    }
+}
+
+/// The latest instant that a majority of the group's members has reached.
+fn majority_of(group: &GroupState, mut instants: Vec<Instant>) -> Option<Instant> {
+    instants.sort_unstable_by(|left, right| right.cmp(left));
+    instants.get(group.majority() - 1).copied()
+}
