--- a/crates/core/src/host/groups.rs
+++ b/crates/core/src/host/groups.rs
@@ -1,24 +1,32 @@
 //! Probes, confirmations, suspicion and promotion.
 
+mod follow;
 mod probe;
+mod promote;
 mod report;
+#[cfg(test)]
+mod tests;
+mod watch;
 
 use std::time::Instant;
 
 use tanagerdeal_wire::member::LogPosition;
 use tanagerdeal_wire::peer::{GroupAnnouncement, GroupSuspicion};
+use tanagerdeal_wire::{DomainName, GroupName, HostName};
 
 use super::HostState;
-use crate::message::HostOutput;
+use crate::failover::PeerView;
 use crate::message::fleet::{GroupReport, MemberEvent};
+use crate::message::{GroupKey, HostOutput};
 use crate::routing::{GroupState, RouteSettings};
 
 pub(super) fn handle_member(
     state: &mut HostState,
     now: Instant,
     event: MemberEvent,
-    _outputs: &mut Vec<HostOutput>,
+    outputs: &mut Vec<HostOutput>,
 ) {
+    watch::note_run(state, now);
     match event {
         MemberEvent::Answered { endpoint, asked_at, status } => {
             if let Some(member) = state.endpoints.members.get_mut(endpoint) {
@@ -31,12 +39,19 @@
                 member.probe.fail(asked_at);
             }
         }
-        MemberEvent::Commanded { .. } => {}
+        MemberEvent::Commanded { endpoint, command, reply: Some(reply) } => {
+            promote::handle_reply(state, now, endpoint, command, reply, outputs);
+        }
+        // The command is repeated by the promotion that sent it.
+        MemberEvent::Commanded { reply: None, .. } => {}
     }
 }
 
 pub(super) fn run_systems(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    watch::note_run(state, now);
     probe::send_periodic(state, now, outputs);
+    let view = |state: &_, group: &_, term| peer_view(state, now, group, term);
+    watch::run(state, now, view, outputs);
     settle_waits(state, now, outputs);
 }
 
@@ -61,8 +76,21 @@
 }
 
 /// This host's suspicions, for other hosts.
-pub(super) fn suspicions(_state: &HostState, _now: Instant) -> Vec<GroupSuspicion> {
-    Vec::new()
+pub(super) fn suspicions(state: &HostState, _now: Instant) -> Vec<GroupSuspicion> {
+    let suspect = |(key, group): (GroupKey, &GroupState)| {
+        let term = state.failovers.suspected_term(key)?;
+        Some(GroupSuspicion { group: group.name.clone(), term })
+    };
+    state.endpoints.groups.iter().filter_map(suspect).collect()
+}
+
+/// Other hosts as far as a group is concerned.
+fn peer_view(state: &HostState, now: Instant, group: &GroupName, term: u64) -> PeerView {
+    let own = |(host, domain): (&HostName, &DomainName)| (host.clone(), domain.clone());
+    PeerView {
+        hosts: state.hosts.heard(now).map(own).collect(),
+        suspects: state.hosts.suspicions(now, group, term).map(own).collect(),
+    }
 }
 
 /// Primaries known to this host, for other hosts.
--- /dev/null
+++ b/crates/core/src/host/groups/promote.rs
@@ -0,0 +1,267 @@
+//! Steps of a promotion by this host.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tanagerdeal_wire::member::TermReply;
+use tanagerdeal_wire::platform::{TableWrite, TxnRequest};
+
+use super::super::HostState;
+use super::{follow, probe};
+use crate::failover::{Promotion, PromotionPhase, choose_target};
+use crate::message::fleet::{StorePurpose, StoreRequest, TermCommand};
+use crate::message::{EndpointKey, GroupKey, HostOutput};
+
+/// Longest time for running statements to finish before a planned switchover, and for the target to
+/// catch up after the old primary was fenced; together with the fence they stay below 2 s.
+const SETTLE_LIMIT: Duration = Duration::from_millis(1_400);
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(400);
+
+/// Time by which the first adoption of a catalog change may precede the last, in addition to the
+/// interval at which relays read the change feed.
+const ADOPTION_MARGIN: Duration = Duration::from_millis(100);
+
+/// Time between probes while a switchover waits for a position.
+const WATCH_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Rest after a promotion that failed, so that two hosts do not overtake each other forever.
+const FAILURE_REST: Duration = Duration::from_millis(500);
+
+/// Continues the promotion of a group, if there is one.
+pub(super) fn step(
+    state: &mut HostState,
+    now: Instant,
+    key: GroupKey,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let Some(mut promotion) = state.failovers.watch(key).promotion.take() else { return };
+    let (members, majority) = match state.endpoints.groups.get(key) {
+        Some(group) => (group.members.len(), group.majority()),
+        None => return,
+    };
+    if is_overtaken(state, key, &promotion) || promotion.is_failed(now, members, majority) {
+        stop(state, now, key, &promotion);
+        return;
+    }
+    match promotion.phase {
+        PromotionPhase::Settling { target } => {
+            settle(state, now, key, target, &mut promotion, outputs);
+        }
+        PromotionPhase::Closing { target, primary } => {
+            close(now, target, primary, &mut promotion);
+        }
+        PromotionPhase::CatchingUp { target, .. } => {
+            catch_up(state, now, target, &mut promotion, outputs);
+        }
+        PromotionPhase::Fencing => choose(state, now, key, &mut promotion),
+        PromotionPhase::Promoting { .. } => {}
+    }
+    send_commands(state, now, key, &mut promotion, outputs);
+    state.failovers.watch(key).promotion = Some(promotion);
+}
+
+/// Takes the answer to a command of a promotion.
+pub(super) fn handle_reply(
+    state: &mut HostState,
+    now: Instant,
+    endpoint: EndpointKey,
+    command: TermCommand,
+    reply: TermReply,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let Some(key) = state.endpoints.group_of(endpoint) else { return };
+    let Some(mut promotion) = state.failovers.watch(key).promotion.take() else { return };
+    match command {
+        TermCommand::Fence(request) if request == promotion.request => {
+            promotion.note_fence(endpoint, reply);
+        }
+        TermCommand::Promote(request)
+            if request == promotion.request
+                && promotion.phase == (PromotionPhase::Promoting { target: endpoint }) =>
+        {
+            match reply.granted {
+                true => finish(state, now, key, endpoint, &promotion, reply, outputs),
+                false => stop(state, now, key, &promotion),
+            }
+            return;
+        }
+        _ => {}
+    }
+    state.failovers.watch(key).promotion = Some(promotion);
+    step(state, now, key, outputs);
+}
+
+/// Whether a member has promised a higher term, or the promotion's term to another promoter.
+fn is_overtaken(state: &HostState, key: GroupKey, promotion: &Promotion) -> bool {
+    let group = &state.endpoints.groups[key];
+    let term = promotion.request.term;
+    let is_planned = matches!(promotion.phase, PromotionPhase::Settling { .. });
+    let limit = if is_planned { term - 1 } else { term };
+    group.term >= term || state.endpoints.count_above(group, limit) > 0
+}
+
+fn stop(state: &mut HostState, now: Instant, key: GroupKey, promotion: &Promotion) {
+    let group = &state.endpoints.groups[key];
+    let term = promotion.request.term;
+    log::warn!("failover: Promotion of {} to term {term} stopped.", group.name);
+    // A member that did not take over may still do so; only a new term is safe, and at once.
+    let rest = match promotion.phase {
+        PromotionPhase::Promoting { .. } => Duration::ZERO,
+        _ => FAILURE_REST,
+    };
+    let watch = state.failovers.watch(key);
+    watch.promotion = None;
+    watch.rest_until = Some(now + rest);
+}
+
+/// Waits until running statements have finished and the target has the whole log.
+fn settle(
+    state: &mut HostState,
+    now: Instant,
+    key: GroupKey,
+    target: EndpointKey,
+    promotion: &mut Promotion,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let endpoints = &state.endpoints;
+    let Some(primary_key) = endpoints.groups[key].primary else { return };
+    let (Some(primary), Some(member)) =
+        (endpoints.members.get(primary_key), endpoints.members.get(target))
+    else {
+        return;
+    };
+    let elapsed = now.saturating_duration_since(promotion.phase_since);
+    let is_adopted = elapsed >= state.profile.timing.feed_interval + ADOPTION_MARGIN;
+    let is_idle =
+        primary.in_flight == 0 && primary.status().is_some_and(|status| status.running == 0);
+    let has_all = match (primary.status(), member.status()) {
+        (Some(primary), Some(member)) => member.received >= primary.received,
+        _ => false,
+    };
+    if (is_adopted && is_idle && has_all) || elapsed >= SETTLE_LIMIT {
+        promotion.enter(now, PromotionPhase::Closing { target, primary: primary_key });
+    } else {
+        watch(state, now, primary_key, outputs);
+        watch(state, now, target, outputs);
+    }
+}
+
+/// Waits until the old primary has promised the new term.
+fn close(now: Instant, target: EndpointKey, primary: EndpointKey, promotion: &mut Promotion) {
+    let elapsed = now.saturating_duration_since(promotion.phase_since);
+    match promotion.grants.get(&primary) {
+        Some(status) => {
+            let position = status.received;
+            promotion.enter(now, PromotionPhase::CatchingUp { target, position });
+        }
+        None if elapsed >= CATCH_UP_LIMIT => promotion.enter(now, PromotionPhase::Fencing),
+        None => {}
+    }
+}
+
+/// Waits until the target has received the end of the old primary's log.
+fn catch_up(
+    state: &mut HostState,
+    now: Instant,
+    target: EndpointKey,
+    promotion: &mut Promotion,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let PromotionPhase::CatchingUp { position, .. } = promotion.phase else { return };
+    let member = state.endpoints.members.get(target);
+    let status = member.and_then(|member| member.status());
+    let elapsed = now.saturating_duration_since(promotion.phase_since);
+    if status.is_some_and(|status| status.received >= position) || elapsed >= CATCH_UP_LIMIT {
+        promotion.enter(now, PromotionPhase::Fencing);
+    } else {
+        watch(state, now, target, outputs);
+    }
+}
+
+/// Probes a member unless a probe is open or was sent just now.
+fn watch(
+    state: &mut HostState,
+    now: Instant,
+    endpoint: EndpointKey,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let Some(member) = state.endpoints.members.get(endpoint) else { return };
+    let is_due = member.probe.sent_at.is_none_or(|sent_at| now >= sent_at + WATCH_INTERVAL);
+    if is_due && !member.probe.is_open {
+        probe::send(state, now, endpoint, outputs);
+    }
+}
+
+/// Chooses the member that takes over, once enough have promised the term.
+fn choose(state: &HostState, now: Instant, key: GroupKey, promotion: &mut Promotion) {
+    let group = &state.endpoints.groups[key];
+    let reachable = state.endpoints.count_reachable(now, group);
+    if promotion.is_fenced(now, group.majority(), reachable) {
+        if let Some(target) = choose_target(&state.endpoints, group, &promotion.grants) {
+            promotion.enter(now, PromotionPhase::Promoting { target });
+        }
+    }
+}
+
+/// Sends the commands of the phase to the members that have not carried them out.
+fn send_commands(
+    state: &HostState,
+    now: Instant,
+    key: GroupKey,
+    promotion: &mut Promotion,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let receivers = match promotion.phase {
+        PromotionPhase::Settling { .. } | PromotionPhase::CatchingUp { .. } => return,
+        PromotionPhase::Closing { primary, .. } => vec![primary],
+        PromotionPhase::Fencing => {
+            let members = state.endpoints.groups[key].members.iter().copied();
+            members.filter(|member| !promotion.grants.contains_key(member)).collect()
+        }
+        PromotionPhase::Promoting { target } => vec![target],
+    };
+    if !promotion.take_send(now) {
+        return;
+    }
+    for endpoint in receivers {
+        let Some(member) = state.endpoints.members.get(endpoint) else { continue };
+        let request = promotion.request.clone();
+        let command = match promotion.phase {
+            PromotionPhase::Promoting { .. } => TermCommand::Promote(request),
+            _ => TermCommand::Fence(request),
+        };
+        let api_address = member.api_address.clone();
+        outputs.push(HostOutput::CommandMember { endpoint, api_address, command });
+    }
+}
+
+/// The member has taken over: tell the others, other hosts and the store.
+fn finish(
+    state: &mut HostState,
+    now: Instant,
+    key: GroupKey,
+    target: EndpointKey,
+    promotion: &Promotion,
+    reply: TermReply,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let term = promotion.request.term;
+    let sent_at = promotion.sent.map_or(now, |(first, _)| first);
+    state.endpoints.groups[key].set_primary(now, term, Some(target));
+    state.endpoints.observe(now, target, sent_at, reply.status);
+    state.counters.promotions_completed += 1;
+    let group = &state.endpoints.groups[key];
+    let Some(address) = state.endpoints.address(target) else { return };
+    log::info!("failover: {} is the primary of {} in term {term}.", address.name, group.name);
+    let value = json!({"schema": 1, "term": term, "primary": address.name.as_str()});
+    let write = TableWrite { key: format!("groups/{}", group.name), value: Some(value) };
+    let txn = TxnRequest { checks: Vec::new(), writes: vec![write] };
+    let request = StoreRequest::Transact { purpose: StorePurpose::Announce, txn };
+    for member in group.members.iter().filter(|member| **member != target) {
+        follow::command(state, key, *member, outputs);
+    }
+    for member in group.members.clone() {
+        probe::send(state, now, member, outputs);
+    }
+    outputs.push(HostOutput::CallStore(request));
+}
--- /dev/null
+++ b/crates/core/src/host/groups/watch.rs
@@ -0,0 +1,208 @@
+//! Suspicion of primaries, and the start of promotions.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use tanagerdeal_wire::GroupName;
+use tanagerdeal_wire::member::TermRequest;
+
+use super::super::HostState;
+use super::{follow, promote};
+use crate::failover::{
+    MAX_GAP, PAUSE_GAP, PeerView, Promotion, PromotionPhase, hold_since, is_agreed, rank_among,
+};
+use crate::message::{EndpointKey, GroupKey, HostOutput};
+use crate::profile::SuspicionPolicy;
+use crate::routing::{EndpointTable, GroupState};
+
+/// Time that the promoter of a fenced group gets before another host starts over; a promotion whose
+/// messages arrive takes less than 100 ms.
+const FENCE_GRACE: Duration = Duration::from_millis(500);
+
+/// Delay per rank before a planned switchover; longer than one takes, so that only one host runs it.
+const SWITCHOVER_STEP: Duration = Duration::from_secs(2);
+
+/// Why a promotion starts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum PromotionReason {
+    /// The failure domains agree that the primary has failed.
+    Failed,
+    /// Members have promised a term that has no primary.
+    Unfinished,
+    /// The primary is to get no new work.
+    Planned(EndpointKey),
+}
+
+/// Notes the passage of time. After a pause of this host, what it suspected before is dropped: it
+/// must ask again, because others may have acted meanwhile.
+pub(super) fn note_run(state: &mut HostState, now: Instant) {
+    let gap = state.failovers.note_run(now);
+    if gap > MAX_GAP {
+        let excess = if gap >= PAUSE_GAP { gap } else { gap - MAX_GAP };
+        state.endpoints.forgive(now, excess);
+        state.failovers.watches.values_mut().for_each(|watch| watch.forgive(now, excess));
+    }
+    if gap >= PAUSE_GAP {
+        state.failovers.reset();
+    }
+}
+
+/// Judges all primaries, and starts or continues promotions.
+pub(super) fn run(
+    state: &mut HostState,
+    now: Instant,
+    view: impl Fn(&HostState, &GroupName, u64) -> PeerView,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let keys: Vec<_> = state.endpoints.groups.keys().collect();
+    for key in keys {
+        judge_primary(state, now, key);
+        promote::step(state, now, key, outputs);
+        let group = &state.endpoints.groups[key];
+        let watch = state.failovers.watch(key);
+        let is_quiet = watch.suspicion.is_none()
+            && watch.fence.is_none()
+            && watch.withheld_since.is_none()
+            && watch.astray.is_empty();
+        if is_quiet {
+            watch.agreed_since = None;
+            continue;
+        }
+        let view = view(state, &group.name, group.term);
+        judge_agreement(state, now, key, &view);
+        if let Some(reason) = find_reason(state, now, key, &view) {
+            start(state, now, key, reason);
+            promote::step(state, now, key, outputs);
+        }
+        follow::redirect(state, now, key, &view, outputs);
+    }
+}
+
+/// Updates what this host itself observes about a group's primary.
+fn judge_primary(state: &mut HostState, now: Instant, key: GroupKey) {
+    let timing = &state.profile.timing;
+    let (endpoints, after) = (&state.endpoints, timing.suspect_after);
+    let group = &endpoints.groups[key];
+    let primary = group.primary.and_then(|primary| endpoints.members.get(primary));
+    let has_quorum = endpoints.count_reachable(now, group) >= group.majority();
+    let is_absent = match primary {
+        None => has_quorum,
+        Some(member) => member.view.as_ref().is_some_and(|view| {
+            group.term_since.is_some_and(|since| view.asked_at >= since)
+                && view.status.promised_term == group.term
+                && !member.is_primary_of(group.term)
+        }),
+    };
+    let watch = state.failovers.watch(key);
+    hold_since(&mut watch.missing_since, now, is_absent);
+    let missing = watch.missing_since.is_some_and(|since| now >= since + after);
+    let silent = primary.is_some_and(|member| member.is_unreachable(now, after));
+    let in_office = primary.filter(|member| member.is_primary_of(group.term));
+    let good_probe = in_office.and_then(|member| member.view.as_ref()).map(|view| view.asked_at);
+    watch.judge(now, group.term, missing || silent, good_probe, timing.probe_interval);
+    watch.note_fence(now, highest_promise(endpoints, now, group, after));
+    let is_withheld = in_office.is_some_and(|member| endpoints.is_withheld(member));
+    hold_since(&mut watch.withheld_since, now, is_withheld);
+    follow::note_astray(endpoints, watch, now, group, after);
+}
+
+/// Highest term above the group's that a reachable member has promised.
+fn highest_promise(
+    endpoints: &EndpointTable,
+    now: Instant,
+    group: &GroupState,
+    after: Duration,
+) -> Option<u64> {
+    let members = endpoints.members_of(group);
+    let reachable = members.filter(|(_, member)| !member.is_unreachable(now, after));
+    let promised = reachable.filter_map(|(_, member)| member.status()).map(|s| s.promised_term);
+    promised.max().filter(|term| *term > group.term)
+}
+
+fn judge_agreement(state: &mut HostState, now: Instant, key: GroupKey, view: &PeerView) {
+    let group = &state.endpoints.groups[key];
+    let members = state.endpoints.members_of(group);
+    let domains: BTreeSet<_> = members.map(|(_, member)| &member.domain).collect();
+    let agrees = match state.profile.policies.suspicion {
+        SuspicionPolicy::Single => true,
+        SuspicionPolicy::Agreed => is_agreed(&state.profile.identity.domain, view, &domains),
+    };
+    let watch = state.failovers.watch(key);
+    let holds = watch.suspicion.is_some() && agrees;
+    hold_since(&mut watch.agreed_since, now, holds);
+}
+
+/// Why this host has to start a promotion now, if it has to.
+fn find_reason(
+    state: &HostState,
+    now: Instant,
+    key: GroupKey,
+    view: &PeerView,
+) -> Option<PromotionReason> {
+    let group = &state.endpoints.groups[key];
+    let watch = state.failovers.watches.get(key)?;
+    let has_quorum = state.endpoints.count_reachable(now, group) >= group.majority();
+    let is_resting = watch.rest_until.is_some_and(|until| now < until);
+    if watch.promotion.is_some() || is_resting || !has_quorum {
+        return None;
+    }
+    let timing = &state.profile.timing;
+    let host = &state.profile.identity.host;
+    let rank = |hosts: &[(_, _)]| rank_among(&group.name, host, hosts.iter().map(|(host, _)| host));
+    let pause = group.term_since.map(|since| since + timing.promote_pause);
+    let is_paused = pause.is_some_and(|until| now < until);
+    let passed = |since: Option<Instant>, wait| since.is_some_and(|since| now >= since + wait);
+    if let Some((_, since)) = watch.fence {
+        // A minority that was fenced in vain can follow no one, but the primary works without it.
+        let works = state.endpoints.confirmed(key).is_some_and(|(at, _)| at >= since);
+        let grace = if works { timing.promote_pause } else { FENCE_GRACE };
+        let wait = grace + timing.promote_step * rank(&view.hosts);
+        return passed(Some(since), wait).then_some(PromotionReason::Unfinished);
+    }
+    let failed_wait = timing.promote_step * rank(&view.suspects);
+    if !is_paused && passed(watch.agreed_since, failed_wait) {
+        return Some(PromotionReason::Failed);
+    }
+    let planned_wait = SWITCHOVER_STEP * rank(&view.hosts);
+    let is_planned = !is_paused && watch.suspicion.is_none();
+    match is_planned && passed(watch.withheld_since, planned_wait) {
+        true => find_successor(&state.endpoints, now, group, timing.suspect_after)
+            .map(PromotionReason::Planned),
+        false => None,
+    }
+}
+
+/// The furthest replica that may get new work.
+fn find_successor(
+    endpoints: &EndpointTable,
+    now: Instant,
+    group: &GroupState,
+    after: Duration,
+) -> Option<EndpointKey> {
+    let members = endpoints.members_of(group).filter(|(key, member)| {
+        group.primary != Some(*key)
+            && !endpoints.is_withheld(member)
+            && !member.is_unreachable(now, after)
+    });
+    let ends = members.filter_map(|(key, member)| member.status().map(|s| (s.received, key)));
+    ends.max().map(|(_, key)| key)
+}
+
+fn start(state: &mut HostState, now: Instant, key: GroupKey, reason: PromotionReason) {
+    let group = &state.endpoints.groups[key];
+    let statuses = state.endpoints.members_of(group).filter_map(|(_, member)| member.status());
+    let promised = statuses.map(|status| status.promised_term).max().unwrap_or(0);
+    let term = promised.max(group.term) + 1;
+    state.failovers.attempts += 1;
+    let identity = &state.profile.identity;
+    let promoter =
+        format!("{}/{}/{}", identity.host, identity.incarnation, state.failovers.attempts);
+    log::info!("failover: Promotion of {} to term {term} starts: {reason:?}.", group.name);
+    let phase = match reason {
+        PromotionReason::Planned(target) => PromotionPhase::Settling { target },
+        _ => PromotionPhase::Fencing,
+    };
+    let promotion = Promotion::new(now, TermRequest { term, promoter }, phase);
+    state.failovers.watch(key).promotion = Some(promotion);
+    state.counters.promotions_started += 1;
+}
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -2,8 +2,8 @@
 
 use std::time::Instant;
 
-use tanagerdeal_wire::HostName;
 use tanagerdeal_wire::peer::PeerRequest;
+use tanagerdeal_wire::{DomainName, GroupName, HostName};
 
 use crate::message::{HostOutput, PeerCallKey};
 
@@ -17,6 +17,21 @@
         Vec::new()
     }
 
+    /// Other hosts that were heard of recently and are not leaving, with their failure domains.
+    pub fn heard(&self, _now: Instant) -> impl Iterator<Item = (&HostName, &DomainName)> {
+        std::iter::empty()
+    }
+
+    /// Hosts among [`HostTable::heard`] that suspect the primary of a group in a term.
+    pub fn suspicions(
+        &self,
+        _now: Instant,
+        _group: &GroupName,
+        _term: u64,
+    ) -> impl Iterator<Item = (&HostName, &DomainName)> {
+        std::iter::empty()
+    }
+
     /// Sends a request to a peer; nothing is sent to an unknown one.
     pub fn send(
         &mut self,
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -20,7 +20,7 @@
 use crate::profile::{HostProfile, HostTiming, ReadPolicy, ReturnPolicy};
 
 pub(crate) use group::GroupState;
-pub(crate) use history::{Coverage, compare};
+pub(crate) use history::{Coverage, advance_term, compare};
 pub(crate) use member::MemberState;
 
 value_type! {
