--- a/crates/core/src/confirm.rs
+++ b/crates/core/src/confirm.rs
@@ -1,8 +1,5 @@
 //! Confirmation of commits and positions by a majority of a group.
 
-#[cfg(test)]
-mod tests;
-
 use std::collections::BTreeMap;
 use std::time::Instant;
 
--- a/crates/core/src/host/groups.rs
+++ b/crates/core/src/host/groups.rs
@@ -48,9 +48,19 @@
 }
 
 pub(super) fn run_systems(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    let view = |state: &_, group: &_, term| peer_view(state, now, group, term);
+    run_with(state, now, view, outputs);
+}
+
+/// Runs the systems with a given view of the other hosts.
+fn run_with(
+    state: &mut HostState,
+    now: Instant,
+    view: impl Fn(&HostState, &GroupName, u64) -> PeerView,
+    outputs: &mut Vec<HostOutput>,
+) {
     watch::note_run(state, now);
     probe::send_periodic(state, now, outputs);
-    let view = |state: &_, group: &_, term| peer_view(state, now, group, term);
     watch::run(state, now, view, outputs);
     settle_waits(state, now, outputs);
 }
@@ -112,6 +122,9 @@
         let primary = primary.filter(|primary| group.members.contains(primary));
         if term > group.term && primary.is_some() {
             group.set_primary(now, term, primary);
+            for member in group.members.clone() {
+                state.endpoints.members[member].probe.is_wanted = true;
+            }
         }
     }
 }
--- a/crates/core/src/host/groups/probe.rs
+++ b/crates/core/src/host/groups/probe.rs
@@ -18,7 +18,7 @@
         let sent_at = member.probe.sent_at;
         let has_passed = sent_at.is_none_or(|sent_at| now >= sent_at + interval);
         let is_doubted = member.is_in_doubt() && sent_at < member.lost_at;
-        has_passed || is_doubted
+        has_passed || is_doubted || member.probe.is_wanted
     };
     let due = state.endpoints.members.iter().filter(|(_, member)| is_due(member));
     let due: Vec<_> = due.map(|(key, _)| key).collect();
--- /dev/null
+++ b/crates/core/src/host/groups/tests/failover.rs
@@ -0,0 +1,224 @@
+//! Failover of a primary, driven through several cores.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tanagerdeal_wire::member::{LogPosition, MemberRole, TermRequest};
+
+use super::world::World;
+use crate::message::fleet::TermCommand;
+use crate::routing::RouteChoice;
+
+fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn started(hosts: usize, seed: u64) -> World {
+    let mut world = World::new(hosts, seed);
+    world.run(secs(4));
+    for host in 0..hosts {
+        assert_eq!(world.primary(host), Some(0));
+    }
+    world
+}
+
+/// Guards against a killed or frozen primary that is not replaced in time.
+#[gtest]
+fn frozen_primary_is_replaced_within_two_seconds() {
+    for seed in 0..20 {
+        let mut world = started(9, seed);
+        world.frozen.insert(0);
+        let took = world.run_until(secs(9), |world| {
+            (0..9).all(|host| world.primary(host).is_some_and(|primary| primary != 0))
+        });
+        assert_that!(took, some(le(Duration::from_millis(2_000))), "seed {seed}");
+        world.frozen.clear();
+        world.run(secs(4));
+        assert_that!(world.promotions.len(), eq(1), "seed {seed}");
+        assert_that!(world.members[0].role, eq(MemberRole::Replica));
+        world.check_safety();
+    }
+}
+
+/// Guards against a second failure right after a failover that is not survived in time.
+#[gtest]
+fn second_failure_right_after_the_first_is_survived() {
+    let mut world = started(9, 3);
+    world.frozen.insert(0);
+    world.run_until(secs(9), |world| world.primary(0).is_some_and(|primary| primary != 0));
+    let second = world.primary(0).unwrap();
+    // The first returns, because two of three members are needed.
+    world.frozen = [second].into();
+    let took = world.run_until(secs(9), |world| {
+        (0..9).all(|host| world.primary(host).is_some_and(|primary| primary != second))
+    });
+    assert_that!(took, some(le(secs(6))));
+    world.check_safety();
+}
+
+/// Guards against a promotion that only one host's bad link causes.
+#[gtest]
+fn bad_link_of_one_host_causes_no_promotion() {
+    let mut world = started(9, 4);
+    world.cut.insert((2, 0));
+    world.run(secs(10));
+    assert_that!(world.promotions.len(), eq(0));
+    assert_that!(world.members[0].promised, eq(1));
+}
+
+/// Guards against a promotion that packet loss causes, and against hosts that stop to write.
+#[gtest]
+fn packet_loss_causes_no_promotion() {
+    for seed in 0..10 {
+        let mut world = started(9, seed);
+        world.loss = 5;
+        world.run(secs(30));
+        assert_that!(world.members[0].promised, eq(1), "seed {seed}");
+        world.check_safety();
+    }
+}
+
+/// Guards against a primary in the minority that goes on acknowledging, and against its hosts
+/// promoting there.
+#[gtest]
+fn primary_in_the_minority_is_replaced_and_acknowledges_nothing() {
+    let mut world = started(9, 5);
+    // Hosts 0, 3 and 6 are in the failure domain of member 0.
+    for host in 0..9 {
+        for member in 0..3 {
+            if (host % 3 == 0) != (member == 0) {
+                world.cut.insert((host, member));
+            }
+        }
+    }
+    world.split = [(1, 0), (2, 0), (0, 1), (0, 2)].into();
+    for _ in 0..60 {
+        world.write(0);
+        world.run(Duration::from_millis(50));
+    }
+    assert_that!(world.promotions.len(), eq(1));
+    assert_that!(world.members[0].role, eq(MemberRole::Primary), "the old one does not know");
+    world.check_safety();
+    assert_that!(world.acknowledged(), eq(0));
+    world.cut.clear();
+    world.split.clear();
+    world.run(secs(2));
+    assert_that!(world.members[0].role, eq(MemberRole::Replica));
+}
+
+/// Guards against the loss of a write that two members hold: the furthest must take over.
+#[gtest]
+fn furthest_member_is_promoted() {
+    for (behind, ahead) in [(1, 2), (2, 1)] {
+        let mut world = started(9, 6);
+        world.split.insert((behind, 0));
+        for _ in 0..10 {
+            world.write(1);
+            world.run(Duration::from_millis(40));
+        }
+        assert_that!(world.acknowledged(), gt(5));
+        world.frozen.insert(0);
+        world.run_until(secs(9), |world| !world.promotions.is_empty());
+        assert_that!(world.promotions[0].2, eq(ahead));
+        world.check_safety();
+    }
+}
+
+/// Guards against a promotion that a single lost command or answer stops.
+#[gtest]
+fn lost_commands_and_answers_are_repeated() {
+    for seed in 0..20 {
+        let mut world = started(9, seed);
+        world.loss = 20;
+        world.frozen.insert(0);
+        let took = world.run_until(secs(9), |world| {
+            (0..9).any(|host| world.primary(host).is_some_and(|primary| primary != 0))
+        });
+        assert_that!(took, some(le(secs(5))), "seed {seed}");
+        world.check_safety();
+    }
+}
+
+/// Guards against a group that stays fenced because its promoter died between fence and promote.
+#[gtest]
+fn promoter_that_dies_after_the_fence_is_replaced() {
+    let mut world = started(9, 7);
+    let request = TermRequest { term: 2, promoter: "dead".to_owned() };
+    let group = world.group_name.clone();
+    for member in &mut world.members {
+        assert!(member.command(&group, &TermCommand::Fence(request.clone())).granted);
+    }
+    let took = world.run_until(secs(9), |world| {
+        !world.promotions.is_empty() && (0..9).all(|host| world.primary(host).is_some())
+    });
+    assert_that!(took, some(le(secs(3))));
+    assert_that!(world.promotions.len(), eq(1));
+    assert_that!(world.promotions[0].1, gt(2));
+}
+
+/// Guards against a member that stays fenced after a promotion that reached only a minority.
+#[gtest]
+fn fenced_minority_is_taken_back() {
+    let mut world = started(9, 8);
+    let request = TermRequest { term: 2, promoter: "dead".to_owned() };
+    let group = world.group_name.clone();
+    world.members[2].command(&group, &TermCommand::Fence(request));
+    world.run(secs(2));
+    assert_that!(world.primary(0), some(eq(0)), "the primary works meanwhile");
+    world.run(secs(6));
+    assert_that!(world.members[2].role, ne(MemberRole::Fenced));
+    assert_that!(world.promotions.len(), eq(1));
+}
+
+/// Guards against two promoters of one term: each member grants it to one only.
+#[gtest]
+fn two_promoters_cannot_both_win_a_term() {
+    // Without messages between the hosts each agrees only with itself and starts on its own.
+    for seed in 0..20 {
+        let mut world = started(3, seed);
+        for host in &mut world.hosts {
+            host.profile.policies.suspicion = crate::profile::SuspicionPolicy::Single;
+            host.profile.timing.promote_step = Duration::ZERO;
+        }
+        world.loss = 10;
+        world.frozen.insert(0);
+        world.run(secs(8));
+        world.check_safety();
+        assert_that!(world.promotions.len(), ge(1), "seed {seed}");
+        assert_that!(world.primary(1), some(ne(0)), "seed {seed}");
+    }
+}
+
+/// Guards against a host that was paused during a failover and acts on what it knew before.
+#[gtest]
+fn paused_host_does_not_act_on_old_suspicions() {
+    let mut world = started(9, 9);
+    world.frozen.insert(0);
+    world.run(Duration::from_millis(1_100));
+    world.paused.insert(1);
+    world.run(secs(5));
+    let promotions = world.promotions.len();
+    assert_that!(promotions, eq(1));
+    world.frozen.clear();
+    world.run(secs(1));
+    let started = world.hosts[1].counters.promotions_started;
+    world.paused.clear();
+    world.run(secs(5));
+    assert_that!(world.hosts[1].counters.promotions_started, eq(started));
+    assert_that!(world.promotions.len(), eq(promotions));
+    assert_that!(world.primary(1), eq(world.primary(0)));
+}
+
+/// Guards against reads that stop while the primary is down, although replicas satisfy them.
+#[gtest]
+fn reads_go_on_at_replicas_while_the_primary_is_down() {
+    let mut world = started(9, 10);
+    world.write(1);
+    world.run(secs(1));
+    world.frozen.insert(0);
+    for _ in 0..100 {
+        world.tick();
+        let choice = world.choose(1, false, LogPosition { term: 1, offset: 1 });
+        assert_that!(choice, matches_pattern!(RouteChoice::Endpoint { .. }));
+    }
+}
--- /dev/null
+++ b/crates/core/src/host/groups/tests/world.rs
@@ -0,0 +1,465 @@
+//! Several cores around the model of one group, on virtual time with a seeded order of messages.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+use tanagerdeal_wire::member::{LogPosition, MemberStatus, TermReply};
+use tanagerdeal_wire::peer::{GroupAnnouncement, GroupSuspicion};
+use tanagerdeal_wire::record::{
+    DomainPhase, EndpointPhase, GroupRecord, MemberRecord, ServiceRecord, WriteDurability,
+};
+use tanagerdeal_wire::{DomainName, GroupName, HostName, ServiceName};
+
+use super::super::{announcements, run_with, settle_waits, suspicions};
+use super::model::ModelMember;
+use crate::confirm::{ConfirmOutcome, ConfirmRequest, ConfirmResult, ConfirmWaiter};
+use crate::failover::PeerView;
+use crate::host::HostState;
+use crate::message::fleet::{MemberEvent, TermCommand};
+use crate::message::{DispatchKey, EndpointKey, GroupKey, HostOutput};
+use crate::profile::{HostIdentity, HostPolicies, HostProfile, HostTiming};
+use crate::routing::{RouteChoice, RouteQuery, RouteSettings};
+
+pub(super) const TICK: Duration = Duration::from_millis(20);
+const PEER_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which the runtime reports a probe or command without an answer.
+const CALL_LIMIT: Duration = Duration::from_millis(400);
+
+/// A message on its way.
+enum Delivery {
+    Probe { host: usize, member: usize, asked_at: Instant },
+    Command { host: usize, member: usize, command: TermCommand },
+    Write { host: usize, member: usize },
+    Event { host: usize, event: Box<MemberEvent> },
+    Commit { host: usize, id: u64, position: LogPosition },
+}
+
+/// A commit that a host acknowledged, or the end of another wait.
+pub(super) struct EndedCommit {
+    pub(super) id: u64,
+    pub(super) position: LogPosition,
+    pub(super) since: Instant,
+    pub(super) at: Instant,
+    pub(super) outcome: ConfirmOutcome,
+}
+
+pub(super) struct World {
+    pub(super) now: Instant,
+    pub(super) hosts: Vec<HostState>,
+    pub(super) members: Vec<ModelMember>,
+    pub(super) random: SmallRng,
+    /// Loss of messages between hosts and members, in percent.
+    pub(super) loss: u32,
+    /// Pairs of host and member that do not reach each other.
+    pub(super) cut: BTreeSet<(usize, usize)>,
+    /// Hosts that do not run, and members that do not answer.
+    pub(super) paused: BTreeSet<usize>,
+    pub(super) frozen: BTreeSet<usize>,
+    /// Pairs of members of which the first does not receive from the second.
+    pub(super) split: BTreeSet<(usize, usize)>,
+    pub(super) is_replicating: bool,
+    pub(super) commits: Vec<EndedCommit>,
+    pub(super) promotions: Vec<(Instant, u64, usize)>,
+    pub(super) leaving: BTreeSet<usize>,
+    pub(super) group_name: GroupName,
+    queue: BTreeMap<(Instant, u64), Delivery>,
+    held: Vec<Vec<Delivery>>,
+    sequence: u64,
+    open: BTreeMap<(usize, u64), (u64, LogPosition, Instant)>,
+    peers: Vec<BTreeMap<usize, (Instant, Vec<GroupSuspicion>)>>,
+    peers_at: Instant,
+    pub(super) writes: u64,
+}
+
+fn domain(index: usize) -> DomainName {
+    DomainName::new(&format!("d{}", index % 3)).unwrap()
+}
+
+fn host_name(index: usize) -> HostName {
+    HostName::new(&format!("h{index}")).unwrap()
+}
+
+impl World {
+    pub(super) fn new(hosts: usize, seed: u64) -> Self {
+        let now = Instant::now();
+        let members: Vec<_> = (0..3).map(ModelMember::new).collect();
+        let mut world = Self {
+            now,
+            hosts: Vec::new(),
+            members,
+            random: SmallRng::seed_from_u64(seed),
+            loss: 0,
+            cut: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            frozen: BTreeSet::new(),
+            split: BTreeSet::new(),
+            is_replicating: true,
+            commits: Vec::new(),
+            promotions: Vec::new(),
+            leaving: BTreeSet::new(),
+            group_name: GroupName::new("g").unwrap(),
+            queue: BTreeMap::new(),
+            held: (0..hosts).map(|_| Vec::new()).collect(),
+            sequence: 0,
+            open: BTreeMap::new(),
+            peers: vec![BTreeMap::new(); hosts],
+            peers_at: now,
+            writes: 0,
+        };
+        world.hosts = (0..hosts).map(|index| world.new_host(index)).collect();
+        world
+    }
+
+    fn new_host(&self, index: usize) -> HostState {
+        let identity = HostIdentity {
+            host: host_name(index),
+            domain: domain(index),
+            incarnation: 1,
+            peer_address: String::new(),
+            admin_address: String::new(),
+        };
+        let mut state = HostState::new(HostProfile {
+            identity,
+            timing: HostTiming::default(),
+            policies: HostPolicies::default(),
+            fleet_secret: Vec::new(),
+            seed: index as u64,
+        });
+        let member = |(index, member): (usize, &ModelMember)| MemberRecord {
+            endpoint: member.name.clone(),
+            domain: domain(index),
+            sql_address: format!("sql{index}"),
+            api_address: format!("api{index}"),
+            connections: 20,
+            slots: 3,
+        };
+        let members = self.members.iter().enumerate().map(member).collect();
+        let group = GroupRecord { group: self.group_name.clone(), members };
+        let service = (ServiceName::new("s").unwrap(), ServiceRecord { groups: vec![group] });
+        state.endpoints.adopt_settings(RouteSettings::new(&state.profile));
+        state.endpoints.adopt_services([(&service.0, &service.1)].into_iter());
+        state
+    }
+
+    pub(super) fn key(&self, host: usize, member: usize) -> EndpointKey {
+        self.hosts[host].endpoints.member_named(&self.members[member].name).unwrap()
+    }
+
+    pub(super) fn group(&self, host: usize) -> GroupKey {
+        self.hosts[host].endpoints.group(&self.group_name).unwrap()
+    }
+
+    fn index(&self, host: usize, key: EndpointKey) -> usize {
+        let name = &self.hosts[host].endpoints.address(key).unwrap().name;
+        self.members.iter().position(|member| member.name == *name).unwrap()
+    }
+
+    /// Tells all hosts that a member is leaving.
+    pub(super) fn set_leaving(&mut self, member: usize) {
+        self.leaving.insert(member);
+        let name = self.members[member].name.clone();
+        for host in &mut self.hosts {
+            let phase = |endpoint: &_| match *endpoint == name {
+                true => EndpointPhase::Leaving,
+                false => EndpointPhase::Serving,
+            };
+            host.endpoints.adopt_phases(self.now, |_| DomainPhase::In, phase);
+        }
+    }
+
+    fn post(&mut self, delivery: Delivery) {
+        let delay = Duration::from_micros(self.random.random_range(500..6_000));
+        self.post_at(self.now + delay, delivery);
+    }
+
+    fn post_at(&mut self, at: Instant, delivery: Delivery) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), delivery);
+    }
+
+    fn is_lost(&mut self, host: usize, member: usize) -> bool {
+        let by_chance = self.random.random_range(0..100) < self.loss;
+        by_chance || self.cut.contains(&(host, member)) || self.frozen.contains(&member)
+    }
+
+    fn carry_out(&mut self, host: usize, outputs: Vec<HostOutput>) {
+        let asked_at = self.now;
+        for output in outputs {
+            match output {
+                HostOutput::ProbeMember { endpoint, .. } => {
+                    let member = self.index(host, endpoint);
+                    self.post(Delivery::Probe { host, member, asked_at });
+                    let event = Box::new(MemberEvent::Unreachable { endpoint, asked_at });
+                    self.post_at(asked_at + CALL_LIMIT, Delivery::Event { host, event });
+                }
+                HostOutput::CommandMember { endpoint, command, .. } => {
+                    let member = self.index(host, endpoint);
+                    self.post(Delivery::Command { host, member, command });
+                }
+                _ => {}
+            }
+        }
+        self.collect(host);
+    }
+
+    fn collect(&mut self, host: usize) {
+        for ConfirmResult { waiter, outcome } in self.hosts[host].confirms.take_results() {
+            let ConfirmWaiter::Commit(key) = waiter else { continue };
+            let number = slotmap::Key::data(&key).as_ffi();
+            if let Some((id, position, since)) = self.open.remove(&(host, number)) {
+                let at = self.now;
+                self.commits.push(EndedCommit { id, position, since, at, outcome });
+            }
+        }
+    }
+
+    /// Asks a host to confirm a commit.
+    pub(super) fn confirm(&mut self, host: usize, id: u64, position: LogPosition) {
+        let key = DispatchKey::from(slotmap::KeyData::from_ffi((1 << 32) | id));
+        let number = slotmap::Key::data(&key).as_ffi();
+        self.open.insert((host, number), (id, position, self.now));
+        let group = self.group(host);
+        self.hosts[host].confirms.add(ConfirmRequest {
+            waiter: ConfirmWaiter::Commit(key),
+            group,
+            position,
+            since: self.now,
+            replicated_by: self.now + Duration::from_millis(400),
+            deadline: self.now + Duration::from_secs(5),
+            durability: WriteDurability::Term,
+        });
+        self.settle(host);
+    }
+
+    pub(super) fn settle(&mut self, host: usize) {
+        let mut outputs = Vec::new();
+        settle_waits(&mut self.hosts[host], self.now, &mut outputs);
+        self.carry_out(host, outputs);
+    }
+
+    pub(super) fn handle(&mut self, host: usize, event: MemberEvent) {
+        let mut outputs = Vec::new();
+        super::super::handle_member(&mut self.hosts[host], self.now, event, &mut outputs);
+        settle_waits(&mut self.hosts[host], self.now, &mut outputs);
+        self.carry_out(host, outputs);
+    }
+
+    /// Where a host would place a request.
+    pub(super) fn choose(
+        &self,
+        host: usize,
+        is_write: bool,
+        watermark: LogPosition,
+    ) -> RouteChoice {
+        let query = RouteQuery {
+            group: self.group(host),
+            is_write,
+            watermark,
+            max_age: Duration::ZERO,
+            excluded: Vec::new(),
+            deadline: self.now + Duration::from_secs(5),
+        };
+        self.hosts[host].endpoints.choose(self.now, &query)
+    }
+
+    /// Places a write of a client of a host; false when there is no primary to place it on.
+    pub(super) fn write(&mut self, host: usize) -> bool {
+        match self.choose(host, true, LogPosition::default()) {
+            RouteChoice::Endpoint { endpoint, .. } => {
+                let member = self.index(host, endpoint);
+                self.post(Delivery::Write { host, member });
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Probe { host, member, asked_at } if !self.is_lost(host, member) => {
+                let status = self.members[member].status(&self.group_name);
+                self.answer(host, member, asked_at, status);
+            }
+            Delivery::Command { host, member, command } if !self.is_lost(host, member) => {
+                self.run_command(host, member, command);
+            }
+            Delivery::Write { host, member } if !self.is_lost(host, member) => {
+                self.writes += 1;
+                let id = self.writes;
+                if let Some(position) = self.members[member].write(id) {
+                    self.post(Delivery::Commit { host, id, position });
+                }
+            }
+            Delivery::Event { host, .. } | Delivery::Commit { host, .. }
+                if self.paused.contains(&host) =>
+            {
+                self.held[host].push(delivery);
+            }
+            Delivery::Event { host, event } => self.handle(host, *event),
+            Delivery::Commit { host, id, position } => self.confirm(host, id, position),
+            _ => {}
+        }
+    }
+
+    fn answer(&mut self, host: usize, member: usize, asked_at: Instant, status: MemberStatus) {
+        if !self.is_lost(host, member) {
+            let endpoint = self.key(host, member);
+            let event = Box::new(MemberEvent::Answered { endpoint, asked_at, status });
+            self.post(Delivery::Event { host, event });
+        }
+    }
+
+    fn run_command(&mut self, host: usize, member: usize, command: TermCommand) {
+        let was_primary = self.members[member].history.len();
+        let reply: TermReply = self.members[member].command(&self.group_name, &command);
+        if self.members[member].history.len() > was_primary {
+            self.promotions.push((self.now, self.members[member].promised, member));
+        }
+        if !self.is_lost(host, member) {
+            let endpoint = self.key(host, member);
+            let reply = Some(reply);
+            let event = Box::new(MemberEvent::Commanded { endpoint, command, reply });
+            self.post(Delivery::Event { host, event });
+        }
+    }
+
+    fn exchange(&mut self) {
+        self.peers_at = self.now + PEER_INTERVAL;
+        let running: Vec<_> = (0..self.hosts.len()).filter(|h| !self.paused.contains(h)).collect();
+        let states: Vec<(usize, Vec<GroupSuspicion>, Vec<GroupAnnouncement>)> = running
+            .iter()
+            .map(|host| {
+                let state = &self.hosts[*host];
+                (*host, suspicions(state, self.now), announcements(state))
+            })
+            .collect();
+        for receiver in running {
+            for (sender, suspicions, groups) in &states {
+                if *sender != receiver {
+                    self.peers[receiver].insert(*sender, (self.now, suspicions.clone()));
+                    super::super::adopt_announcements(&mut self.hosts[receiver], self.now, groups);
+                }
+            }
+        }
+    }
+
+    fn replicate(&mut self) {
+        for index in 0..self.members.len() {
+            let Some(name) = self.members[index].follows.clone() else { continue };
+            let source = self.members.iter().position(|member| member.name == name).unwrap();
+            let is_cut = self.frozen.contains(&index)
+                || self.frozen.contains(&source)
+                || self.split.contains(&(index, source));
+            if !is_cut && self.is_replicating && source != index {
+                let [replica, source] = self.members.get_disjoint_mut([index, source]).unwrap();
+                replica.replicate(source, 5);
+            }
+        }
+    }
+
+    /// One tick: messages that are due, replication, and the systems of all running hosts.
+    pub(super) fn tick(&mut self) {
+        let until = self.now + TICK;
+        while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= until) {
+            let ((at, _), delivery) = entry.remove_entry();
+            self.now = self.now.max(at);
+            self.deliver(delivery);
+        }
+        self.now = until;
+        self.replicate();
+        if self.now >= self.peers_at {
+            self.exchange();
+        }
+        for host in 0..self.hosts.len() {
+            if !self.paused.contains(&host) {
+                std::mem::take(&mut self.held[host]).into_iter().for_each(|d| self.deliver(d));
+                self.run_host(host);
+            }
+        }
+    }
+
+    fn run_host(&mut self, host: usize) {
+        let heard: Vec<_> = self.peers[host]
+            .iter()
+            .filter(|(_, (at, _))| self.now.saturating_duration_since(*at).as_millis() < 3_500)
+            .map(|(peer, (_, list))| ((host_name(*peer), domain(*peer)), list.clone()))
+            .collect();
+        let view = |_: &HostState, group: &GroupName, term: u64| {
+            let suspects = heard.iter().filter(|(_, list)| {
+                list.iter().any(|suspicion| suspicion.group == *group && suspicion.term == term)
+            });
+            PeerView {
+                hosts: heard.iter().map(|(peer, _)| peer.clone()).collect(),
+                suspects: suspects.map(|(peer, _)| peer.clone()).collect(),
+            }
+        };
+        let mut outputs = Vec::new();
+        run_with(&mut self.hosts[host], self.now, view, &mut outputs);
+        self.carry_out(host, outputs);
+    }
+
+    pub(super) fn run(&mut self, duration: Duration) {
+        let until = self.now + duration;
+        while self.now < until {
+            self.tick();
+        }
+    }
+
+    /// Runs until a condition holds, and returns how long it took.
+    pub(super) fn run_until(
+        &mut self,
+        limit: Duration,
+        condition: impl Fn(&Self) -> bool,
+    ) -> Option<Duration> {
+        let start = self.now;
+        while self.now < start + limit {
+            self.tick();
+            if condition(self) {
+                return Some(self.now - start);
+            }
+        }
+        None
+    }
+
+    /// The member that a host takes for the primary.
+    pub(super) fn primary(&self, host: usize) -> Option<usize> {
+        match self.choose(host, true, LogPosition::default()) {
+            RouteChoice::Endpoint { endpoint, .. } => Some(self.index(host, endpoint)),
+            _ => None,
+        }
+    }
+
+    /// Checks what must hold after any schedule.
+    pub(super) fn check_safety(&self) {
+        let terms: BTreeSet<_> = self.promotions.iter().map(|(_, term, _)| term).collect();
+        assert_eq!(terms.len(), self.promotions.len(), "two primaries in one term");
+        let last = self.promotions.last().map_or(0, |(.., member)| *member);
+        for commit in &self.commits {
+            let ConfirmOutcome::Confirmed { replicated, .. } = commit.outcome else { continue };
+            let until = match replicated {
+                true => commit.since,
+                false => commit.since + Duration::from_millis(400),
+            };
+            let replaced =
+                |(at, term, _): &(Instant, u64, usize)| *term > commit.position.term && *at < until;
+            assert!(
+                !self.promotions.iter().any(replaced),
+                "commit {} was acknowledged {:?} after the write by a replaced primary",
+                commit.id,
+                commit.at - commit.since,
+            );
+            assert!(
+                !replicated || self.members[last].contains(commit.id),
+                "replicated commit {} was lost",
+                commit.id
+            );
+        }
+    }
+
+    pub(super) fn acknowledged(&self) -> usize {
+        let is_confirmed = |c: &&EndedCommit| matches!(c.outcome, ConfirmOutcome::Confirmed { .. });
+        self.commits.iter().filter(is_confirmed).count()
+    }
+}
--- a/crates/core/src/routing/member.rs
+++ b/crates/core/src/routing/member.rs
@@ -58,6 +58,8 @@
     pub(crate) unanswered_since: Option<Instant>,
     /// Whether the last probe failed.
     pub(crate) has_failed: bool,
+    /// Whether the next probe is to be sent without waiting for its time.
+    pub(crate) is_wanted: bool,
 }
 
 impl MemberState {
@@ -178,7 +180,7 @@
 impl ProbeState {
     /// Notes that a probe was sent.
     pub(crate) fn begin(&mut self, now: Instant) {
-        (self.sent_at, self.is_open) = (Some(now), true);
+        (self.sent_at, self.is_open, self.is_wanted) = (Some(now), true, false);
         self.unanswered_since.get_or_insert(now);
     }
 
--- a/crates/core/src/routing/observe.rs
+++ b/crates/core/src/routing/observe.rs
@@ -66,9 +66,13 @@
     }
 
     /// Latest instant as of which a majority of a group answered with at least the group's term.
+    ///
+    /// Answers to probes from before the term became known count too: their age is what matters.
     pub(crate) fn heard_at(&self, group: &GroupState) -> Option<Instant> {
         let views = self.members_of(group).filter_map(|(_, member)| member.view.as_ref());
-        let current = views.filter(|view| view.status.promised_term >= group.term);
+        let current = views.filter(|view| {
+            view.status.promised_term >= group.term || Some(view.asked_at) < group.term_since
+        });
         majority_of(group, current.map(|view| view.asked_at).collect())
     }
 
