--- a/crates/core/src/confirm.rs
+++ b/crates/core/src/confirm.rs
@@ -1,7 +1,7 @@
 //! Confirmation of commits and positions by a majority of a group.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tanagerdeal_wire::member::LogPosition;
 use tanagerdeal_wire::record::WriteDurability;
@@ -10,6 +10,12 @@
 use crate::message::{DispatchKey, GroupKey, SessionKey};
 use crate::routing::EndpointTable;
 
+/// Time within which a second member usually receives a commit, and rest between probes during it
+/// and after it. Longer rests keep a group whose replicas lag from being probed in a loop.
+const EAGER_TIME: Duration = Duration::from_millis(50);
+const EAGER_REST: Duration = Duration::from_millis(5);
+const PATIENT_REST: Duration = Duration::from_millis(20);
+
 value_type! {
     /// Who waits for a confirmation.
     #[derive(Copy)]
@@ -145,8 +151,11 @@
         let since = waits.iter().filter(open).map(|request| needed_since(now, request)).max();
         match since {
             Some(since) => ProbeNeed::Since(since),
-            None if waits.is_empty() => ProbeNeed::Nothing,
-            None => ProbeNeed::Progress,
+            None => match waits.iter().map(|request| request.since).max() {
+                None => ProbeNeed::Nothing,
+                Some(newest) if now < newest + EAGER_TIME => ProbeNeed::Progress(EAGER_REST),
+                Some(_) => ProbeNeed::Progress(PATIENT_REST),
+            },
         }
     }
 }
@@ -156,8 +165,8 @@
     pub(crate) enum ProbeNeed {
         /// Nothing beyond the periodic probes.
         Nothing,
-        /// New received positions; the term is confirmed already.
-        Progress,
+        /// New received positions, at this rest after the last probe; the term is confirmed already.
+        Progress(Duration),
         /// Answers to probes sent at that time or later.
         Since(Instant),
     }
--- a/crates/core/src/host/groups.rs
+++ b/crates/core/src/host/groups.rs
@@ -120,7 +120,8 @@
         let Some(key) = state.endpoints.group(&announcement.group) else { continue };
         let group = &mut state.endpoints.groups[key];
         let primary = primary.filter(|primary| group.members.contains(primary));
-        if term > group.term && primary.is_some() {
+        let is_news = term > group.term || (term == group.term && group.primary.is_none());
+        if is_news && primary.is_some() {
             group.set_primary(now, term, primary);
             for member in group.members.clone() {
                 state.endpoints.members[member].probe.is_wanted = true;
--- a/crates/core/src/host/groups/probe.rs
+++ b/crates/core/src/host/groups/probe.rs
@@ -7,9 +7,9 @@
 use crate::message::{EndpointKey, GroupKey, HostOutput};
 use crate::routing::MemberState;
 
-/// Shortest time between probes that only watch a replica catch up, and between a failed probe and
-/// one that a confirmation needs; keeps a group that lags or is down from being probed in a loop.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(20);
+/// Shortest time between a failed probe and one that a confirmation needs; keeps a member that
+/// refuses connections from being probed in a loop.
+const FAILURE_REST: Duration = Duration::from_millis(20);
 
 /// Sends the probes that are due by time.
 pub(super) fn send_periodic(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
@@ -36,11 +36,11 @@
     let Some(group) = state.endpoints.groups.get(key) else { return };
     let is_needed = |member: &MemberState| {
         let probe = &member.probe;
-        let has_rested = probe.sent_at.is_none_or(|sent_at| now >= sent_at + PROGRESS_INTERVAL);
+        let has_rested = |rest| probe.sent_at.is_none_or(|sent_at| now >= sent_at + rest);
         match need {
             ProbeNeed::Nothing => false,
-            _ if probe.is_open || (probe.has_failed && !has_rested) => false,
-            ProbeNeed::Progress => has_rested,
+            _ if probe.is_open || (probe.has_failed && !has_rested(FAILURE_REST)) => false,
+            ProbeNeed::Progress(rest) => has_rested(rest),
             ProbeNeed::Since(since) => probe.sent_at.is_none_or(|sent_at| sent_at < since),
         }
     };
--- a/crates/core/src/host/groups/tests/random.rs
+++ b/crates/core/src/host/groups/tests/random.rs
@@ -43,9 +43,13 @@
 fn disturb(world: &mut World) {
     let (host, member) = (world.random.random_range(0..6), world.random.random_range(0..3));
     match world.random.random_range(0..9) {
-        0 | 1 => {
+        0 => {
             world.frozen.insert(member);
         }
+        1 => {
+            let primary = world.primary(host).unwrap_or(member);
+            world.frozen.insert(primary);
+        }
         2 => {
             world.paused.insert(host);
         }
--- a/crates/core/src/host/groups/tests/world.rs
+++ b/crates/core/src/host/groups/tests/world.rs
@@ -64,6 +64,8 @@
     pub(super) promotions: Vec<(Instant, u64, usize)>,
     pub(super) leaving: BTreeSet<usize>,
     pub(super) group_name: GroupName,
+    /// When each host starts, so that their probes are not in step.
+    starts: Vec<Instant>,
     queue: BTreeMap<(Instant, u64), Delivery>,
     held: Vec<Vec<Delivery>>,
     sequence: u64,
@@ -100,6 +102,7 @@
             promotions: Vec::new(),
             leaving: BTreeSet::new(),
             group_name: GroupName::new("g").unwrap(),
+            starts: Vec::new(),
             queue: BTreeMap::new(),
             held: (0..hosts).map(|_| Vec::new()).collect(),
             sequence: 0,
@@ -109,6 +112,10 @@
             writes: 0,
         };
         world.hosts = (0..hosts).map(|index| world.new_host(index)).collect();
+        for _ in 0..hosts {
+            let offset = world.random.random_range(0..250);
+            world.starts.push(now + Duration::from_millis(offset));
+        }
         world
     }
 
@@ -373,7 +380,7 @@
             self.exchange();
         }
         for host in 0..self.hosts.len() {
-            if !self.paused.contains(&host) {
+            if !self.paused.contains(&host) && self.now >= self.starts[host] {
                 std::mem::take(&mut self.held[host]).into_iter().for_each(|d| self.deliver(d));
                 self.run_host(host);
             }
--- a/crates/core/src/host/groups/watch.rs
+++ b/crates/core/src/host/groups/watch.rs
@@ -96,7 +96,8 @@
     let watch = state.failovers.watch(key);
     hold_since(&mut watch.missing_since, now, is_absent);
     let missing = watch.missing_since.is_some_and(|since| now >= since + after);
-    let silent = primary.is_some_and(|member| member.is_unreachable(now, after));
+    // A host that reaches no majority cannot tell a failed primary from its own bad link.
+    let silent = has_quorum && primary.is_some_and(|member| member.is_silent(now, after));
     let in_office = primary.filter(|member| member.is_primary_of(group.term));
     let good_probe = in_office.and_then(|member| member.view.as_ref()).map(|view| view.asked_at);
     watch.judge(now, group.term, missing || silent, good_probe, timing.probe_interval);
--- a/crates/core/src/routing/group.rs
+++ b/crates/core/src/routing/group.rs
@@ -61,9 +61,10 @@
             MemberRole::Replica if term > self.term => self.set_primary(now, term, None),
             _ => {}
         }
-        let last = |history: &[TermStart]| history.last().map_or(0, |start| start.term);
-        let is_newer = last(&status.term_history) > last(&self.history);
-        if status.role != MemberRole::Fenced && term == self.term && is_newer {
+        // A member that has just been told to follow may still hold the tail of another branch, so
+        // that only a history which contains the term itself counts.
+        let ends_here = status.term_history.last().is_some_and(|start| start.term == self.term);
+        if status.role != MemberRole::Fenced && ends_here && !self.has_history() {
             self.adopt_history(&status.term_history);
         }
     }
--- a/crates/core/src/routing/member.rs
+++ b/crates/core/src/routing/member.rs
@@ -118,9 +118,14 @@
     }
 
     /// Whether its probes have gone unanswered for a time.
+    pub(crate) fn is_silent(&self, now: Instant, after: Duration) -> bool {
+        let since = self.probe.unanswered_since;
+        since.is_some_and(|since| now.saturating_duration_since(since) >= after)
+    }
+
+    /// Whether it is silent, or has never answered.
     pub(crate) fn is_unreachable(&self, now: Instant, after: Duration) -> bool {
-        let silent = |since| now.saturating_duration_since(since) >= after;
-        self.view.is_none() || self.probe.unanswered_since.is_some_and(silent)
+        self.view.is_none() || self.is_silent(now, after)
     }
 
     /// Whether a connection was lost and no later probe has been answered.
