Give a host that was paused a full new suspicion period

The start of unanswered probes was moved by the length of the pause, so that a primary suspected just before it was still suspected after it, and a host without the need for agreement promoted at once. A test with every host paused in turn showed it.

--- a/crates/core/src/host/groups/tests/failover.rs
+++ b/crates/core/src/host/groups/tests/failover.rs
@@ -7,6 +7,7 @@
 
 use super::world::World;
 use crate::message::fleet::TermCommand;
+use crate::profile::SuspicionPolicy;
 use crate::routing::RouteChoice;
 
 fn secs(seconds: u64) -> Duration {
@@ -177,7 +178,7 @@
     for seed in 0..20 {
         let mut world = started(3, seed);
         for host in &mut world.hosts {
-            host.profile.policies.suspicion = crate::profile::SuspicionPolicy::Single;
+            host.profile.policies.suspicion = SuspicionPolicy::Single;
             host.profile.timing.promote_step = Duration::ZERO;
         }
         world.loss = 10;
@@ -192,21 +193,25 @@
 /// Guards against a host that was paused during a failover and acts on what it knew before.
 #[gtest]
 fn paused_host_does_not_act_on_old_suspicions() {
-    let mut world = started(9, 9);
-    world.frozen.insert(0);
-    world.run(Duration::from_millis(1_100));
-    world.paused.insert(1);
-    world.run(secs(5));
-    let promotions = world.promotions.len();
-    assert_that!(promotions, eq(1));
-    world.frozen.clear();
-    world.run(secs(1));
-    let started = world.hosts[1].counters.promotions_started;
-    world.paused.clear();
-    world.run(secs(5));
-    assert_that!(world.hosts[1].counters.promotions_started, eq(started));
-    assert_that!(world.promotions.len(), eq(promotions));
-    assert_that!(world.primary(1), eq(world.primary(0)));
+    for host in 0..9 {
+        let mut world = started(9, 9);
+        world.frozen.insert(0);
+        let group = world.group(host);
+        world.run_until(secs(2), |world| {
+            world.hosts[host].failovers.suspected_term(group).is_some()
+        });
+        world.paused.insert(host);
+        // From here on it needs no agreement, so that only its own suspicion holds it back.
+        world.hosts[host].profile.policies.suspicion = SuspicionPolicy::Single;
+        let started = world.hosts[host].counters.promotions_started;
+        world.run(secs(5));
+        assert_that!(world.promotions.len(), eq(1));
+        world.paused.clear();
+        world.run(secs(5));
+        assert_that!(world.hosts[host].counters.promotions_started, eq(started), "host {host}");
+        assert_that!(world.promotions.len(), eq(1));
+        assert_that!(world.primary(host), some(eq(world.promotions[0].2)));
+    }
 }
 
 /// Guards against reads that stop while the primary is down, although replicas satisfy them.
--- a/crates/core/src/host/groups/tests/switchover.rs
+++ b/crates/core/src/host/groups/tests/switchover.rs
@@ -51,14 +51,30 @@
     world.run(Duration::from_secs(1));
     assert_that!(world.acknowledged(), gt(15), "acknowledged before a second member had them");
     world.set_leaving(0);
-    world.run(Duration::from_millis(500));
+    // Longer than other hosts need to adopt the change, so that only the target's position counts.
+    world.run(Duration::from_millis(1_200));
     world.is_replicating = true;
     world.run(Duration::from_secs(8));
     assert_that!(world.primary(0), some(ne(0)));
-    let last = world.promotions.last().unwrap().2;
+    assert_that!(world.promotions.len(), eq(1));
+    let last = world.promotions[0].2;
     assert!(world.commits.iter().all(|commit| world.members[last].contains(commit.id)));
 }
 
+/// Guards against a switchover that cuts off statements, and against one that waits for them
+/// forever.
+#[gtest]
+fn running_statements_finish_before_the_switchover() {
+    let mut world = World::new(9, 3);
+    world.run(Duration::from_secs(4));
+    world.members[0].running = 1;
+    world.set_leaving(0);
+    world.run(Duration::from_millis(1_300));
+    assert_that!(world.members[0].promised, eq(1));
+    world.run(Duration::from_millis(700));
+    assert_that!(world.primary(0), some(ne(0)));
+}
+
 /// Guards against a switchover to a member that gets no new work either.
 #[gtest]
 fn primary_stays_when_no_member_may_take_over() {
--- a/crates/core/src/host/groups/watch.rs
+++ b/crates/core/src/host/groups/watch.rs
@@ -37,13 +37,13 @@
 /// must ask again, because others may have acted meanwhile.
 pub(super) fn note_run(state: &mut HostState, now: Instant) {
     let gap = state.failovers.note_run(now);
-    if gap > MAX_GAP {
-        let excess = if gap >= PAUSE_GAP { gap } else { gap - MAX_GAP };
-        state.endpoints.forgive(now, excess);
-        state.failovers.watches.values_mut().for_each(|watch| watch.forgive(now, excess));
-    }
     if gap >= PAUSE_GAP {
+        state.endpoints.shift_silence(|_| now);
         state.failovers.reset();
+    } else if gap > MAX_GAP {
+        let excess = gap - MAX_GAP;
+        state.endpoints.shift_silence(|since| (since + excess).min(now));
+        state.failovers.watches.values_mut().for_each(|watch| watch.forgive(now, excess));
     }
 }
 
--- a/crates/core/src/routing/observe.rs
+++ b/crates/core/src/routing/observe.rs
@@ -1,6 +1,6 @@
 //! Answers of members, and what follows from them for their group.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use tanagerdeal_wire::member::{LogPosition, MemberStatus};
 
@@ -105,11 +105,10 @@
         }
     }
 
-    /// Moves the start of unanswered probes forward by a time in which this host did not run.
-    pub(crate) fn forgive(&mut self, now: Instant, gap: Duration) {
+    /// Moves the start of unanswered probes, for a time in which this host did not run.
+    pub(crate) fn shift_silence(&mut self, shift: impl Fn(Instant) -> Instant) {
         for member in self.members.values_mut() {
-            let since = member.probe.unanswered_since;
-            member.probe.unanswered_since = since.map(|since| (since + gap).min(now));
+            member.probe.unanswered_since = member.probe.unanswered_since.map(&shift);
         }
     }
 }
