--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use crate::message::DrainPhase;
+use crate::message::{DrainPhase, PeerCallKey};
 
 /// Progress of the shutdown.
 pub struct DrainState {
@@ -12,10 +12,20 @@
     pub close_at: Option<Instant>,
     /// When running requests are cut off.
     pub finish_by: Option<Instant>,
+    /// When the process ends even without an answer to the handover of its shares.
+    pub settle_by: Option<Instant>,
+    /// Handovers without an answer.
+    pub handovers: Vec<PeerCallKey>,
 }
 
 impl Default for DrainState {
     fn default() -> Self {
-        Self { phase: DrainPhase::Serving, close_at: None, finish_by: None }
+        Self {
+            phase: DrainPhase::Serving,
+            close_at: None,
+            finish_by: None,
+            settle_by: None,
+            handovers: Vec::new(),
+        }
     }
 }
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -6,16 +6,17 @@
 
 use std::time::Instant;
 
-use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
 
 use crate::catalog::CatalogTable;
 use crate::confirm::ConfirmTable;
 use crate::counter::HostCounters;
 use crate::drain::DrainState;
 use crate::failover::FailoverTable;
+use crate::lease::{BaseState, LeaseState, MaintainState};
 use crate::limit::LimitTable;
-use crate::membership::HostTable;
+use crate::membership::{HostTable, OwnState};
 use crate::message::{HostInput, HostOutput};
 use crate::profile::HostProfile;
 use crate::retry::RetryTable;
@@ -23,6 +24,7 @@
 use crate::schedule::QueueTable;
 use crate::session::SessionTable;
 use crate::share::ShareTable;
+use crate::store::StoreState;
 
 /// All state of one host; [`HostState::handle`] and [`HostState::tick`] are its only mutators.
 pub struct HostState {
@@ -40,6 +42,12 @@
     pub(crate) confirms: ConfirmTable,
     pub(crate) retries: RetryTable,
     pub(crate) drain: DrainState,
+    pub(crate) store: StoreState,
+    pub(crate) own: OwnState,
+    pub(crate) lease: LeaseState,
+    pub(crate) maintain: MaintainState,
+    pub(crate) base: BaseState,
+    pub(crate) evidence_until: Option<Instant>,
 }
 
 impl HostState {
@@ -71,8 +79,11 @@
     /// state.tick(Instant::now(), &mut outputs);
     /// ```
     pub fn new(profile: HostProfile) -> Self {
+        let mut random = SmallRng::seed_from_u64(profile.seed);
+        let first_sequence = u64::from(random.random::<u32>()) << 24;
+        let hosts = HostTable::new(profile.identity.host.clone(), first_sequence);
         Self {
-            random: SmallRng::seed_from_u64(profile.seed),
+            random,
             profile,
             counters: HostCounters::default(),
             catalog: CatalogTable::default(),
@@ -81,11 +92,17 @@
             queues: QueueTable::default(),
             limits: LimitTable::default(),
             shares: ShareTable::default(),
-            hosts: HostTable::default(),
+            hosts,
             failovers: FailoverTable::default(),
             confirms: ConfirmTable::default(),
             retries: RetryTable::default(),
             drain: DrainState::default(),
+            store: StoreState::default(),
+            own: OwnState::default(),
+            lease: LeaseState::default(),
+            maintain: MaintainState::default(),
+            base: BaseState::default(),
+            evidence_until: None,
         }
     }
 
--- /dev/null
+++ b/crates/core/src/host/fleet/store.rs
@@ -0,0 +1,196 @@
+//! Reads of the change feed and the host list, and heartbeats.
+
+use std::time::{Duration, Instant};
+
+use rand::Rng as _;
+use tanagerdeal_wire::peer::CatalogEntry;
+use tanagerdeal_wire::platform::{
+    EntryPage, FEED_LIMIT, HostEntry, HostList, HostPhase, TableEntry,
+};
+
+use super::HostState;
+use crate::message::DrainPhase;
+use crate::message::HostOutput;
+use crate::message::fleet::{StoreEvent, StoreFault, StorePurpose, StoreRequest};
+use crate::store::FeedRead;
+
+/// Interval between reads of the host list, which lags by some seconds anyway.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Interval between heartbeats of a small fleet.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Addition to the heartbeat interval per host, which bounds the heartbeats of a fleet of any size
+/// at 100 a second.
+const HEARTBEAT_PER_HOST: Duration = Duration::from_millis(10);
+
+/// Time for which another parent is tried before a host reads the store itself.
+const FALLBACK_DELAY: Duration = Duration::from_millis(500);
+
+/// Hands an answer of the platform to the part that asked.
+pub(super) fn handle(
+    state: &mut HostState,
+    now: Instant,
+    event: StoreEvent,
+    outputs: &mut Vec<HostOutput>,
+) {
+    match event {
+        StoreEvent::ChangesRead { asked_at, result } => {
+            read_answered(state, now, asked_at, result);
+            run(state, now, outputs);
+        }
+        StoreEvent::Transacted { purpose, asked_at, result } => {
+            note_result(state, now, result.as_ref().err());
+            match purpose {
+                StorePurpose::Lease => super::lease::answered(state, now, asked_at, result),
+                StorePurpose::View => super::maintain::answered(state, now, result),
+                StorePurpose::Announce => {}
+            }
+        }
+        StoreEvent::HostsListed { result } => {
+            state.store.is_listing = false;
+            note_result(state, now, result.as_ref().err());
+            if let Ok(list) = result {
+                adopt_list(state, now, &list);
+            }
+        }
+    }
+}
+
+/// Sends the calls of the platform that are due.
+pub(super) fn run(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    read_feed(state, now, outputs);
+    read_list(state, now, outputs);
+    send_heartbeat(state, now, outputs);
+}
+
+/// Sends a call to the platform and counts it.
+pub(super) fn call(state: &mut HostState, request: StoreRequest, outputs: &mut Vec<HostOutput>) {
+    state.counters.store_calls += 1;
+    outputs.push(HostOutput::CallStore(request));
+}
+
+/// Tells the platform the host's current phase without waiting for the next heartbeat.
+pub(super) fn hasten_heartbeat(state: &mut HostState, now: Instant) {
+    state.store.heartbeat_due = Some(now);
+}
+
+fn note_result(state: &mut HostState, now: Instant, fault: Option<&StoreFault>) {
+    match fault {
+        None | Some(StoreFault::Conflict(_)) => state.store.note_answer(now),
+        Some(StoreFault::Unavailable) => {
+            state.counters.store_failures += 1;
+            state.store.note_failure(now);
+        }
+    }
+}
+
+fn read_answered(
+    state: &mut HostState,
+    now: Instant,
+    asked_at: Instant,
+    result: Result<EntryPage, StoreFault>,
+) {
+    let after = state.store.feed.take().map_or(0, |read| read.after);
+    note_result(state, now, result.as_ref().err());
+    let is_relay = super::is_relay(state);
+    let base = state.profile.timing.feed_interval;
+    match result {
+        Ok(page) => {
+            let is_full = page.entries.len() >= FEED_LIMIT;
+            let next = if is_full { now } else { (asked_at + base).max(now) };
+            state.store.feed_due = Some(next);
+            apply_page(state, now, after, asked_at, page);
+            super::lease::read_back(state, now, asked_at);
+        }
+        Err(_) => {
+            let pause = state.store.pause(base, is_relay, &mut state.random);
+            state.store.feed_due = Some(now + pause);
+        }
+    }
+}
+
+fn apply_page(state: &mut HostState, now: Instant, after: u64, asked_at: Instant, page: EntryPage) {
+    if page.revision < after {
+        log::warn!("store: page ends at revision {} before {after}", page.revision);
+        return;
+    }
+    let is_full = page.entries.len() >= FEED_LIMIT;
+    let entries = page.entries.into_iter().map(to_catalog).collect();
+    super::apply_entries(state, now, entries, page.revision);
+    if !is_full {
+        state.catalog.confirm(asked_at);
+        state.maintain.feed_read_at = state.maintain.feed_read_at.max(Some(asked_at));
+    }
+}
+
+fn to_catalog(entry: TableEntry) -> CatalogEntry {
+    let value = entry.value.map(|value| value.to_string());
+    CatalogEntry { key: entry.key, revision: entry.revision, value }
+}
+
+fn read_feed(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    let is_due = state.store.feed_due.is_none_or(|due| now >= due);
+    if state.store.feed.is_some() || !is_due {
+        return;
+    }
+    let read_back_from = super::lease::read_back_from(state);
+    if !super::is_relay(state) && read_back_from.is_none() && !is_fallback_due(state, now) {
+        return;
+    }
+    let after = read_back_from.unwrap_or(u64::MAX).min(state.catalog.revision());
+    state.store.feed = Some(FeedRead { after, sent_at: now });
+    call(state, StoreRequest::ReadChanges { after }, outputs);
+}
+
+/// Whether a host that is no relay has to read the change feed, because no parent keeps its catalog
+/// fresh.
+fn is_fallback_due(state: &mut HostState, now: Instant) -> bool {
+    let refresh_after = state.profile.timing.refresh_after;
+    let is_fresh = state
+        .catalog
+        .confirmed_at()
+        .is_some_and(|at| now.saturating_duration_since(at) <= refresh_after);
+    if is_fresh {
+        state.store.fallback_at = None;
+        return false;
+    }
+    let jitter = FALLBACK_DELAY.mul_f64(state.random.random_range(0.0..1.0));
+    now >= *state.store.fallback_at.get_or_insert(now + FALLBACK_DELAY + jitter)
+}
+
+fn read_list(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    let is_due = state.store.list_due.is_none_or(|due| now >= due);
+    let is_reader = super::is_relay(state) || !state.hosts.has_listed();
+    if state.store.is_listing || !is_due || !is_reader {
+        return;
+    }
+    let pause = state.store.pause(LIST_INTERVAL, true, &mut state.random);
+    state.store.list_due = Some(now + pause.max(LIST_INTERVAL));
+    state.store.is_listing = true;
+    call(state, StoreRequest::ListHosts, outputs);
+}
+
+fn adopt_list(state: &mut HostState, now: Instant, list: &HostList) {
+    state.hosts.adopt_list(now, list);
+}
+
+fn send_heartbeat(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    if state.store.heartbeat_due.is_some_and(|due| now < due) {
+        return;
+    }
+    let hosts = u32::try_from(state.hosts.len()).unwrap_or(u32::MAX);
+    let interval = HEARTBEAT_INTERVAL.max(HEARTBEAT_PER_HOST.saturating_mul(hosts));
+    state.store.heartbeat_due = Some(now + interval);
+    let identity = &state.profile.identity;
+    let is_serving = state.drain.phase == DrainPhase::Serving;
+    let entry = HostEntry {
+        host: identity.host.clone(),
+        domain: identity.domain.clone(),
+        incarnation: identity.incarnation,
+        peer_address: identity.peer_address.clone(),
+        admin_address: identity.admin_address.clone(),
+        phase: if is_serving { HostPhase::Live } else { HostPhase::Leaving },
+    };
+    call(state, StoreRequest::Heartbeat(entry), outputs);
+}
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,30 +1,367 @@
 //! Hosts of the fleet as this host knows them, and the requests in flight to them.
 
-use std::time::Instant;
+mod peer;
+mod rank;
 
-use tanagerdeal_wire::HostName;
-use tanagerdeal_wire::peer::PeerRequest;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use slotmap::SlotMap;
+use tanagerdeal_wire::peer::{PeerRequest, PeerState};
+use tanagerdeal_wire::platform::{HostEntry, HostList, HostPhase};
+use tanagerdeal_wire::{DomainName, HostName, value_type};
 
 use crate::message::{HostOutput, PeerCallKey};
 
+pub use peer::{HeldPull, OwnState, PeerLink};
+pub use rank::{PullPlan, RELAYS, host_rank};
+
+/// A host that was not heard of for this long is silent. Three heartbeats of a small fleet and the
+/// time for which an answer is held back fit into it.
+const LIVE_FOR: Duration = Duration::from_millis(3_500);
+
+/// Addition to [`LIVE_FOR`] per host known, because heartbeats of a large fleet are rarer.
+const LIVE_PER_HOST: Duration = Duration::from_millis(45);
+
+/// How long an entry of the platform's list counts for a host that was never heard of.
+const LISTED_FOR: Duration = Duration::from_secs(30);
+
+/// A host is forgotten after this time: share views no longer refer to it then.
+const FORGET_AFTER: Duration = Duration::from_secs(300);
+
+/// Interval between computations of the plan.
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Interval between heartbeats relayed in a small fleet.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Addition to [`HEARTBEAT_INTERVAL`] per host known. States relayed to a host thereby stay below 70
+/// a second at any size, 6 KB/s.
+const HEARTBEAT_PER_HOST: Duration = Duration::from_millis(15);
+
+value_type! {
+    /// A host as this host knows it.
+    pub struct KnownHost {
+        /// Its failure domain.
+        pub domain: DomainName,
+        /// Incarnation heard of or listed last.
+        pub incarnation: u64,
+        /// Address of its peer listener.
+        pub peer_address: String,
+        /// Whether it is shutting down.
+        pub leaving: bool,
+        /// Its newest state, absent when it was only listed.
+        pub state: Option<PeerState>,
+        /// When the newest state was made.
+        pub made_at: Option<Instant>,
+        listed_at: Option<Instant>,
+        touched_at: Instant,
+        sequence: u64,
+        urgent_sequence: u64,
+        source: Option<HostName>,
+    }
+
+    /// A request in flight to another host.
+    pub struct PeerCall {
+        /// The host.
+        pub host: HostName,
+        /// Whether it is a pull.
+        pub is_pull: bool,
+        /// Sequence number up to which the request carries states.
+        pub sequence: u64,
+        /// Incarnation of the other host when the request was made.
+        pub incarnation: u64,
+    }
+}
+
 /// Hosts by name, and open calls.
 #[derive(Default)]
-pub struct HostTable {}
+pub struct HostTable {
+    hosts: BTreeMap<HostName, KnownHost>,
+    calls: SlotMap<PeerCallKey, PeerCall>,
+    links: BTreeMap<HostName, PeerLink>,
+    own: Option<HostName>,
+    sequence: u64,
+    first_sequence: u64,
+    urgent_sequence: u64,
+    is_listed: bool,
+    plan: PullPlan,
+    plan_due: Option<Instant>,
+}
 
 impl HostTable {
+    /// An empty table of a host; sequence numbers start at a random point, so that those of an earlier
+    /// incarnation are recognised.
+    pub fn new(own: HostName, first_sequence: u64) -> Self {
+        let sequence = first_sequence;
+        let own = Some(own);
+        Self { own, sequence, first_sequence, urgent_sequence: sequence, ..Self::default() }
+    }
+
+    /// Number of hosts known.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Whether no host is known.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Whether the platform's list has been read.
+    pub fn has_listed(&self) -> bool {
+        self.is_listed
+    }
+
+    /// A host by name.
+    pub fn host(&self, name: &HostName) -> Option<&KnownHost> {
+        self.hosts.get(name)
+    }
+
+    /// All hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = (&HostName, &KnownHost)> {
+        self.hosts.iter()
+    }
+
     /// Other hosts that were heard of recently and are not leaving, with their peer addresses.
-    pub fn live_peers(&self, _now: Instant) -> Vec<(&HostName, &str)> {
-        Vec::new()
+    pub fn live_peers(&self, now: Instant) -> Vec<(&HostName, &str)> {
+        self.others(now).map(|(name, host)| (name, host.peer_address.as_str())).collect()
+    }
+
+    /// Other hosts that were heard of recently and are not leaving.
+    pub fn others(&self, now: Instant) -> impl Iterator<Item = (&HostName, &KnownHost)> {
+        self.hosts.iter().filter(move |(name, host)| {
+            Some(*name) != self.own.as_ref() && !host.leaving && self.is_heard(now, host)
+        })
+    }
+
+    /// Whether a host was heard of recently, or, if never heard of, is in the platform's list.
+    pub fn is_heard(&self, now: Instant, host: &KnownHost) -> bool {
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        let live_for = LIVE_FOR + LIVE_PER_HOST.saturating_mul(hosts);
+        let is_within = |at: Instant, limit| now.saturating_duration_since(at) <= limit;
+        match (host.made_at, host.listed_at) {
+            (Some(at), _) => is_within(at, live_for),
+            (None, Some(at)) => is_within(at, LISTED_FOR),
+            (None, None) => false,
+        }
+    }
+
+    /// Failure domains of all hosts known.
+    pub fn domains(&self) -> BTreeSet<&DomainName> {
+        self.hosts.values().map(|host| &host.domain).collect()
+    }
+
+    /// Interval between heartbeats that other hosts relay.
+    pub fn heartbeat_interval(&self) -> Duration {
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        HEARTBEAT_INTERVAL.max(HEARTBEAT_PER_HOST.saturating_mul(hosts))
+    }
+
+    /// Sequence number of the newest state.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Sequence number of the newest change that other hosts must learn of at once.
+    pub fn urgent_sequence(&self) -> u64 {
+        self.urgent_sequence
+    }
+
+    /// Whether a host lacks an urgent change that did not come from it. With `home`, only changes of
+    /// hosts of that failure domain count.
+    pub fn has_urgent(&self, receiver: &HostName, seen: u64, home: Option<&DomainName>) -> bool {
+        let seen = self.current_or_zero(seen);
+        self.urgent_sequence > seen
+            && self.hosts.iter().any(|(name, host)| {
+                let is_foreign = home.is_some_and(|home| host.domain != *home);
+                let is_known = name == receiver || host.source.as_ref() == Some(receiver);
+                host.urgent_sequence > seen && !is_known && !is_foreign
+            })
+    }
+
+    /// Whom this host pulls from, as of the last run of the systems.
+    pub fn current_plan(&self) -> &PullPlan {
+        &self.plan
+    }
+
+    /// Computes the plan again when it is due; ranking all hosts on every run would cost too much in a
+    /// large fleet.
+    pub fn refresh_plan(&mut self, now: Instant, own: (&HostName, &DomainName)) {
+        if self.plan_due.is_none_or(|due| now >= due) {
+            self.plan = self.plan(now, own);
+            self.plan_due = Some(now + PLAN_INTERVAL);
+        }
+    }
+
+    /// Counts a change outside of the table that other hosts must learn of at once.
+    pub fn next_urgent(&mut self) -> u64 {
+        self.sequence += 1;
+        self.urgent_sequence = self.sequence;
+        self.sequence
+    }
+
+    /// Takes the platform's list, which lags: it adds hosts that were never heard of, and replaces
+    /// nothing that a host said itself.
+    pub fn adopt_list(&mut self, now: Instant, list: &HostList) {
+        self.is_listed = true;
+        self.plan_due = None;
+        for entry in &list.hosts {
+            match self.hosts.get_mut(&entry.host) {
+                Some(host) if host.made_at.is_some() => host.listed_at = Some(now),
+                Some(host) => host.relist(now, entry),
+                None => {
+                    self.hosts.insert(entry.host.clone(), KnownHost::listed(now, entry));
+                }
+            }
+        }
+    }
+
+    /// Takes a state made at an instant, and tells whether it is new. `source` is the host it came
+    /// from, to which it is not sent back.
+    pub fn adopt_state(
+        &mut self,
+        now: Instant,
+        made_at: Instant,
+        state: PeerState,
+        source: Option<&HostName>,
+    ) -> bool {
+        let held = self.hosts.get(&state.host);
+        let old = held.and_then(|host| host.state.as_ref());
+        // Incarnations are random, so the age decides between two of them.
+        let is_newer = match old {
+            Some(old) if old.incarnation == state.incarnation => state.version > old.version,
+            Some(_) => held.and_then(|host| host.made_at).is_none_or(|at| made_at > at),
+            None => true,
+        };
+        if !is_newer {
+            return false;
+        }
+        let is_urgent =
+            old.map_or(!state.suspicions.is_empty(), |old| is_urgent_change(old, &state));
+        let urgent_before = held.map_or(0, |host| host.urgent_sequence);
+        self.sequence += 1;
+        if is_urgent {
+            self.urgent_sequence = self.sequence;
+        }
+        let known = KnownHost {
+            domain: state.domain.clone(),
+            incarnation: state.incarnation,
+            peer_address: state.peer_address.clone(),
+            leaving: state.leaving,
+            made_at: Some(made_at),
+            listed_at: held.and_then(|host| host.listed_at),
+            touched_at: now,
+            sequence: self.sequence,
+            urgent_sequence: if is_urgent { self.sequence } else { urgent_before },
+            source: source.cloned(),
+            state: Some(state.clone()),
+        };
+        self.hosts.insert(state.host, known);
+        true
+    }
+
+    /// States that changed after a sequence number, for a host; 0 or a number of an earlier
+    /// incarnation of this host gives all.
+    pub fn states_after(&self, now: Instant, seen: u64, receiver: &HostName) -> Vec<PeerState> {
+        let seen = self.current_or_zero(seen);
+        let is_wanted = |name: &HostName, host: &KnownHost| {
+            host.sequence > seen && name != receiver && host.source.as_ref() != Some(receiver)
+        };
+        let wanted = self.hosts.iter().filter(|(name, host)| is_wanted(name, host));
+        wanted.filter_map(|(_, host)| host.aged_state(now)).collect()
+    }
+
+    /// A sequence number that another host sent back, or 0 when it is of an earlier incarnation.
+    pub fn current_or_zero(&self, seen: u64) -> u64 {
+        if (self.first_sequence..=self.sequence).contains(&seen) { seen } else { 0 }
+    }
+
+    /// Forgets hosts that were not heard of for minutes.
+    pub fn forget_silent(&mut self, now: Instant) {
+        let is_kept = |host: &KnownHost| {
+            let last = host.listed_at.map_or(host.touched_at, |at| at.max(host.touched_at));
+            now.saturating_duration_since(last) <= FORGET_AFTER
+        };
+        let own = self.own.clone();
+        self.hosts.retain(|name, host| Some(name) == own.as_ref() || is_kept(host));
+        let hosts = &self.hosts;
+        self.links.retain(|name, _| hosts.contains_key(name));
+    }
+
+    /// What was last exchanged with a host.
+    pub fn link(&mut self, host: &HostName) -> &mut PeerLink {
+        self.links.entry(host.clone()).or_default()
+    }
+
+    /// All links.
+    pub fn links(&self) -> impl Iterator<Item = (&HostName, &PeerLink)> {
+        self.links.iter()
+    }
+
+    /// The pull of another host that waits here.
+    pub fn held_pulls(&self) -> Vec<(HostName, HeldPull)> {
+        let held = self.links.iter().filter_map(|(name, link)| Some((name, link.held?)));
+        held.map(|(name, held)| (name.clone(), held)).collect()
     }
 
     /// Sends a request to a peer; nothing is sent to an unknown one.
     pub fn send(
         &mut self,
-        _host: &HostName,
-        _request: PeerRequest,
-        _deadline: Instant,
-        _outputs: &mut Vec<HostOutput>,
+        host: &HostName,
+        request: PeerRequest,
+        deadline: Instant,
+        outputs: &mut Vec<HostOutput>,
     ) -> Option<PeerCallKey> {
-        None
+        let known = self.hosts.get(host)?;
+        let call = self.calls.insert(PeerCall {
+            host: host.clone(),
+            is_pull: matches!(request, PeerRequest::Pull(_)),
+            sequence: self.sequence,
+            incarnation: known.incarnation,
+        });
+        let (host, address) = (host.clone(), known.peer_address.clone());
+        outputs.push(HostOutput::SendPeer { call, host, address, request, deadline });
+        Some(call)
+    }
+
+    /// Ends a call.
+    pub fn end(&mut self, call: PeerCallKey) -> Option<PeerCall> {
+        self.calls.remove(call)
     }
 }
+
+impl KnownHost {
+    fn listed(now: Instant, entry: &HostEntry) -> Self {
+        Self {
+            domain: entry.domain.clone(),
+            incarnation: entry.incarnation,
+            peer_address: entry.peer_address.clone(),
+            leaving: entry.phase == HostPhase::Leaving,
+            state: None,
+            made_at: None,
+            listed_at: Some(now),
+            touched_at: now,
+            sequence: 0,
+            urgent_sequence: 0,
+            source: None,
+        }
+    }
+
+    fn relist(&mut self, now: Instant, entry: &HostEntry) {
+        let touched_at = self.touched_at;
+        *self = Self { touched_at, ..Self::listed(now, entry) };
+    }
+
+    fn aged_state(&self, now: Instant) -> Option<PeerState> {
+        let (state, made_at) = (self.state.as_ref()?, self.made_at?);
+        let age = now.saturating_duration_since(made_at).as_millis();
+        Some(PeerState { age_ms: u32::try_from(age).unwrap_or(u32::MAX), ..state.clone() })
+    }
+}
+
+/// Whether other hosts must learn of a change at once: suspicions drive failover, and a host that
+/// leaves must not be chosen as a parent. Everything else can wait for the next answer.
+pub fn is_urgent_change(old: &PeerState, new: &PeerState) -> bool {
+    old.suspicions != new.suspicions || old.leaving != new.leaving
+}
--- /dev/null
+++ b/crates/core/src/membership/rank.rs
@@ -0,0 +1,109 @@
+//! Rendezvous ranks, relays and the tree along which catalogs are pulled.
+
+use std::time::Instant;
+
+use tanagerdeal_wire::{DomainName, HostName, value_type};
+
+use super::HostTable;
+
+/// Relays per failure domain.
+pub const RELAYS: usize = 2;
+
+/// Children of a host in the tree below the relays.
+const FAN_OUT: usize = 8;
+
+value_type! {
+    /// Whom this host pulls from.
+    #[derive(Default)]
+    pub struct PullPlan {
+        /// Whether this host is one of its failure domain's relays.
+        pub is_relay: bool,
+        /// Own rank among the live hosts of the failure domain.
+        pub rank: usize,
+        /// Hosts of the own failure domain to pull from, the preferred one first.
+        pub parents: Vec<HostName>,
+        /// Relays of every other failure domain; empty for a host that is no relay.
+        pub foreign: Vec<Vec<HostName>>,
+    }
+}
+
+/// Rank of a host within a scope; hosts with the lowest numbers are chosen.
+///
+/// Rendezvous hashing (Thaler and Ravishankar, 1998) over 64-bit FNV-1a, with the finalizer of
+/// SplitMix64 (Steele, Lea and Flood, 2014), because FNV-1a alone hardly mixes the last bytes.
+///
+/// ```
+/// use tanagerdeal_core::membership::host_rank;
+///
+/// assert_eq!(host_rank("akl-a", "h1"), host_rank("akl-a", "h1"));
+/// assert_ne!(host_rank("akl-a", "h1"), host_rank("akl-b", "h1"));
+/// ```
+pub fn host_rank(scope: &str, host: &str) -> u64 {
+    let bytes = scope.bytes().chain([0]).chain(host.bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
+impl HostTable {
+    /// Live hosts of a failure domain in the order of their ranks; `own` is the name and the failure
+    /// domain of this host, which counts as live.
+    pub fn ranked(
+        &self,
+        now: Instant,
+        domain: &DomainName,
+        own: (&HostName, &DomainName),
+    ) -> Vec<HostName> {
+        let others = self.others(now).filter(|(_, host)| host.domain == *domain);
+        let mut names: Vec<_> = others.map(|(name, _)| name.clone()).collect();
+        if own.1 == domain {
+            names.push(own.0.clone());
+        }
+        names.sort_by_cached_key(|name| host_rank(domain.as_str(), name.as_str()));
+        names
+    }
+
+    /// Whom this host pulls from now.
+    pub fn plan(&self, now: Instant, own: (&HostName, &DomainName)) -> PullPlan {
+        let ranked = self.ranked(now, own.1, own);
+        let rank = ranked.iter().position(|name| name == own.0).unwrap_or(0);
+        let is_relay = rank < RELAYS;
+        let parents = parents(&ranked, rank);
+        let foreign = if is_relay { self.foreign(now, own) } else { Vec::new() };
+        PullPlan { is_relay, rank, parents, foreign }
+    }
+
+    fn foreign(&self, now: Instant, own: (&HostName, &DomainName)) -> Vec<Vec<HostName>> {
+        let domains = self.domains().into_iter().filter(|domain| *domain != own.1);
+        let relays = domains.map(|domain| {
+            let mut ranked = self.ranked(now, domain, own);
+            ranked.truncate(RELAYS);
+            ranked
+        });
+        relays.filter(|relays| !relays.is_empty()).collect()
+    }
+}
+
+/// Parent and alternate parent of a rank. The relays pull from each other; below them, ranks 2 to 9
+/// pull from rank 0, 10 to 17 from rank 1, and so on.
+fn parents(ranked: &[HostName], rank: usize) -> Vec<HostName> {
+    let places = match rank {
+        0 => vec![1],
+        1 => vec![0],
+        _ => {
+            let parent = (rank - RELAYS) / FAN_OUT;
+            let alternate = if parent < RELAYS { 1 - parent } else { parent ^ 1 };
+            vec![parent, alternate, parent % RELAYS]
+        }
+    };
+    let mut names: Vec<HostName> = Vec::new();
+    for place in places.into_iter().filter(|place| *place < ranked.len() && *place != rank) {
+        if !names.contains(&ranked[place]) {
+            names.push(ranked[place].clone());
+        }
+    }
+    names
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod record;
 pub mod token;
+pub mod view;
 
 pub use name::{
     CustomerName, DomainName, EndpointName, GroupName, HostName, KeyName, RouteName, ServiceName,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -90,8 +90,12 @@
         pub leaving: bool,
         /// Milliseconds since the host last reached the store; absent when never.
         pub store_reached_ms: Option<u64>,
+        /// Whether the host's latest attempts to reach the store failed.
+        pub store_failing: bool,
         /// Epoch of the share view that the host has adopted.
         pub view_epoch: u64,
+        /// Epoch of the list of failure domains that the host has adopted.
+        pub fleet_epoch: u64,
         /// Groups whose primary the host suspects, with the term it suspects.
         pub suspicions: Vec<GroupSuspicion>,
     }
