--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,8 @@
-//! placeholder
-fn main() {}
+//! Operators' tool of tanagerdeal.
+
+use std::process::ExitCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    tanagerctl::run(std::env::args_os()).await
+}
