--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,1 +1,4 @@
-//! placeholder
+//! Test bed: stand-ins for the platform, the database members and the network, and their tools.
+
+pub mod clock;
+pub mod platform;
