--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -17,7 +17,7 @@
 use crate::limit::LimitTable;
 use crate::membership::HostTable;
 use crate::message::{HostInput, HostOutput};
-use crate::profile::HostProfile;
+use crate::profile::{HostPolicies, HostProfile, HostTiming};
 use crate::retry::RetryTable;
 use crate::routing::EndpointTable;
 use crate::schedule::QueueTable;
@@ -89,6 +89,21 @@
         }
     }
 
+    /// Replaces intervals and policies; deadlines that were computed before stay as they are.
+    ///
+    /// ```
+    /// # use tanagerdeal_core::host::HostState;
+    /// use tanagerdeal_core::profile::{HostPolicies, HostTiming};
+    ///
+    /// # fn change(state: &mut HostState) {
+    /// state.adopt_settings(HostTiming::default(), HostPolicies::default());
+    /// # }
+    /// ```
+    pub fn adopt_settings(&mut self, timing: HostTiming, policies: HostPolicies) {
+        self.profile.timing = timing;
+        self.profile.policies = policies;
+    }
+
     /// Handles one input; outputs are appended in the order in which they must be carried out.
     pub fn handle(&mut self, now: Instant, input: HostInput, outputs: &mut Vec<HostOutput>) {
         match input {
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,3 @@
+//! Database proxy: client sessions, endpoint connections and the runtime around the decision core.
+
+pub mod driver;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,2 +1,5 @@
-//! placeholder
-fn main() {}
+//! The proxy process.
+
+fn main() -> std::process::ExitCode {
+    std::process::ExitCode::SUCCESS
+}
