--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -14,6 +14,9 @@
 /// Header that names the caller's failure domain.
 pub const DOMAIN_HEADER: &str = "x-domain";
 
+/// Entries of one page of the change feed.
+const PAGE_ENTRIES: usize = 1_000;
+
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum PlatformError {
@@ -94,9 +97,25 @@
         self.call(self.http.get(self.url("/v1/tables/scan")).query(&[("prefix", prefix)])).await
     }
 
-    /// Reads what changed after a revision, the last write of each key only.
+    /// Reads everything that changed after a revision, the last write of each key only.
+    ///
+    /// A page may be cut short, which its length does not show; so pages are read until an empty one
+    /// shows that the end was reached.
     pub async fn changes(&self, after: u64) -> Result<EntryPage, PlatformError> {
-        self.call(self.http.get(self.url("/v1/tables/changes")).query(&[("after", after)])).await
+        let mut changes = self.changes_page(after).await?;
+        let mut is_last = changes.entries.is_empty();
+        while !is_last {
+            let page = self.changes_page(changes.revision).await?;
+            is_last = page.entries.is_empty();
+            changes.revision = page.revision;
+            changes.entries.extend(page.entries);
+        }
+        Ok(changes)
+    }
+
+    async fn changes_page(&self, after: u64) -> Result<EntryPage, PlatformError> {
+        let query = [("after", after), ("limit", PAGE_ENTRIES as u64)];
+        self.call(self.http.get(self.url("/v1/tables/changes")).query(&query)).await
     }
 
     /// Reads the host list.
