Test hosts of several failure domains in one process

A harness carries messages between cores and a fake table service. It showed two faults, both mended: a host that became a relay again judged leases by what it had read as a relay before, and hosts that seldom try the store did not count their last failure as evidence.

--- a/crates/core/src/host/fleet.rs
+++ b/crates/core/src/host/fleet.rs
@@ -10,6 +10,8 @@
 mod pull;
 mod status;
 mod store;
+#[cfg(test)]
+mod tests;
 
 use std::time::Instant;
 
--- a/crates/core/src/host/fleet/evidence.rs
+++ b/crates/core/src/host/fleet/evidence.rs
@@ -45,7 +45,7 @@
 fn gather(state: &HostState, now: Instant) -> Option<Instant> {
     let own_contact = state.store.reached_at();
     let is_recent = |at: Instant| now.saturating_duration_since(at) <= CONTACT_RECENT;
-    if !state.store.is_failing(now) || own_contact.is_some_and(is_recent) {
+    if !state.store.has_failed(now) || own_contact.is_some_and(is_recent) {
         return None;
     }
     let own_host = &state.profile.identity.host;
--- a/crates/core/src/host/fleet/lease.rs
+++ b/crates/core/src/host/fleet/lease.rs
@@ -75,7 +75,10 @@
         // The record is deleted together with the host's place in the view.
         Err(StoreFault::Conflict(conflict)) if conflict.revision == 0 => {
             lease.revision = 0;
-            end_generation(state, now);
+            lease.renew_at = Some(now);
+            if lease.valid_until.is_some() {
+                end_generation(state, now);
+            }
         }
         Err(StoreFault::Conflict(_)) => {
             lease.renew_at = Some(now);
--- a/crates/core/src/host/fleet/maintain.rs
+++ b/crates/core/src/host/fleet/maintain.rs
@@ -17,21 +17,16 @@
 use crate::catalog::SeenLease;
 use crate::membership::{RELAYS, host_rank};
 use crate::message::HostOutput;
-use crate::message::fleet::{StoreFault, StorePurpose, StoreRequest};
+use crate::message::fleet::{StorePurpose, StoreRequest};
 
 /// Time for which a relay leaves a wanted change to the one of the rank before it.
 const RANK_DELAY: Duration = Duration::from_secs(5);
 
 /// Handles the answer to a change of a view. Whatever it says, the feed is read before the next
-/// change: the outcome of a lost answer shows there.
-pub(super) fn answered(state: &mut HostState, now: Instant, result: Result<u64, StoreFault>) {
+/// change: the outcome of a lost answer, and the other change of a conflict, show there.
+pub(super) fn answered(state: &mut HostState, now: Instant) {
     state.maintain.is_writing = false;
     state.maintain.read_after = Some(now);
-    if let Err(StoreFault::Conflict(conflict)) = result
-        && conflict.key.starts_with(LEASE_PREFIX)
-    {
-        state.maintain.revealed.insert(conflict.key, conflict.revision);
-    }
 }
 
 /// Makes the next change that a view of this host's failure domain, or of one without hosts, needs.
@@ -149,9 +144,7 @@
 }
 
 fn check(state: &HostState, key: String) -> RevisionCheck {
-    let held = state.catalog.key_revision(&key);
-    let revealed = state.maintain.revealed.get(&key).copied().unwrap_or(0);
-    RevisionCheck { revision: held.max(revealed), key }
+    RevisionCheck { revision: state.catalog.key_revision(&key), key }
 }
 
 /// Whether a place in a view is free, as of a read of the feed.
--- a/crates/core/src/host/fleet/store.rs
+++ b/crates/core/src/host/fleet/store.rs
@@ -4,9 +4,7 @@
 
 use rand::Rng as _;
 use tanagerdeal_wire::peer::CatalogEntry;
-use tanagerdeal_wire::platform::{
-    EntryPage, FEED_LIMIT, HostEntry, HostList, HostPhase, TableEntry,
-};
+use tanagerdeal_wire::platform::{EntryPage, HostEntry, HostList, HostPhase, TableEntry};
 
 use super::HostState;
 use crate::message::DrainPhase;
@@ -21,8 +19,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Addition to the heartbeat interval per host, which bounds the heartbeats of a fleet of any size
-/// at 100 a second.
-const HEARTBEAT_PER_HOST: Duration = Duration::from_millis(10);
+/// at 200 a second.
+const HEARTBEAT_PER_HOST: Duration = Duration::from_millis(5);
 
 /// Time for which another parent is tried before a host reads the store itself.
 const FALLBACK_DELAY: Duration = Duration::from_millis(500);
@@ -43,7 +41,7 @@
             note_result(state, now, result.as_ref().err());
             match purpose {
                 StorePurpose::Lease => super::lease::answered(state, now, asked_at, result),
-                StorePurpose::View => super::maintain::answered(state, now, result),
+                StorePurpose::View => super::maintain::answered(state, now),
                 StorePurpose::Announce => {}
             }
         }
@@ -97,9 +95,7 @@
     let base = state.profile.timing.feed_interval;
     match result {
         Ok(page) => {
-            let is_full = page.entries.len() >= FEED_LIMIT;
-            let next = if is_full { now } else { (asked_at + base).max(now) };
-            state.store.feed_due = Some(next);
+            state.store.feed_due = Some((asked_at + base).max(now));
             apply_page(state, now, after, asked_at, page);
             super::lease::read_back(state, now, asked_at);
         }
@@ -115,11 +111,12 @@
         log::warn!("store: page ends at revision {} before {after}", page.revision);
         return;
     }
-    let is_full = page.entries.len() >= FEED_LIMIT;
     let entries = page.entries.into_iter().map(to_catalog).collect();
-    super::apply_entries(state, now, entries, page.revision);
-    if !is_full {
-        state.catalog.confirm(asked_at);
+    let page_revision = page.revision;
+    super::apply_entries(state, now, entries, page_revision);
+    state.catalog.confirm(asked_at);
+    if after <= state.store.feed_revision {
+        state.store.feed_revision = state.store.feed_revision.max(page_revision);
         state.maintain.feed_read_at = state.maintain.feed_read_at.max(Some(asked_at));
     }
 }
@@ -135,10 +132,13 @@
         return;
     }
     let read_back_from = super::lease::read_back_from(state);
-    if !super::is_relay(state) && read_back_from.is_none() && !is_fallback_due(state, now) {
+    let is_relay = super::is_relay(state);
+    if !is_relay && read_back_from.is_none() && !is_fallback_due(state, now) {
         return;
     }
-    let after = read_back_from.unwrap_or(u64::MAX).min(state.catalog.revision());
+    // A relay needs all leases, which came by no other path.
+    let complete = if is_relay { state.store.feed_revision } else { state.catalog.revision() };
+    let after = read_back_from.unwrap_or(u64::MAX).min(complete);
     state.store.feed = Some(FeedRead { after, sent_at: now });
     call(state, StoreRequest::ReadChanges { after }, outputs);
 }
--- /dev/null
+++ b/crates/core/src/host/fleet/tests/catalog.rs
@@ -0,0 +1,191 @@
+//! Propagation of records.
+
+use std::time::Instant;
+
+use serde_json::json;
+use tanagerdeal_wire::peer::CatalogEntry;
+use tanagerdeal_wire::{CustomerName, KeyName};
+
+use super::{DOMAINS, KEY, has_key, millis, secs, settled};
+use crate::catalog::CatalogTable;
+use crate::host::fleet::may_serve_keyed;
+use crate::profile::WithoutStorePolicy;
+
+fn entry(key: &str, revision: u64, value: Option<&str>) -> CatalogEntry {
+    CatalogEntry { key: key.to_owned(), revision, value: value.map(str::to_owned) }
+}
+
+fn customer(rate: u32) -> String {
+    json!({"schema": 1, "rate_per_s": rate, "burst": 1}).to_string()
+}
+
+/// Guards against a revoked key that works on in failure domains cut off from the store.
+#[test]
+fn withdrawal_reaches_hosts_without_store() {
+    let mut fleet = settled(3);
+    fleet.without_store.extend(["akl-b".to_owned(), "ham-c".to_owned()]);
+    fleet.run(secs(10));
+    fleet.table.put(KEY, None);
+    let took = fleet.run_until(secs(5), |fleet| !fleet.nodes.iter().any(has_key)).unwrap();
+    println!("withdrawal in effect on all hosts after {took:?}, store reached by one domain");
+    assert!(took <= secs(2), "took {took:?}");
+}
+
+/// Guards against a withdrawal that is lost when the store fails right after one relay has read it.
+#[test]
+fn withdrawal_spreads_after_store_fails() {
+    let mut fleet = settled(3);
+    fleet.table.put(KEY, None);
+    fleet.run_until(secs(2), |fleet| fleet.nodes.iter().any(|node| !has_key(node))).unwrap();
+    fleet.without_store.extend(DOMAINS.map(str::to_owned));
+    let took = fleet.run_until(secs(5), |fleet| !fleet.nodes.iter().any(has_key)).unwrap();
+    println!("withdrawal in effect on all hosts {took:?} after the store failed");
+    assert!(took <= secs(2), "took {took:?}");
+}
+
+/// Guards against an older entry that overwrites a newer one when it comes late by another path.
+#[test]
+fn older_revision_is_ignored() {
+    let (now, name) = (Instant::now(), CustomerName::new("quarry").unwrap());
+    let mut catalog = CatalogTable::default();
+    let key = "records/customer/quarry";
+    catalog.apply(now, vec![entry(key, 7, Some(&customer(70)))], 7);
+    let late = catalog.apply(now, vec![entry(key, 5, Some(&customer(50)))], 6);
+    assert_eq!((late.applied, late.ignored), (0, 1));
+    assert_eq!(catalog.customer(&name).unwrap().rate_per_s, 70);
+    assert_eq!(catalog.revision(), 7);
+}
+
+/// Guards against a deleted key that a slow path brings back, with and without its tombstone.
+#[test]
+fn deleted_record_stays_deleted() {
+    let (now, key) = (Instant::now(), KEY);
+    let value = json!({"schema": 1, "customer": "q", "salt": "s", "digest": "d"}).to_string();
+    let mut catalog = CatalogTable::default();
+    catalog.apply(now, vec![entry(key, 3, Some(&value)), entry(key, 8, None)], 8);
+    let late = catalog.apply(now, vec![entry(key, 3, Some(&value))], 3);
+    assert_eq!(late.ignored, 1);
+    let mut fresh = CatalogTable::default();
+    fresh.apply(now, Vec::new(), 8);
+    let late = fresh.apply(now, vec![entry(key, 3, Some(&value))], 3);
+    assert_eq!(late.ignored, 1);
+    for catalog in [&catalog, &fresh] {
+        assert!(catalog.key(&KeyName::new("k1").unwrap()).is_none());
+    }
+    let (relayed, through) = catalog.entries_after(3, usize::MAX).unwrap();
+    assert_eq!((relayed, through), (vec![entry(key, 8, None)], 8));
+}
+
+/// Guards against a record of a newer schema that is lost, applied in part, or takes the last
+/// understood one out of effect.
+#[test]
+fn unknown_schema_is_kept_and_relayed() {
+    let (now, name) = (Instant::now(), CustomerName::new("quarry").unwrap());
+    let mut catalog = CatalogTable::default();
+    let key = "records/customer/quarry";
+    let newer = r#"{"schema":9,"rate":[1,2]}"#;
+    catalog.apply(now, vec![entry(key, 2, Some(&customer(20)))], 2);
+    let count = catalog.apply(now, vec![entry(key, 4, Some(newer))], 4);
+    assert_eq!((count.applied, count.rejected), (1, 1));
+    assert_eq!(catalog.customer(&name).unwrap().rate_per_s, 20);
+    assert_eq!(catalog.unknown().map(|(key, _)| key).collect::<Vec<_>>(), [key]);
+    let (relayed, _) = catalog.entries_after(2, usize::MAX).unwrap();
+    assert_eq!(relayed, [entry(key, 4, Some(newer))]);
+    catalog.apply(now, vec![entry(key, 5, Some(&customer(50)))], 5);
+    assert_eq!(catalog.customer(&name).unwrap().rate_per_s, 50);
+    assert_eq!(catalog.unknown().count(), 0);
+}
+
+/// Guards against answers that are cut within a transaction, or skip entries when they are cut.
+#[test]
+fn pages_end_between_transactions() {
+    let now = Instant::now();
+    let mut source = CatalogTable::default();
+    let keys = (0..40).map(|number| (format!("records/customer/c{number}"), 1 + number / 4));
+    let entries = keys.map(|(key, revision)| entry(&key, revision, Some(&customer(1)))).collect();
+    source.apply(now, entries, 10);
+    let mut target = CatalogTable::default();
+    while target.revision() < source.revision() {
+        let (entries, through) = source.entries_after(target.revision(), 100).unwrap();
+        let last = entries.last().unwrap().revision;
+        assert_eq!(entries.iter().filter(|entry| entry.revision == last).count(), 4);
+        target.apply(now, entries, through);
+    }
+    assert_eq!(target.customers().count(), 40);
+}
+
+/// Guards against refused requests during a store outage, and against keyed requests that are served
+/// by a failure domain that cannot know whether a change was accepted elsewhere.
+#[test]
+fn keyed_requests_need_evidence_without_store() {
+    let mut fleet = settled(3);
+    fleet.without_store.extend(DOMAINS.map(str::to_owned));
+    let start = fleet.now;
+    fleet.run_observed(secs(60), |fleet| {
+        let mut nodes = fleet.nodes.iter();
+        let refusing = nodes.find(|node| !may_serve_keyed(&node.state, fleet.now));
+        assert!(
+            refusing.is_none(),
+            "{:?} after {:?}",
+            refusing.map(|n| n.state.profile.identity.host.clone()),
+            fleet.now - start
+        );
+    });
+    fleet.cut_domains("akl-a", "akl-b");
+    fleet.cut_domains("akl-a", "ham-c");
+    fleet.run(secs(5));
+    for (index, node) in fleet.nodes.iter().enumerate() {
+        assert!(!may_serve_keyed(&node.state, fleet.now), "served by {}", fleet.domain(index));
+    }
+    let index = fleet.index("akl-a-0");
+    fleet.nodes[index].state.profile.policies.without_store = WithoutStorePolicy::Always;
+    assert!(may_serve_keyed(&fleet.nodes[index].state, fleet.now));
+    fleet.nodes[index].state.profile.policies.without_store = WithoutStorePolicy::Never;
+    assert!(!may_serve_keyed(&fleet.nodes[index].state, fleet.now));
+}
+
+/// Guards against evidence from hosts that merely have not tried to reach the store: here one failure
+/// domain still reaches it, so that changes can be accepted.
+#[test]
+fn no_evidence_while_one_domain_reaches_store() {
+    let mut fleet = settled(3);
+    fleet.without_store.extend(["akl-b".to_owned(), "akl-a".to_owned()]);
+    for (one, other) in [("akl-a", "ham-c"), ("akl-b", "ham-c"), ("akl-a", "akl-b")] {
+        fleet.cut_domains(one, other);
+    }
+    fleet.run_observed(secs(30), |fleet| {
+        for node in &fleet.nodes {
+            let confirmed_at = node.state.catalog.confirmed_at().unwrap();
+            let is_fresh = fleet.now - confirmed_at <= secs(4);
+            assert!(is_fresh || !may_serve_keyed(&node.state, fleet.now));
+        }
+    });
+}
+
+/// Guards against many reads in flight and retries in step while the store is slow or refuses, and
+/// against answers that are applied backwards when they were overtaken.
+#[test]
+fn store_calls_stay_few_in_outage() {
+    let mut fleet = settled(3);
+    fleet.store_delay = millis(3_000);
+    fleet.run(secs(5));
+    fleet.store_calls.clear();
+    fleet.run_observed(secs(60), |fleet| {
+        let confirmed = fleet.nodes.iter().map(|node| node.state.catalog.confirmed_at());
+        assert!(confirmed.flatten().all(|at| at <= fleet.now));
+    });
+    let feeds = |fleet: &super::Fleet| {
+        fleet.store_calls.iter().filter(|(_, _, kind)| *kind == "feed").count()
+    };
+    let slow = feeds(&fleet);
+    fleet.store_delay = millis(0);
+    fleet.run(secs(5));
+    fleet.without_store.extend(DOMAINS.map(str::to_owned));
+    fleet.store_calls.clear();
+    fleet.run(secs(60));
+    let refused = feeds(&fleet);
+    println!("feed reads of 9 hosts in 60 s: {slow} with 3 s latency, {refused} while refused");
+    // One in flight per host: at most 60 s / 3 s each, and 60 s / (1 s + shortest pause).
+    assert!(slow <= 9 * 21, "{slow} reads");
+    assert!(refused <= 6 * 35 + 3 * 20, "{refused} reads");
+}
--- /dev/null
+++ b/crates/core/src/host/fleet/tests/share.rs
@@ -0,0 +1,188 @@
+//! Leases, share views and base shares.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom as _;
+use rand::{Rng as _, SeedableRng as _};
+
+use super::harness::Fleet;
+use super::{DOMAINS, secs, settled};
+use crate::share::BaseShare;
+
+/// A base share that may be used now.
+fn usable(fleet: &Fleet, index: usize) -> Option<BaseShare> {
+    let base = fleet.nodes[index].state.base.base;
+    base.filter(|base| base.numerator > 0 && fleet.now < base.valid_until)
+}
+
+/// Checks that neither rates nor whole units are given out twice. A process that is paused counts: it
+/// may resume and use its share before it hears anything.
+fn check_sums(fleet: &Fleet) {
+    let indices = 0..fleet.nodes.len();
+    let shares: Vec<BaseShare> = indices
+        .filter(|index| fleet.nodes[*index].is_up)
+        .filter_map(|index| usable(fleet, index))
+        .collect();
+    // A common multiple of all denominators that a fleet of this size can have.
+    let common: u64 = 720_720;
+    let sum: u64 = shares.iter().map(|share| common.div_ceil(share.denominator)).sum();
+    let rounding = shares.len() as u64;
+    assert!(sum <= common + rounding, "shares {shares:?}");
+    for units in [1, 2, 7, 20, 31] {
+        let own = |share: &BaseShare| {
+            units / share.denominator + u64::from(share.rank < units % share.denominator)
+        };
+        let given: u64 = shares.iter().map(own).sum();
+        assert!(given <= units, "{given} of {units} units, shares {shares:?}");
+    }
+}
+
+fn denominators(fleet: &Fleet) -> Vec<u64> {
+    let indices = 0..fleet.nodes.len();
+    indices.filter_map(|index| usable(fleet, index)).map(|base| base.denominator).collect()
+}
+
+/// Guards against a fleet that never gives out the whole rate.
+#[test]
+fn settled_fleet_holds_everything() {
+    let mut fleet = settled(3);
+    assert_eq!(denominators(&fleet), [9; 9]);
+    fleet.run_observed(secs(200), check_sums);
+    assert_eq!(denominators(&fleet), [9; 9], "shares lost without a failure");
+}
+
+/// Guards against limits that loosen or tighten while the store is down for a minute.
+#[test]
+fn minute_without_store_changes_nothing() {
+    let mut fleet = settled(3);
+    fleet.without_store.extend(DOMAINS.map(str::to_owned));
+    fleet.run_observed(secs(60), |fleet| assert_eq!(denominators(fleet), [9; 9]));
+    let start = fleet.now;
+    fleet.without_store.clear();
+    fleet.run_observed(secs(60), |fleet| {
+        assert_eq!(denominators(fleet), [9; 9], "{:?} after the outage", fleet.now - start)
+    });
+}
+
+/// Guards against a dead host whose share is lost for good, or is used before its lease has ended.
+#[test]
+fn share_of_dead_host_is_freed_after_its_lease() {
+    let mut fleet = settled(3);
+    let dead = fleet.index("akl-b-2");
+    fleet.nodes[dead].is_up = false;
+    let valid_until = fleet.nodes[dead].state.base.base.unwrap().valid_until;
+    let start = fleet.now;
+    let is_raised = |fleet: &Fleet| denominators(fleet).iter().filter(|n| **n == 6).count() == 2;
+    let took = fleet.run_until(secs(130), is_raised).expect("share is not freed");
+    println!("share of a dead host in use by the others after {took:?}");
+    assert!(start + took > valid_until, "raised before the lease ended");
+    check_sums(&fleet);
+}
+
+/// Guards against a holder that resumes after a pause and believes that it still has its lease.
+#[test]
+fn paused_holder_gets_new_lease_only() {
+    let mut fleet = settled(3);
+    let paused = fleet.index("ham-c-1");
+    fleet.nodes[paused].is_paused = true;
+    fleet.run_observed(secs(130), check_sums);
+    assert!(usable(&fleet, paused).is_none(), "lease outlasted the pause");
+    fleet.nodes[paused].is_paused = false;
+    fleet.run_observed(secs(30), check_sums);
+    assert_eq!(fleet.nodes[paused].state.lease.generation, 2);
+    assert_eq!(denominators(&fleet), [9; 9], "host did not get a share again");
+}
+
+/// Guards against a renewal whose answer was lost being taken for another host's, or not at all.
+#[test]
+fn lost_answer_of_renewal_is_recognised() {
+    let mut fleet = settled(3);
+    let before: Vec<_> = fleet.nodes.iter().map(|node| node.state.lease.valid_until).collect();
+    fleet.lost_answers = 9;
+    fleet.run(secs(16));
+    assert_eq!(fleet.lost_answers, 0);
+    for (node, before) in fleet.nodes.iter().zip(before) {
+        let lease = &node.state.lease;
+        assert!(lease.valid_until > before, "renewal not counted");
+        assert_eq!((lease.generation, lease.is_superseded), (1, false));
+        assert!(lease.read_back_after.is_none());
+    }
+}
+
+/// Guards against two processes of one host that both use its share.
+#[test]
+fn restarted_host_supersedes_the_old_process() {
+    let mut fleet = settled(2);
+    let index = fleet.index("akl-a-0");
+    let old = fleet.nodes[index].state.base.base.unwrap();
+    fleet.restart(index);
+    let valid_until = old.valid_until;
+    fleet.run_observed(secs(89), |fleet| {
+        let others = (0..fleet.nodes.len()).filter_map(|index| usable(fleet, index));
+        let sum: u64 = others.map(|base| 720_720 / base.denominator).sum();
+        let is_old_valid = fleet.now < valid_until;
+        let old = if is_old_valid { 720_720 / old.denominator } else { 0 };
+        assert!(sum + old <= 720_720, "share of the old process is used by the new one");
+    });
+    fleet.run_observed(secs(60), check_sums);
+    assert_eq!(denominators(&fleet), [6; 6]);
+}
+
+/// Guards against a failure domain whose part of every rate is lost after it has gone, or is used
+/// twice when it returns.
+#[test]
+fn failure_domain_leaves_and_returns() {
+    let mut fleet = settled(2);
+    let gone: Vec<usize> = (0..6).filter(|index| fleet.domain(*index) == "akl-b").collect();
+    gone.iter().for_each(|index| fleet.nodes[*index].is_up = false);
+    fleet.run_observed(secs(150), check_sums);
+    assert_eq!(denominators(&fleet), [4; 4], "part of the failure domain not taken over");
+    gone.iter().for_each(|index| fleet.restart(*index));
+    fleet.run_observed(secs(60), check_sums);
+    assert_eq!(denominators(&fleet), [6; 6], "failure domain did not get its part back");
+}
+
+/// Guards against any order of deaths, restarts, pauses, partitions, outages and lost answers in which
+/// the base shares of a rate, or the units of a resource, add up to more than there is.
+#[test]
+fn shares_never_exceed_the_whole() {
+    for seed in 0..12 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut fleet = settled(2 + usize::from(seed % 2 == 0));
+        for _ in 0..25 {
+            disturb(&mut fleet, &mut random);
+            let time = Duration::from_millis(random.random_range(200..40_000));
+            fleet.run_observed(time, check_sums);
+        }
+        fleet.without_store.clear();
+        fleet.cut.clear();
+        fleet.nodes.iter_mut().for_each(|node| node.is_paused = false);
+        (0..fleet.nodes.len()).for_each(|index| {
+            if !fleet.nodes[index].is_up {
+                fleet.restart(index);
+            }
+        });
+        fleet.run_observed(secs(260), check_sums);
+        let hosts = fleet.nodes.len();
+        assert_eq!(denominators(&fleet), vec![hosts as u64; hosts], "seed {seed} does not settle");
+    }
+}
+
+fn disturb(fleet: &mut Fleet, random: &mut SmallRng) {
+    let index = random.random_range(0..fleet.nodes.len());
+    let domain = *DOMAINS.choose(random).unwrap();
+    let other = *DOMAINS.choose(random).unwrap();
+    match random.random_range(0..9) {
+        0 => fleet.nodes[index].is_up = false,
+        1 if !fleet.nodes[index].is_up => fleet.restart(index),
+        2 => fleet.nodes[index].is_paused = true,
+        3 => fleet.nodes.iter_mut().for_each(|node| node.is_paused = false),
+        4 => drop(fleet.without_store.insert(domain.to_owned())),
+        5 => fleet.without_store.clear(),
+        6 => fleet.lost_answers = random.random_range(1..6),
+        7 if domain != other => fleet.cut_domains(domain, other),
+        8 => fleet.cut.clear(),
+        _ => fleet.store_delay = Duration::from_millis(random.random_range(0..1_500)),
+    }
+}
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -62,8 +62,6 @@
         pub wanted_since: Option<Instant>,
         /// Members of views that have no lease of their own, with when that was first seen.
         pub missing: Vec<(ViewMember, Instant)>,
-        /// Revisions of leases that conflicts revealed.
-        pub revealed: BTreeMap<String, u64>,
     }
 
     /// The base share of this host.
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -201,14 +201,20 @@
         self.sequence
     }
 
-    /// Takes the platform's list, which lags: it adds hosts that were never heard of, and replaces
-    /// nothing that a host said itself.
+    /// Takes the platform's list, which lags: it adds hosts that were never heard of, or that
+    /// fell silent and have restarted since.
     pub fn adopt_list(&mut self, now: Instant, list: &HostList) {
         self.is_listed = true;
         self.plan_due = None;
         for entry in &list.hosts {
+            let is_heard = self.hosts.get(&entry.host).is_some_and(|host| self.is_heard(now, host));
             match self.hosts.get_mut(&entry.host) {
-                Some(host) if host.made_at.is_some() => host.listed_at = Some(now),
+                Some(host)
+                    if host.made_at.is_some()
+                        && (is_heard || host.incarnation == entry.incarnation) =>
+                {
+                    host.listed_at = Some(now);
+                }
                 Some(host) => host.relist(now, entry),
                 None => {
                     self.hosts.insert(entry.host.clone(), KnownHost::listed(now, entry));
--- a/crates/core/src/message/fleet.rs
+++ b/crates/core/src/message/fleet.rs
@@ -95,7 +95,7 @@
         ChangesRead {
             /// When the request was sent.
             asked_at: Instant,
-            /// The changes.
+            /// All changes up to the revision that was current when the last page was read.
             result: Result<EntryPage, StoreFault>,
         },
         /// Response to `Transact`.
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -16,9 +16,12 @@
 /// A call without an answer for this long counts as a sign that the store is not reachable.
 const SILENT_AFTER: Duration = Duration::from_millis(700);
 
-/// How long a failed attempt counts as recent.
+/// How long a failed attempt is worth a report to other hosts; relays try more often than that.
 const FAILURE_RECENT: Duration = Duration::from_secs(4);
 
+/// How long a failed attempt counts for the host itself, which may be one that seldom tries.
+const FAILURE_KNOWN: Duration = Duration::from_secs(10);
+
 value_type! {
     /// A read of the change feed in flight.
     #[derive(Copy)]
@@ -35,6 +38,9 @@
 pub struct StoreState {
     /// The read of the change feed in flight; there is at most one.
     pub feed: Option<FeedRead>,
+    /// Revision up to which this host has read the feed itself, with the leases that other hosts do not
+    /// relay.
+    pub feed_revision: u64,
     /// When the next read of the change feed may be sent; absent before the first.
     pub feed_due: Option<Instant>,
     /// When a host that is no relay reads the change feed itself; absent while others keep it fresh.
@@ -85,7 +91,16 @@
     /// Whether the latest attempts to reach the platform failed. A host that has not tried for a
     /// while does not know, and says no.
     pub fn is_failing(&self, now: Instant) -> bool {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) <= FAILURE_RECENT;
+        self.has_failed_within(now, FAILURE_RECENT)
+    }
+
+    /// Whether the last attempt failed, even if it was some pauses ago.
+    pub fn has_failed(&self, now: Instant) -> bool {
+        self.has_failed_within(now, FAILURE_KNOWN)
+    }
+
+    fn has_failed_within(&self, now: Instant, limit: Duration) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= limit;
         let waits = |feed: FeedRead| now.saturating_duration_since(feed.sent_at) >= SILENT_AFTER;
         self.failed_at.is_some_and(is_recent) || self.feed.is_some_and(waits)
     }
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -4,10 +4,6 @@
 
 use crate::{DomainName, HostName};
 
-/// Entries that a host asks for in one page of the change feed. A page with fewer reaches the revision
-/// that is current when the platform answers.
-pub const FEED_LIMIT: usize = 1_000;
-
 wire_type! {
     /// Precondition of a transaction: the key's current revision, 0 when it must be absent.
     pub struct RevisionCheck {
