--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -1,22 +1,82 @@
 //! Sessions and requests.
 
+mod admit;
+mod connections;
+mod dispatch;
+mod finish;
+mod loans;
+mod open;
+mod place;
+mod rights;
+mod settings;
+
 use std::time::Instant;
 
 use super::HostState;
-use crate::message::caller::CallerCall;
+use crate::message::caller::{CallerAnswer, CallerCall};
 use crate::message::{CallTag, HostOutput};
+use crate::verdict::RequestRefusal;
 
 pub(super) fn handle_call(
-    _state: &mut HostState,
-    _now: Instant,
-    _tag: CallTag,
-    _call: CallerCall,
-    _outputs: &mut Vec<HostOutput>,
+    state: &mut HostState,
+    now: Instant,
+    tag: CallTag,
+    call: CallerCall,
+    outputs: &mut Vec<HostOutput>,
 ) {
+    match call {
+        CallerCall::AskRoute { database } => {
+            let open = rights::is_open_route(state, &database);
+            outputs.push(HostOutput::AnswerCaller(tag, CallerAnswer::RouteFound { open }));
+        }
+        CallerCall::OpenSession(opening) => {
+            let answer = open::open_session(state, now, opening);
+            outputs.push(HostOutput::AnswerCaller(tag, answer));
+        }
+        CallerCall::ChangeSetting { session, name, value } => {
+            let answer = settings::change_setting(state, session, &name, &value);
+            outputs.push(HostOutput::AnswerCaller(tag, answer));
+        }
+        CallerCall::ShowSetting { session, name } => {
+            let answer = settings::show_setting(state, session, &name);
+            outputs.push(HostOutput::AnswerCaller(tag, answer));
+        }
+        CallerCall::PlaceRequest { session, class, is_retry } => {
+            place::place_request(state, now, tag, session, (class, is_retry), outputs);
+        }
+        CallerCall::AbandonRequest { session } => place::abandon_request(state, session),
+        CallerCall::CheckRead { dispatch, position } => {
+            let answer = finish::check_read(state, dispatch, position);
+            outputs.push(HostOutput::AnswerCaller(tag, answer));
+        }
+        CallerCall::ConfirmCommit { dispatch, position } => {
+            finish::confirm_commit(state, now, tag, dispatch, position, outputs);
+        }
+        CallerCall::EndRequest { dispatch, ending, seen, in_transaction } => {
+            finish::end_request(state, now, dispatch, (ending, seen, in_transaction));
+        }
+        CallerCall::CloseSession { session } => finish::close_session(state, now, session),
+    }
 }
 
 /// Closes sessions whose key was revoked and enforces deadlines of waiting requests.
-pub(super) fn run_systems(_state: &mut HostState, _now: Instant, _outputs: &mut Vec<HostOutput>) {}
+pub(super) fn run_systems(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    admit::adopt_customers(state, now);
+    connections::adopt_limits(state, now, outputs);
+    rights::close_sessions(state, now, outputs);
+    admit::shed_late_requests(state, now, outputs);
+    loans::borrow(state, now, outputs);
+}
 
 /// Places waiting requests that can run now, and answers confirmed commits.
-pub(super) fn wake_waiters(_state: &mut HostState, _now: Instant, _outputs: &mut Vec<HostOutput>) {}
+pub(super) fn wake_waiters(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    finish::take_confirmations(state, now, outputs);
+    admit::wake_token_waiters(state, now, outputs);
+    dispatch::place_waiting(state, now, outputs);
+    connections::adopt_limits(state, now, outputs);
+}
+
+/// Final negative answer.
+fn refuse(outputs: &mut Vec<HostOutput>, tag: CallTag, refusal: RequestRefusal) {
+    outputs.push(HostOutput::AnswerCaller(tag, CallerAnswer::Refused(refusal)));
+}
--- /dev/null
+++ b/crates/core/src/host/traffic/admit.rs
@@ -0,0 +1,314 @@
+//! Admission: tokens of the customer's rate, the first watermark, and the queue.
+
+use std::time::{Duration, Instant};
+
+use tanagerdeal_wire::peer::ShareResource;
+use tanagerdeal_wire::record::CustomerRecord;
+use tanagerdeal_wire::{CustomerName, value_type};
+
+use super::place::with_verdict;
+use super::{dispatch, loans, open, place, refuse};
+use crate::confirm::{ConfirmRequest, ConfirmWaiter};
+use crate::host::HostState;
+use crate::limit::CustomerRate;
+use crate::message::{HostOutput, SessionKey};
+use crate::schedule::{QueueEntry, WorkLane};
+use crate::session::{WaitStage, WaitingRequest};
+use crate::statement::StatementClass;
+use crate::verdict::{RefusalCode, RequestRefusal};
+
+/// Longest time for which a request outside a transaction waits for a token. It covers a request
+/// for a loan and evens out bursts that the whole rate would have admitted.
+const TOKEN_PATIENCE: Duration = Duration::from_millis(100);
+
+/// When a client should come back if its customer's share here is too small for any token.
+const NO_SHARE_RETRY: Duration = Duration::from_millis(500);
+
+/// Time before the deadline within which a request is not placed any more.
+const LEAST_REMAINING: Duration = Duration::from_millis(2);
+
+value_type! {
+    /// What becomes of a request that asked for a token.
+    enum TokenOutcome {
+        Taken,
+        Waits,
+        Refused(Option<Instant>),
+    }
+}
+
+/// Takes a token for a request, or makes it wait for one; `is_charged` is false for a request that
+/// is placed again, because its token was taken the first time.
+pub(super) fn admit(
+    state: &mut HostState,
+    now: Instant,
+    session: SessionKey,
+    is_charged: bool,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let Some((customer, is_rated)) = customer_of(state, session) else { return };
+    if is_charged {
+        let percent = state.catalog.configuration().retry_percent;
+        state.retries.note_request(now, &customer, percent);
+        state.shares.note_demand(now, &customer);
+    }
+    if !is_charged || !is_rated {
+        return adopt_position(state, now, session, outputs);
+    }
+    let ahead = state.limits.waiting(&customer);
+    match ask_token(state, now, session, &customer, ahead, outputs) {
+        TokenOutcome::Taken => adopt_position(state, now, session, outputs),
+        TokenOutcome::Waits => state.limits.wait(&customer, session),
+        TokenOutcome::Refused(retry_at) => refuse_rate(state, now, session, retry_at, outputs),
+    }
+}
+
+/// The customer of a session, and whether its next request takes a token. Open routes have no
+/// customer, and a rollback only frees what the transaction holds.
+fn customer_of(state: &HostState, session: SessionKey) -> Option<(CustomerName, bool)> {
+    let entry = state.sessions.entries.get(session)?;
+    let request = entry.waiting.as_ref()?;
+    let is_end = request.in_transaction && request.attempt.class == StatementClass::Rollback;
+    Some((entry.account.clone(), entry.credential.is_some() && !is_end))
+}
+
+fn ask_token(
+    state: &mut HostState,
+    now: Instant,
+    session: SessionKey,
+    customer: &CustomerName,
+    ahead: usize,
+    outputs: &mut Vec<HostOutput>,
+) -> TokenOutcome {
+    let Some(record) = state.catalog.customer(customer) else { return TokenOutcome::Refused(None) };
+    let rate = rate_of(record);
+    state.shares.set_rate(now, customer, rate);
+    let ready_at = match state.shares.take_token(now, customer, ahead as u64) {
+        Ok(()) => return TokenOutcome::Taken,
+        Err(ready_at) => ready_at,
+    };
+    let Some(request) = waiting(state, session) else { return TokenOutcome::Refused(None) };
+    let patience = request.arrived + TOKEN_PATIENCE;
+    let deadline = request.attempt.deadline - LEAST_REMAINING;
+    let until = if request.in_transaction { deadline } else { patience.min(deadline) };
+    let resource = ShareResource::CustomerRate(customer.clone());
+    let may_come = now < until && loans::ask_now(state, now, &resource, outputs);
+    match ready_at {
+        Some(at) if at <= until => TokenOutcome::Waits,
+        _ if may_come => TokenOutcome::Waits,
+        _ => TokenOutcome::Refused(ready_at),
+    }
+}
+
+/// Gives tokens to waiting requests in order of arrival, and refuses those that get none in time.
+pub(super) fn wake_token_waiters(
+    state: &mut HostState,
+    now: Instant,
+    outputs: &mut Vec<HostOutput>,
+) {
+    for customer in state.limits.customers() {
+        let mut ahead = 0;
+        for session in state.limits.sessions(&customer) {
+            match ask_token(state, now, session, &customer, ahead, outputs) {
+                TokenOutcome::Taken => {
+                    state.limits.remove(&customer, session);
+                    adopt_position(state, now, session, outputs);
+                }
+                TokenOutcome::Waits => ahead += 1,
+                TokenOutcome::Refused(retry_at) => {
+                    refuse_rate(state, now, session, retry_at, outputs);
+                }
+            }
+        }
+    }
+}
+
+fn refuse_rate(
+    state: &mut HostState,
+    now: Instant,
+    session: SessionKey,
+    retry_at: Option<Instant>,
+    outputs: &mut Vec<HostOutput>,
+) {
+    state.counters.refused_rate += 1;
+    let message = "the customer is over its rate and burst";
+    let refusal = RequestRefusal::not_run(RefusalCode::RateExceeded, message);
+    let retry_at = retry_at.unwrap_or(now + NO_SHARE_RETRY).max(now);
+    refuse_waiting(state, session, refusal.retry_at(retry_at), outputs);
+}
+
+/// Makes the first current read of a session wait for the primary's confirmed position, which
+/// covers what the client may have written through other sessions.
+fn adopt_position(
+    state: &mut HostState,
+    now: Instant,
+    session: SessionKey,
+    outputs: &mut Vec<HostOutput>,
+) {
+    if !needs_position(state, session) {
+        return enqueue(state, now, session, outputs);
+    }
+    await_position(state, now, session);
+}
+
+/// Asks for the primary's confirmed position.
+pub(super) fn await_position(state: &mut HostState, now: Instant, session: SessionKey) {
+    let Some(request) = waiting_mut(state, session) else { return };
+    request.stage = WaitStage::Position;
+    let (group, deadline) = (request.group, request.attempt.deadline);
+    state.confirms.add(ConfirmRequest {
+        waiter: ConfirmWaiter::Position(session),
+        group,
+        position: Default::default(),
+        since: now,
+        replicated_by: now,
+        deadline,
+        durability: Default::default(),
+    });
+}
+
+fn needs_position(state: &HostState, session: SessionKey) -> bool {
+    let Some(entry) = state.sessions.entries.get(session) else { return false };
+    let Some(request) = entry.waiting.as_ref() else { return false };
+    let name = state.endpoints.group_name(request.group);
+    let mark = name.and_then(|name| entry.marks.get(name));
+    let is_current = place::read_age(state, entry) == Duration::ZERO;
+    let reads =
+        matches!(request.attempt.class, StatementClass::Read | StatementClass::Begin { .. });
+    request.lane == WorkLane::Read
+        && reads
+        && !request.in_transaction
+        && is_current
+        && !mark.is_some_and(|mark| mark.is_adopted)
+}
+
+/// Continues a request whose session has got its first watermark.
+pub(super) fn enqueue(
+    state: &mut HostState,
+    now: Instant,
+    session: SessionKey,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let Some(entry) = state.sessions.entries.get(session) else { return };
+    let Some(request) = entry.waiting.as_ref() else { return };
+    if request.in_transaction {
+        return dispatch::continue_transaction(state, now, session, outputs);
+    }
+    let (weight, worth) = open::standing(state.catalog.customer(&entry.account));
+    let (group, lane, deadline) = (request.group, request.lane, request.attempt.deadline);
+    let account = entry.account.clone();
+    let policy = state.profile.policies.scheduler;
+    let wait = state.queues.expected_wait(policy, now, group, &account, lane, weight);
+    let served_at = now + wait.max(LEAST_REMAINING);
+    if served_at > deadline {
+        return refuse_overload(state, session, served_at, outputs);
+    }
+    let queued = QueueEntry { session, account, lane, deadline, weight, worth };
+    let Some(ticket) = state.queues.enqueue(policy, group, queued) else {
+        return refuse_overload(state, session, served_at, outputs);
+    };
+    if let Some(request) = waiting_mut(state, session) {
+        request.stage = WaitStage::Endpoint;
+        request.ticket = Some(ticket);
+    }
+}
+
+/// Refuses queued requests that cannot be on time any more, and others whose deadline has passed.
+pub(super) fn shed_late_requests(
+    state: &mut HostState,
+    now: Instant,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let policy = state.profile.policies.scheduler;
+    for (_, session, served_at) in state.queues.late(policy, now) {
+        refuse_overload(state, session, served_at, outputs);
+    }
+    let expired: Vec<SessionKey> = state
+        .sessions
+        .entries
+        .iter()
+        .filter(|(_, entry)| {
+            let waiting = entry.waiting.as_ref();
+            waiting.is_some_and(|request| now + LEAST_REMAINING > request.attempt.deadline)
+        })
+        .map(|(key, _)| key)
+        .collect();
+    for session in expired {
+        match dispatch::unroutable_until(state, now, session) {
+            Some(retry_at) => {
+                let refusal = dispatch::unavailable(state, retry_at);
+                refuse_waiting(state, session, refusal, outputs);
+            }
+            None => refuse_overload(state, session, now, outputs),
+        }
+    }
+}
+
+/// Refuses a request whose session could not adopt a confirmed position.
+pub(super) fn refuse_unconfirmed(
+    state: &mut HostState,
+    now: Instant,
+    session: SessionKey,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let refusal = dispatch::unavailable(state, now);
+    refuse_waiting(state, session, refusal, outputs);
+}
+
+fn refuse_overload(
+    state: &mut HostState,
+    session: SessionKey,
+    retry_at: Instant,
+    outputs: &mut Vec<HostOutput>,
+) {
+    state.counters.refused_overload += 1;
+    let message = "the request cannot be served by its deadline";
+    let refusal = RequestRefusal::not_run(RefusalCode::Overloaded, message).retry_at(retry_at);
+    refuse_waiting(state, session, refusal, outputs);
+}
+
+/// Refuses a request that waits, wherever it does.
+pub(super) fn refuse_waiting(
+    state: &mut HostState,
+    session: SessionKey,
+    refusal: RequestRefusal,
+    outputs: &mut Vec<HostOutput>,
+) {
+    if let Some(request) = take_waiting(state, session) {
+        refuse(outputs, request.tag, with_verdict(refusal, request.attempt.verdict));
+    }
+}
+
+/// Takes a waiting request out of all lines.
+pub(super) fn take_waiting(state: &mut HostState, session: SessionKey) -> Option<WaitingRequest> {
+    let entry = state.sessions.entries.get_mut(session)?;
+    let request = entry.waiting.take()?;
+    if let Some(ticket) = &request.ticket {
+        state.queues.remove(ticket);
+    }
+    state.limits.remove(&entry.account, session);
+    Some(request)
+}
+
+/// Takes over rates of customers, so that buckets fill from when the customer is known.
+pub(super) fn adopt_customers(state: &mut HostState, now: Instant) {
+    state.shares.set_loan_valid(state.profile.timing.loan_valid);
+    for (name, record) in state.catalog.customers() {
+        state.shares.set_rate(now, name, rate_of(record));
+    }
+    let catalog = &state.catalog;
+    state.shares.retain_customers(now, |name| catalog.customer(name).is_some());
+    let sessions = &state.sessions;
+    state.retries.retain(|name| catalog.customer(name).is_some() || sessions.count(name) > 0);
+}
+
+fn rate_of(record: &CustomerRecord) -> CustomerRate {
+    CustomerRate { rate_per_s: record.rate_per_s, burst: record.burst }
+}
+
+fn waiting(state: &HostState, session: SessionKey) -> Option<&WaitingRequest> {
+    state.sessions.entries.get(session)?.waiting.as_ref()
+}
+
+fn waiting_mut(state: &mut HostState, session: SessionKey) -> Option<&mut WaitingRequest> {
+    state.sessions.entries.get_mut(session)?.waiting.as_mut()
+}
--- /dev/null
+++ b/crates/core/src/limit/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of token buckets.
--- a/crates/core/src/message/caller.rs
+++ b/crates/core/src/message/caller.rs
@@ -21,6 +21,9 @@
     pub password: Option<String>,
     /// Proxy settings given at start-up, as name and value.
     pub settings: Vec<(String, String)>,
+    /// Wall clock in milliseconds since the Unix epoch, against which the age of request ids is
+    /// judged; the core has no clock of its own.
+    pub wall_ms: u64,
 }
 
 /// A question or a notice of a client session.
@@ -83,6 +86,9 @@
         dispatch: DispatchKey,
         /// How it ended.
         ending: RequestEnding,
+        /// Highest position that the endpoint reported with a response to a read, so that later
+        /// reads of the session are not older.
+        seen: Option<LogPosition>,
         /// Whether a transaction is still open, so that the connection stays with the session.
         in_transaction: bool,
     },
--- a/crates/core/src/schedule.rs
+++ b/crates/core/src/schedule.rs
@@ -1,5 +1,269 @@
 //! Queues of requests that wait for an endpoint.
 
-/// Queues by endpoint and customer.
+mod flow;
+#[cfg(test)]
+mod tests;
+mod window;
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use slotmap::SecondaryMap;
+use tanagerdeal_wire::{CustomerName, scalar_type, value_type};
+
+use crate::message::{EndpointKey, GroupKey, SessionKey};
+use crate::profile::SchedulerPolicy;
+use flow::GroupQueue;
+use window::LatencyWindow;
+
+/// Requests that may wait for one group, a bound on memory.
+const MAX_WAITING: usize = 20_000;
+
+/// Queues by group and customer, and the work on each endpoint.
 #[derive(Default)]
-pub struct QueueTable {}
+pub struct QueueTable {
+    groups: HashMap<GroupKey, GroupQueue>,
+    loads: SecondaryMap<EndpointKey, EndpointLoad>,
+    sequence: u64,
+}
+
+scalar_type! {
+    /// Kinds of work that wait for different endpoints of a group.
+    pub(crate) enum WorkLane {
+        /// Needs the primary.
+        Write,
+        /// Can run on several members.
+        Read,
+    }
+
+    /// Order within one customer's requests: the deadline, or nothing when served by arrival; then
+    /// the order of arrival.
+    pub(crate) struct QueueOrder(Option<Instant>, u64);
+}
+
+value_type! {
+    /// Place of a request in a queue.
+    pub(crate) struct QueueTicket {
+        pub(crate) group: GroupKey,
+        pub(crate) account: CustomerName,
+        pub(crate) lane: WorkLane,
+        pub(crate) order: QueueOrder,
+    }
+
+    /// What the order of service depends on.
+    pub(crate) struct QueueEntry {
+        pub(crate) session: SessionKey,
+        pub(crate) account: CustomerName,
+        pub(crate) lane: WorkLane,
+        pub(crate) deadline: Instant,
+        /// Weight among customers.
+        pub(crate) weight: u32,
+        /// Worth of a request, which decides between customers that are otherwise equal.
+        pub(crate) worth: u32,
+    }
+}
+
+/// What was found blocked while a queue is searched for work that can run.
+#[derive(Default)]
+pub(crate) struct QueuePass {
+    /// Requests that wait for a position.
+    pub(crate) passed: HashSet<u64>,
+    /// Customers whose lane waits for room.
+    pub(crate) full: HashSet<(CustomerName, WorkLane)>,
+    /// Whether no write can run.
+    pub(crate) writes_blocked: bool,
+}
+
+impl QueuePass {
+    /// Leaves out one request that waits for a position.
+    pub(crate) fn pass_over(&mut self, ticket: &QueueTicket) {
+        self.passed.insert(ticket.order.1);
+    }
+}
+
+/// Work of this host on one endpoint.
+#[derive(Default)]
+struct EndpointLoad {
+    connections: u32,
+    held: u32,
+    running: u32,
+    window: LatencyWindow,
+}
+
+impl QueueTable {
+    /// Adds a request to the queue of its group; nothing when the queue is full.
+    pub(crate) fn enqueue(
+        &mut self,
+        policy: SchedulerPolicy,
+        group: GroupKey,
+        entry: QueueEntry,
+    ) -> Option<QueueTicket> {
+        let queue = self.groups.entry(group).or_default();
+        if queue.len() >= MAX_WAITING {
+            return None;
+        }
+        self.sequence += 1;
+        let deadline = (policy == SchedulerPolicy::Fair).then_some(entry.deadline);
+        let order = QueueOrder(deadline, self.sequence);
+        let (account, lane) = (entry.account.clone(), entry.lane);
+        queue.add(order, entry);
+        Some(QueueTicket { group, account, lane, order })
+    }
+
+    /// Takes a request out of its queue without serving it.
+    pub(crate) fn remove(&mut self, ticket: &QueueTicket) {
+        if let Some(queue) = self.groups.get_mut(&ticket.group) {
+            queue.remove(ticket);
+        }
+        self.prune(ticket.group);
+    }
+
+    /// Takes a request out of its queue because it has got an endpoint.
+    pub(crate) fn serve(&mut self, now: Instant, ticket: &QueueTicket) {
+        if let Some(queue) = self.groups.get_mut(&ticket.group) {
+            queue.serve(now, ticket);
+        }
+        self.prune(ticket.group);
+    }
+
+    fn prune(&mut self, group: GroupKey) {
+        if self.groups.get(&group).is_some_and(GroupQueue::is_idle) {
+            self.groups.remove(&group);
+        }
+    }
+
+    /// Groups with waiting requests.
+    pub(crate) fn backlogged(&self) -> Vec<GroupKey> {
+        self.groups.iter().filter(|(_, queue)| queue.len() > 0).map(|(group, _)| *group).collect()
+    }
+
+    /// The request to be served next, other than those found blocked.
+    pub(crate) fn next(
+        &self,
+        policy: SchedulerPolicy,
+        group: GroupKey,
+        pass: &QueuePass,
+    ) -> Option<(QueueTicket, SessionKey)> {
+        let (account, lane, order, session) = self.groups.get(&group)?.next(policy, pass)?;
+        Some((QueueTicket { group, account, lane, order }, session))
+    }
+
+    /// Notes that a lane waits for room on an endpoint, so that the time until the next service
+    /// counts towards the service rate.
+    pub(crate) fn note_full(&mut self, now: Instant, group: GroupKey, lane: WorkLane) {
+        if let Some(queue) = self.groups.get_mut(&group) {
+            queue.pace(lane).begin(now);
+        }
+    }
+
+    /// Notes that a lane has no endpoint, which says nothing about the service rate.
+    pub(crate) fn note_unroutable(&mut self, group: GroupKey, lane: WorkLane) {
+        if let Some(queue) = self.groups.get_mut(&group) {
+            queue.pace(lane).pause();
+        }
+    }
+
+    /// Expected wait of a customer's next request.
+    pub(crate) fn expected_wait(
+        &self,
+        policy: SchedulerPolicy,
+        now: Instant,
+        group: GroupKey,
+        account: &CustomerName,
+        lane: WorkLane,
+        weight: u32,
+    ) -> Duration {
+        let queue = self.groups.get(&group);
+        queue.map(|queue| queue.wait(policy, now, account, lane, weight)).unwrap_or_default()
+    }
+
+    /// Waiting requests that cannot be on time any more, with the time at which each would be
+    /// served. The longest queue relative to its weight waits longest, so requests are shed from the
+    /// customer that is furthest over its share.
+    pub(crate) fn late(
+        &self,
+        policy: SchedulerPolicy,
+        now: Instant,
+    ) -> Vec<(QueueTicket, SessionKey, Instant)> {
+        let mut late = Vec::new();
+        for (group, queue) in &self.groups {
+            late.extend(queue.late(policy, now).into_iter().map(
+                |(account, lane, order, session, served_at)| {
+                    (QueueTicket { group: *group, account, lane, order }, session, served_at)
+                },
+            ));
+        }
+        late
+    }
+
+    /// Sets how many connections may be held to an endpoint.
+    pub(crate) fn set_connections(&mut self, endpoint: EndpointKey, connections: u32) {
+        if let Some(load) = self.load(endpoint) {
+            load.connections = connections;
+        }
+    }
+
+    /// Connections that may be held to an endpoint.
+    pub(crate) fn connections(&self, endpoint: EndpointKey) -> u32 {
+        self.loads.get(endpoint).map_or(0, |load| load.connections)
+    }
+
+    /// Connections held to an endpoint.
+    pub(crate) fn held(&self, endpoint: EndpointKey) -> u32 {
+        self.loads.get(endpoint).map_or(0, |load| load.held)
+    }
+
+    /// Whether only the lack of connections keeps new work from an endpoint.
+    pub(crate) fn lacks_connections(&self, endpoint: EndpointKey) -> bool {
+        self.loads
+            .get(endpoint)
+            .is_none_or(|load| load.held >= load.connections && load.window.has_room(load.running))
+    }
+
+    /// Whether new work may begin on an endpoint.
+    pub(crate) fn has_room(&self, endpoint: EndpointKey) -> bool {
+        self.loads
+            .get(endpoint)
+            .is_some_and(|load| load.held < load.connections && load.window.has_room(load.running))
+    }
+
+    /// Notes that a connection was taken.
+    pub(crate) fn hold(&mut self, endpoint: EndpointKey) {
+        if let Some(load) = self.load(endpoint) {
+            load.held += 1;
+        }
+    }
+
+    /// Notes that a connection was released.
+    pub(crate) fn release(&mut self, endpoint: EndpointKey) {
+        if let Some(load) = self.load(endpoint) {
+            load.held = load.held.saturating_sub(1);
+        }
+    }
+
+    /// Notes that a statement began.
+    pub(crate) fn begin(&mut self, endpoint: EndpointKey) {
+        if let Some(load) = self.load(endpoint) {
+            load.running += 1;
+        }
+    }
+
+    /// Notes that a statement ended; `took` is absent when its time says nothing about the endpoint.
+    pub(crate) fn end(
+        &mut self,
+        now: Instant,
+        endpoint: EndpointKey,
+        lane: WorkLane,
+        took: Option<Duration>,
+    ) {
+        let Some(load) = self.load(endpoint) else { return };
+        if let Some(took) = took {
+            load.window.note(now, lane, took, load.running);
+        }
+        load.running = load.running.saturating_sub(1);
+    }
+
+    fn load(&mut self, endpoint: EndpointKey) -> Option<&mut EndpointLoad> {
+        self.loads.entry(endpoint).map(|entry| entry.or_default())
+    }
+}
--- /dev/null
+++ b/crates/core/src/schedule/flow.rs
@@ -0,0 +1,261 @@
+//! Fair order of service over the customers of one group.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use tanagerdeal_wire::CustomerName;
+
+use super::{QueueEntry, QueueOrder, QueuePass, QueueTicket, WorkLane};
+use crate::message::SessionKey;
+use crate::profile::SchedulerPolicy;
+
+/// Virtual time of one request of a customer with weight 1.
+const REQUEST_COST: u64 = 1 << 20;
+
+/// Requests of one customer that are tried when the first ones wait for a position.
+const TRIED_PER_LANE: usize = 8;
+
+/// Weight of a new interval in the average interval between two services.
+const INTERVAL_GAIN: f64 = 0.125;
+
+/// Shortest remaining time with which a request is still worth placing.
+const LEAST_REMAINING: Duration = Duration::from_millis(2);
+
+const LANES: [WorkLane; 2] = [WorkLane::Write, WorkLane::Read];
+
+/// Requests that wait for one group.
+///
+/// Self-clocked fair queueing (Golestani, 1994): each customer's first request has a virtual finish
+/// time, the lowest one is served, and the virtual time is that of the request served last.
+#[derive(Default)]
+pub(super) struct GroupQueue {
+    flows: BTreeMap<CustomerName, CustomerFlow>,
+    virtual_time: u64,
+    paces: [ServicePace; 2],
+}
+
+/// Requests of one customer.
+struct CustomerFlow {
+    weight: u64,
+    worth: u32,
+    /// Virtual finish time of the first request.
+    finish: u64,
+    lanes: [BTreeMap<QueueOrder, SessionKey>; 2],
+}
+
+/// Interval between services of a lane while requests wait for room.
+#[derive(Default)]
+pub(super) struct ServicePace {
+    seconds: Option<f64>,
+    last: Option<Instant>,
+}
+
+/// A request as found in a queue.
+type FoundRequest = (CustomerName, WorkLane, QueueOrder, SessionKey);
+
+impl ServicePace {
+    /// Starts measuring, unless it goes on already.
+    pub(super) fn begin(&mut self, now: Instant) {
+        self.last.get_or_insert(now);
+    }
+
+    /// Stops measuring until room is waited for again.
+    pub(super) fn pause(&mut self) {
+        self.last = None;
+    }
+
+    fn note(&mut self, now: Instant, is_backlogged: bool) {
+        if let Some(last) = self.last {
+            let sample = now.saturating_duration_since(last).as_secs_f64();
+            let average = self.seconds.unwrap_or(sample);
+            self.seconds = Some(average + INTERVAL_GAIN * (sample - average));
+        }
+        self.last = (is_backlogged && self.last.is_some()).then_some(now);
+    }
+
+    /// The average interval, or the time since the last service when that is longer.
+    fn interval(&self, now: Instant) -> f64 {
+        let since = self.last.map_or(0.0, |last| now.saturating_duration_since(last).as_secs_f64());
+        self.seconds.unwrap_or(0.0).max(since)
+    }
+}
+
+impl CustomerFlow {
+    fn len(&self) -> usize {
+        self.lanes.iter().map(BTreeMap::len).sum()
+    }
+
+    fn cost(&self) -> u64 {
+        REQUEST_COST / self.weight
+    }
+}
+
+impl GroupQueue {
+    pub(super) fn len(&self) -> usize {
+        self.flows.values().map(CustomerFlow::len).sum()
+    }
+
+    /// Whether nothing is left that a later request depends on.
+    pub(super) fn is_idle(&self) -> bool {
+        let is_measured = self.paces.iter().any(|pace| pace.seconds.is_some());
+        self.flows.is_empty() && !is_measured
+    }
+
+    pub(super) fn pace(&mut self, lane: WorkLane) -> &mut ServicePace {
+        &mut self.paces[lane as usize]
+    }
+
+    pub(super) fn add(&mut self, order: QueueOrder, entry: QueueEntry) {
+        let start = self.virtual_time;
+        let flow = self.flows.entry(entry.account).or_insert_with(|| CustomerFlow {
+            weight: 1,
+            worth: 1,
+            finish: start,
+            lanes: Default::default(),
+        });
+        flow.weight = u64::from(entry.weight.max(1));
+        flow.worth = entry.worth;
+        if flow.len() == 0 {
+            flow.finish = flow.finish.max(start) + flow.cost();
+        }
+        flow.lanes[entry.lane as usize].insert(order, entry.session);
+    }
+
+    pub(super) fn remove(&mut self, ticket: &QueueTicket) {
+        if let Some(flow) = self.flows.get_mut(&ticket.account) {
+            flow.lanes[ticket.lane as usize].remove(&ticket.order);
+            if flow.len() == 0 {
+                // The first request's cost was charged when it arrived, but it was not served.
+                flow.finish = flow.finish.saturating_sub(flow.cost());
+            }
+        }
+        self.drop_idle_flows();
+        self.end_pace(ticket.lane);
+    }
+
+    pub(super) fn serve(&mut self, now: Instant, ticket: &QueueTicket) {
+        if let Some(flow) = self.flows.get_mut(&ticket.account) {
+            flow.lanes[ticket.lane as usize].remove(&ticket.order);
+            self.virtual_time = self.virtual_time.max(flow.finish);
+            if flow.len() > 0 {
+                flow.finish += flow.cost();
+            }
+        }
+        self.drop_idle_flows();
+        let is_backlogged = self.waiting(ticket.lane) > 0;
+        self.paces[ticket.lane as usize].note(now, is_backlogged);
+    }
+
+    fn waiting(&self, lane: WorkLane) -> usize {
+        self.flows.values().map(|flow| flow.lanes[lane as usize].len()).sum()
+    }
+
+    fn end_pace(&mut self, lane: WorkLane) {
+        if self.waiting(lane) == 0 {
+            self.paces[lane as usize].pause();
+        }
+    }
+
+    /// Forgets customers without requests whose virtual finish time has passed.
+    fn drop_idle_flows(&mut self) {
+        let passed = self.virtual_time;
+        self.flows.retain(|_, flow| flow.len() > 0 || flow.finish > passed);
+        if self.flows.values().all(|flow| flow.len() == 0) {
+            self.flows.clear();
+            self.virtual_time = 0;
+        }
+    }
+
+    pub(super) fn next(&self, policy: SchedulerPolicy, pass: &QueuePass) -> Option<FoundRequest> {
+        let heads = self.flows.iter().flat_map(|(account, flow)| {
+            LANES.into_iter().filter_map(move |lane| head_of(account, flow, lane, pass))
+        });
+        let best = heads.min_by_key(|(flow, (_, _, order, _))| match policy {
+            SchedulerPolicy::Fair => (flow.finish, order.0, Reverse(flow.worth), order.1),
+            SchedulerPolicy::Fifo => (0, None, Reverse(0), order.1),
+        });
+        best.map(|(_, found)| found)
+    }
+
+    pub(super) fn wait(
+        &self,
+        policy: SchedulerPolicy,
+        now: Instant,
+        account: &CustomerName,
+        lane: WorkLane,
+        weight: u32,
+    ) -> Duration {
+        let own = self.flows.get(account).map_or(0, |flow| flow.lanes[lane as usize].len());
+        let weight = u64::from(weight.max(1));
+        let ahead = match policy {
+            SchedulerPolicy::Fair => self.ahead(account, lane, weight, own as u64),
+            SchedulerPolicy::Fifo => self.waiting(lane) as u64,
+        };
+        self.time_to_serve(now, lane, ahead)
+    }
+
+    /// Time until a request with that many ahead of it is served.
+    fn time_to_serve(&self, now: Instant, lane: WorkLane, ahead: u64) -> Duration {
+        let waiting = self.waiting(lane);
+        match waiting {
+            0 => Duration::ZERO,
+            _ => Duration::from_secs_f64(
+                self.paces[lane as usize].interval(now) * (ahead as f64 + 1.0),
+            ),
+        }
+    }
+
+    /// Requests that are served before a customer's request which has `own` requests of the same
+    /// customer ahead of it: of each other customer as many as its weight allows.
+    fn ahead(&self, account: &CustomerName, lane: WorkLane, weight: u64, own: u64) -> u64 {
+        let others = self.flows.iter().filter(|(name, _)| *name != account).map(|(_, flow)| {
+            let waiting = flow.lanes[lane as usize].len() as u64;
+            waiting.min((own + 1) * flow.weight / weight)
+        });
+        own + others.sum::<u64>()
+    }
+
+    pub(super) fn late(
+        &self,
+        policy: SchedulerPolicy,
+        now: Instant,
+    ) -> Vec<(CustomerName, WorkLane, QueueOrder, SessionKey, Instant)> {
+        let mut late = Vec::new();
+        for (account, flow) in self.flows.iter().filter(|_| policy == SchedulerPolicy::Fair) {
+            for lane in LANES {
+                let mut own = 0;
+                for (order, session) in &flow.lanes[lane as usize] {
+                    let ahead = self.ahead(account, lane, flow.weight, own);
+                    // The request itself needs no further interval when it is next.
+                    let wait = self.time_to_serve(now, lane, ahead.saturating_sub(1));
+                    let served_at = now + wait.max(LEAST_REMAINING);
+                    match order.0 {
+                        Some(deadline) if served_at > deadline => {
+                            late.push((account.clone(), lane, *order, *session, served_at));
+                        }
+                        // Requests that are shed are not ahead of the rest.
+                        _ => own += 1,
+                    }
+                }
+            }
+        }
+        late
+    }
+}
+
+fn head_of<'a>(
+    account: &CustomerName,
+    flow: &'a CustomerFlow,
+    lane: WorkLane,
+    pass: &QueuePass,
+) -> Option<(&'a CustomerFlow, FoundRequest)> {
+    let is_blocked = (lane == WorkLane::Write && pass.writes_blocked)
+        || pass.full.contains(&(account.clone(), lane));
+    if is_blocked {
+        return None;
+    }
+    let tried = flow.lanes[lane as usize].iter().take(TRIED_PER_LANE);
+    let (order, session) = tried.into_iter().find(|(order, _)| !pass.passed.contains(&order.1))?;
+    Some((flow, (account.clone(), lane, *order, *session)))
+}
--- /dev/null
+++ b/crates/core/src/schedule/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the order of service.
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -1,9 +1,28 @@
 //! Escrow of shared resources: base shares, loans given and loans taken.
 
-use std::time::Instant;
+pub(crate) mod demand;
+pub(crate) mod escrow;
+mod holding;
+#[cfg(test)]
+mod tests;
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
 
 use tanagerdeal_wire::peer::{BorrowRequest, ShareLoan, ShareResource};
-use tanagerdeal_wire::value_type;
+use tanagerdeal_wire::{CustomerName, EndpointName, value_type};
+
+use crate::limit::{CustomerRate, RATE_UNITS};
+use crate::profile::HostTiming;
+use crate::session::placement::stable_hash;
+use demand::BorrowPace;
+use holding::{ConnectionHolding, RateHolding};
+
+/// Part of a loan's time that the borrower does not use, because clocks run at different rates.
+const CLOCK_MARGIN: Duration = Duration::from_millis(100);
+
+/// Steps of the offset with which an endpoint's connections are dealt out.
+const DEAL_STEPS: u64 = 1 << 16;
 
 value_type! {
     /// Base share of this host under the share views in effect.
@@ -16,7 +35,9 @@
         pub numerator: u64,
         /// Failure domains times hosts of this host's view.
         pub denominator: u64,
-        /// Place of this host among the holders, below `denominator`.
+        /// Place of this host among the holders, below `denominator`: the place of its failure
+        /// domain times the hosts of its view, plus its place in the view. In this order the
+        /// connections of a failure domain do not depend on the number of hosts in its view.
         pub rank: u64,
         /// When the share ends unless the lease is renewed.
         pub valid_until: Instant,
@@ -24,36 +45,391 @@
 }
 
 /// Holdings per resource.
-#[derive(Default)]
-pub struct ShareTable {}
+pub struct ShareTable {
+    base: Option<BaseShare>,
+    ceiling: Option<BaseShare>,
+    is_lending: bool,
+    /// Whether the base share was handed over.
+    is_handed_over: bool,
+    loan_valid: Duration,
+    rates: HashMap<CustomerName, RateHolding>,
+    connections: HashMap<EndpointName, ConnectionHolding>,
+    paces: HashMap<ShareResource, BorrowPace>,
+}
+
+impl Default for ShareTable {
+    fn default() -> Self {
+        Self {
+            base: None,
+            ceiling: None,
+            is_lending: true,
+            is_handed_over: false,
+            loan_valid: HostTiming::default().loan_valid,
+            rates: HashMap::new(),
+            connections: HashMap::new(),
+            paces: HashMap::new(),
+        }
+    }
+}
+
+impl BaseShare {
+    /// Millionths of a customer's rate.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use tanagerdeal_core::share::BaseShare;
+    ///
+    /// let valid_until = Instant::now();
+    /// let base = BaseShare { numerator: 1, denominator: 9, rank: 0, valid_until };
+    /// assert_eq!(base.rate_units(), 111_111);
+    /// ```
+    pub fn rate_units(&self) -> u64 {
+        RATE_UNITS * self.numerator / self.denominator.max(1)
+    }
+
+    /// Connections of an endpoint that has `total` of them.
+    ///
+    /// Each endpoint is dealt from another offset, so that no host gets the larger part of all.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use tanagerdeal_core::share::BaseShare;
+    /// use tanagerdeal_wire::EndpointName;
+    ///
+    /// let endpoint = EndpointName::new("e1").unwrap();
+    /// let valid_until = Instant::now();
+    /// let dealt = |rank| {
+    ///     BaseShare { numerator: 1, denominator: 9, rank, valid_until }.connections(&endpoint, 20)
+    /// };
+    /// assert_eq!((0..9).map(dealt).sum::<u64>(), 20);
+    /// ```
+    pub fn connections(&self, endpoint: &EndpointName, total: u32) -> u64 {
+        let denominator = self.denominator.max(1);
+        let offset = stable_hash(&[endpoint.as_str()]) % DEAL_STEPS * denominator;
+        let below = |rank: u64| {
+            (u64::from(total) * rank * DEAL_STEPS + offset) / (DEAL_STEPS * denominator)
+        };
+        self.numerator.min(1) * (below(self.rank + 1) - below(self.rank))
+    }
+}
 
 impl ShareTable {
     /// Replaces the base share; a smaller one is in effect at once, added units have no tokens.
-    pub fn set_base(&mut self, _now: Instant, _base: BaseShare) {}
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use tanagerdeal_core::share::{BaseShare, ShareTable};
+    /// use tanagerdeal_wire::CustomerName;
+    /// use tanagerdeal_wire::peer::ShareResource;
+    ///
+    /// let now = Instant::now();
+    /// let valid_until = now + Duration::from_secs(90);
+    /// let mut shares = ShareTable::default();
+    /// shares.set_base(now, BaseShare { numerator: 1, denominator: 4, rank: 0, valid_until });
+    /// let resource = ShareResource::CustomerRate(CustomerName::new("quarry").unwrap());
+    /// assert_eq!(shares.held(now, &resource), 250_000);
+    /// assert_eq!(shares.held(valid_until, &resource), 0);
+    /// ```
+    pub fn set_base(&mut self, now: Instant, base: BaseShare) {
+        self.settle_all(now);
+        self.base = Some(base);
+        self.clamp_all(now);
+    }
+
+    /// Sets a second base share that bounds the first one while a share view changes, because the
+    /// connections dealt to a host can shrink for one endpoint and grow for another.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use tanagerdeal_core::share::{BaseShare, ShareTable};
+    /// use tanagerdeal_wire::CustomerName;
+    /// use tanagerdeal_wire::peer::ShareResource;
+    ///
+    /// let now = Instant::now();
+    /// let valid_until = now + Duration::from_secs(90);
+    /// let mut shares = ShareTable::default();
+    /// let old = BaseShare { numerator: 1, denominator: 4, rank: 0, valid_until };
+    /// shares.set_base(now, old);
+    /// shares.set_ceiling(now, Some(BaseShare { denominator: 5, ..old }));
+    /// let resource = ShareResource::CustomerRate(CustomerName::new("quarry").unwrap());
+    /// assert_eq!(shares.held(now, &resource), 200_000);
+    /// ```
+    pub fn set_ceiling(&mut self, now: Instant, ceiling: Option<BaseShare>) {
+        self.settle_all(now);
+        self.ceiling = ceiling;
+        self.clamp_all(now);
+    }
 
     /// Whether everything lent out fits into a base share, so that a new view may be reported.
-    pub fn loans_fit(&self, _now: Instant, _base: &BaseShare) -> bool {
-        true
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use tanagerdeal_core::share::{BaseShare, ShareTable};
+    ///
+    /// let now = Instant::now();
+    /// let base = BaseShare { numerator: 1, denominator: 4, rank: 0, valid_until: now };
+    /// assert!(ShareTable::default().loans_fit(now, &base));
+    /// ```
+    pub fn loans_fit(&self, now: Instant, base: &BaseShare) -> bool {
+        let rates_fit =
+            self.rates.values().all(|holding| holding.ledger.given(now) <= base.rate_units());
+        let connections_fit = self.connections.iter().all(|(endpoint, holding)| {
+            holding.ledger.given(now) <= base.connections(endpoint, holding.total)
+        });
+        rates_fit && connections_fit
     }
 
     /// Stops or resumes lending, while a share view changes.
-    pub fn set_lending(&mut self, _is_lending: bool) {}
+    pub fn set_lending(&mut self, is_lending: bool) {
+        self.is_lending = is_lending;
+    }
 
     /// Grants a loan to another host; the loan has no units when nothing can be lent.
-    pub fn lend(&mut self, _now: Instant, request: &BorrowRequest) -> ShareLoan {
-        ShareLoan { resource: request.resource.clone(), units: 0, millitokens: 0 }
+    ///
+    /// The units are deducted at once and come back after the loan's time, whether or not the
+    /// borrower learns of the loan.
+    pub fn lend(&mut self, now: Instant, request: &BorrowRequest) -> ShareLoan {
+        let until = now + self.loan_valid;
+        let is_lending = self.is_lending && !self.is_handed_over;
+        let resource = request.resource.clone();
+        let (units, millitokens) = match &resource {
+            _ if !is_lending => (0, 0),
+            ShareResource::CustomerRate(customer) => {
+                let base = self.rate_base(now);
+                let holding = self.rates.get_mut(customer);
+                holding.map_or((0, 0), |holding| holding.lend(now, base, request.units, until))
+            }
+            ShareResource::EndpointConnections(endpoint) => {
+                let base = self.connection_base(now, endpoint);
+                let holding = self.connections.get_mut(endpoint);
+                (holding.map_or(0, |holding| holding.lend(now, base, request.units, until)), 0)
+            }
+        };
+        ShareLoan { resource, units, millitokens }
     }
 
-    /// Takes a loan into use until `valid_until`, counted from when the request was sent.
-    pub fn accept(&mut self, _now: Instant, _loan: &ShareLoan, _valid_until: Instant) {}
+    /// Takes a loan into use until `valid_until`, counted from when the request was sent; an empty
+    /// loan tells that the peer has nothing to lend.
+    ///
+    /// The last part of the time is not used, because clocks run at different rates.
+    pub fn accept(&mut self, now: Instant, loan: &ShareLoan, valid_until: Instant) {
+        self.paces.entry(loan.resource.clone()).or_default().answer(now, loan.units);
+        let until = valid_until.checked_sub(CLOCK_MARGIN).unwrap_or(now);
+        if loan.units == 0 || until <= now {
+            return;
+        }
+        match &loan.resource {
+            ShareResource::CustomerRate(customer) => {
+                let base = self.rate_base(now);
+                if let Some(holding) = self.rates.get_mut(customer) {
+                    holding.accept(now, base, (loan.units, loan.millitokens), until);
+                }
+            }
+            ShareResource::EndpointConnections(endpoint) => {
+                if let Some(holding) = self.connections.get_mut(endpoint) {
+                    holding.ledger.take(loan.units, until);
+                }
+            }
+        }
+    }
 
-    /// Everything that can be handed over when the host leaves.
-    pub fn hand_over(&mut self, _now: Instant) -> Vec<ShareLoan> {
-        Vec::new()
+    /// Everything that can be handed over when the host leaves: the whole base share less loans
+    /// given. The host has no base share from then on. Loans taken stay until they end.
+    pub fn hand_over(&mut self, now: Instant) -> Vec<ShareLoan> {
+        self.settle_all(now);
+        let mut loans = Vec::new();
+        let base = self.rate_base(now);
+        for (customer, holding) in &mut self.rates {
+            let (units, millitokens) = holding.hand_over(now, base);
+            let resource = ShareResource::CustomerRate(customer.clone());
+            loans.push(ShareLoan { resource, units, millitokens });
+        }
+        for (endpoint, holding) in &self.connections {
+            let base = self.connection_base(now, endpoint);
+            let units = base.saturating_sub(holding.ledger.given(now));
+            let resource = ShareResource::EndpointConnections(endpoint.clone());
+            loans.push(ShareLoan { resource, units, millitokens: 0 });
+        }
+        self.is_handed_over = true;
+        self.clamp_all(now);
+        loans.retain(|loan| loan.units > 0);
+        loans
     }
 
     /// Units held of a resource: base share less loans given plus loans taken.
-    pub fn held(&self, _now: Instant, _resource: &ShareResource) -> u64 {
-        0
+    pub fn held(&self, now: Instant, resource: &ShareResource) -> u64 {
+        match resource {
+            ShareResource::CustomerRate(customer) => {
+                let base = self.rate_base(now);
+                let holding = self.rates.get(customer);
+                holding.map_or(base, |holding| holding.ledger.held(now, base))
+            }
+            ShareResource::EndpointConnections(endpoint) => {
+                let base = self.connection_base(now, endpoint);
+                let holding = self.connections.get(endpoint);
+                holding.map_or(base, |holding| holding.ledger.held(now, base))
+            }
+        }
+    }
+
+    /// Sets how long loans are valid.
+    pub(crate) fn set_loan_valid(&mut self, loan_valid: Duration) {
+        self.loan_valid = loan_valid;
+    }
+
+    /// Takes over a customer's rate and burst. A lower rate is in effect at once; a customer seen
+    /// for the first time has no tokens.
+    pub(crate) fn set_rate(&mut self, now: Instant, customer: &CustomerName, rate: CustomerRate) {
+        let base = self.rate_base(now);
+        match self.rates.get_mut(customer) {
+            Some(holding) => holding.change_rate(now, base, rate),
+            None => {
+                self.rates.insert(customer.clone(), RateHolding::new(now, rate));
+            }
+        }
+    }
+
+    /// Forgets customers that no longer exist, other than those with loans.
+    pub(crate) fn retain_customers(
+        &mut self,
+        now: Instant,
+        is_known: impl Fn(&CustomerName) -> bool,
+    ) {
+        self.settle_all(now);
+        self.rates.retain(|customer, holding| is_known(customer) || !holding.ledger.is_empty());
+    }
+
+    /// Takes the token of one request; fails with the time at which the one after `ahead` others
+    /// has come, or nothing when the share is too small for any.
+    pub(crate) fn take_token(
+        &mut self,
+        now: Instant,
+        customer: &CustomerName,
+        ahead: u64,
+    ) -> Result<(), Option<Instant>> {
+        let base = self.rate_base(now);
+        match self.rates.get_mut(customer) {
+            Some(holding) => holding.take_token(now, base, ahead),
+            None => Err(None),
+        }
+    }
+
+    /// Counts a request of a customer as demand.
+    pub(crate) fn note_demand(&mut self, now: Instant, customer: &CustomerName) {
+        if let Some(holding) = self.rates.get_mut(customer) {
+            holding.demand.note(now);
+        }
+    }
+
+    /// Notes how many connections all hosts may open to an endpoint, and how many are wanted here.
+    pub(crate) fn note_connections(
+        &mut self,
+        now: Instant,
+        endpoint: &EndpointName,
+        total: u32,
+        wanted: u64,
+    ) {
+        let holding = self.connections.entry(endpoint.clone()).or_default();
+        holding.total = total;
+        holding.ledger.prune(now);
+        holding.peak.note(now, wanted);
+    }
+
+    /// Forgets endpoints that no longer exist.
+    pub(crate) fn retain_endpoints(&mut self, is_known: impl Fn(&EndpointName) -> bool) {
+        self.connections.retain(|endpoint, _| is_known(endpoint));
+    }
+
+    /// When the next loan taken of an endpoint's connections ends.
+    pub(crate) fn next_connection_end(
+        &self,
+        now: Instant,
+        endpoint: &EndpointName,
+    ) -> Option<Instant> {
+        self.connections.get(endpoint)?.ledger.next_end(now)
+    }
+
+    /// Units to be borrowed of each resource whose use comes near to what is held, judged ahead of
+    /// the end of loans.
+    pub(crate) fn shortages(&mut self, now: Instant, ahead: Duration) -> Vec<(ShareResource, u64)> {
+        let then = now + ahead;
+        let base = self.rate_base(now);
+        let rates = self.rates.iter_mut().map(|(customer, holding)| {
+            let missing = holding.shortage(now, then, base);
+            (ShareResource::CustomerRate(customer.clone()), missing)
+        });
+        let mut shortages: Vec<_> = rates.filter(|(_, missing)| *missing > 0).collect();
+        for (endpoint, holding) in &self.connections {
+            let base = self.connection_base(now, endpoint);
+            let missing = holding.peak.peak().saturating_sub(holding.ledger.held(then, base));
+            if missing > 0 {
+                let resource = ShareResource::EndpointConnections(endpoint.clone());
+                shortages.push((resource, missing));
+            }
+        }
+        shortages
+    }
+
+    /// Units of one resource to be borrowed because a request waits for it.
+    pub(crate) fn shortage(
+        &mut self,
+        now: Instant,
+        ahead: Duration,
+        resource: &ShareResource,
+    ) -> Option<u64> {
+        let base = self.rate_base(now);
+        match resource {
+            ShareResource::CustomerRate(customer) => {
+                let holding = self.rates.get_mut(customer)?;
+                Some(holding.shortage(now, now + ahead, base)).filter(|missing| *missing > 0)
+            }
+            ShareResource::EndpointConnections(_) => None,
+        }
+    }
+
+    /// Requests for loans of a resource.
+    pub(crate) fn pace(&mut self, resource: &ShareResource) -> &mut BorrowPace {
+        self.paces.entry(resource.clone()).or_default()
+    }
+
+    /// Forgets requests for loans without an answer.
+    pub(crate) fn prune_paces(&mut self, now: Instant) {
+        self.paces.values_mut().for_each(|pace| pace.prune(now));
+    }
+
+    /// Bases that are valid now; none of them when one has ended or was handed over.
+    fn valid_bases(&self, now: Instant) -> Option<(BaseShare, BaseShare)> {
+        let base = self.base.filter(|base| base.valid_until > now && !self.is_handed_over)?;
+        let ceiling = self.ceiling.unwrap_or(base);
+        Some((base, ceiling))
+    }
+
+    fn rate_base(&self, now: Instant) -> u64 {
+        self.valid_bases(now)
+            .map_or(0, |(base, ceiling)| base.rate_units().min(ceiling.rate_units()))
+    }
+
+    fn connection_base(&self, now: Instant, endpoint: &EndpointName) -> u64 {
+        let total = self.connections.get(endpoint).map_or(0, |holding| holding.total);
+        self.valid_bases(now).map_or(0, |(base, ceiling)| {
+            base.connections(endpoint, total).min(ceiling.connections(endpoint, total))
+        })
+    }
+
+    fn settle_all(&mut self, now: Instant) {
+        let base = self.rate_base(now);
+        self.rates.values_mut().for_each(|holding| {
+            holding.settle(now, base);
+        });
+    }
+
+    fn clamp_all(&mut self, now: Instant) {
+        let base = self.rate_base(now);
+        self.rates.values_mut().for_each(|holding| holding.clamp(now, base));
     }
 }
--- /dev/null
+++ b/crates/core/src/share/demand.rs
@@ -0,0 +1,126 @@
+//! Recent demand for a resource on this host, and the pace of requests for loans.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use tanagerdeal_wire::HostName;
+
+/// Time constant of the average demand.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+
+/// Time for which a peak of connections counts as demand.
+const PEAK_KEPT: Duration = Duration::from_secs(2);
+
+/// Shortest time between two requests for the same resource to the same host. It is longer than
+/// [`BORROW_TIMEOUT`], so that never two are in flight.
+const PEER_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time after which a request for a loan counts as unanswered.
+pub(crate) const BORROW_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Shortest and longest time between two rounds of requests for one resource. The pause doubles
+/// with each round that brings nothing, which bounds the messages for a customer over its rate.
+const LEAST_PAUSE: Duration = Duration::from_millis(20);
+const MOST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Average of requests a second, decaying exponentially.
+#[derive(Default)]
+pub(crate) struct DemandMeter {
+    per_s: f64,
+    noted_at: Option<Instant>,
+}
+
+/// Highest number of connections wanted at once lately.
+#[derive(Default)]
+pub(crate) struct PeakMeter {
+    current: u64,
+    previous: u64,
+    since: Option<Instant>,
+}
+
+/// Requests for loans of one resource.
+#[derive(Default)]
+pub(crate) struct BorrowPace {
+    asked: HashMap<HostName, Instant>,
+    open: Vec<Instant>,
+    next_round: Option<Instant>,
+    pause: Duration,
+}
+
+impl DemandMeter {
+    /// Counts one request.
+    pub(crate) fn note(&mut self, now: Instant) {
+        self.per_s = self.rate(now) + 1.0 / DEMAND_WINDOW.as_secs_f64();
+        self.noted_at = Some(now);
+    }
+
+    /// Requests a second.
+    pub(crate) fn rate(&self, now: Instant) -> f64 {
+        let passed = self.noted_at.map_or(0.0, |at| {
+            now.saturating_duration_since(at).as_secs_f64() / DEMAND_WINDOW.as_secs_f64()
+        });
+        self.per_s * (-passed).exp()
+    }
+}
+
+impl PeakMeter {
+    /// Counts connections wanted at this instant.
+    pub(crate) fn note(&mut self, now: Instant, wanted: u64) {
+        let since = *self.since.get_or_insert(now);
+        if now >= since + PEAK_KEPT {
+            self.previous = std::mem::take(&mut self.current);
+            self.since = Some(now);
+        }
+        self.current = self.current.max(wanted);
+    }
+
+    /// The highest number.
+    pub(crate) fn peak(&self) -> u64 {
+        self.current.max(self.previous)
+    }
+}
+
+impl BorrowPace {
+    /// Whether a new round of requests may be sent.
+    pub(crate) fn may_ask(&self, now: Instant) -> bool {
+        self.next_round.is_none_or(|at| now >= at)
+    }
+
+    /// Whether a host may be asked.
+    pub(crate) fn may_ask_host(&self, now: Instant, host: &HostName) -> bool {
+        self.asked.get(host).is_none_or(|at| now >= *at + PEER_PAUSE)
+    }
+
+    /// Notes that a round begins.
+    pub(crate) fn begin_round(&mut self, now: Instant) {
+        self.pause = (self.pause * 2).clamp(LEAST_PAUSE, MOST_PAUSE);
+        self.next_round = Some(now + self.pause);
+        self.asked.retain(|_, at| now < *at + PEER_PAUSE);
+    }
+
+    /// Notes that a host was asked.
+    pub(crate) fn ask(&mut self, now: Instant, host: HostName) {
+        self.asked.insert(host, now);
+        self.open.push(now + BORROW_TIMEOUT);
+    }
+
+    /// Notes an answer. A loan makes the next round worth while at once.
+    pub(crate) fn answer(&mut self, now: Instant, units: u64) {
+        self.open.retain(|until| *until > now);
+        self.open.pop();
+        if units > 0 {
+            self.pause = Duration::ZERO;
+            self.next_round = Some(now + LEAST_PAUSE);
+        }
+    }
+
+    /// Whether an answer is still expected.
+    pub(crate) fn is_open(&self, now: Instant) -> bool {
+        self.open.iter().any(|until| *until > now)
+    }
+
+    /// Forgets requests without an answer.
+    pub(crate) fn prune(&mut self, now: Instant) {
+        self.open.retain(|until| *until > now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/share/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of escrow shares.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -115,6 +115,7 @@
     }
 
     /// A resource that is shared out among hosts.
+    #[derive(Hash)]
     pub enum ShareResource {
         /// A customer's rate and burst, in millionths.
         CustomerRate(CustomerName),
