--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -53,7 +53,7 @@
             finish::confirm_commit(state, now, tag, dispatch, position, outputs);
         }
         CallerCall::EndRequest { dispatch, ending, seen, in_transaction } => {
-            finish::end_request(state, now, dispatch, (ending, seen, in_transaction));
+            finish::end_request(state, now, dispatch, (ending, seen, in_transaction), outputs);
         }
         CallerCall::CloseSession { session } => finish::close_session(state, now, session),
     }
@@ -61,19 +61,20 @@
 
 /// Closes sessions whose key was revoked and enforces deadlines of waiting requests.
 pub(super) fn run_systems(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
-    admit::adopt_customers(state, now);
-    connections::adopt_limits(state, now, outputs);
     rights::close_sessions(state, now, outputs);
     admit::shed_late_requests(state, now, outputs);
-    loans::borrow(state, now, outputs);
 }
 
 /// Places waiting requests that can run now, and answers confirmed commits.
 pub(super) fn wake_waiters(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    if state.shares.take_due(now) {
+        admit::adopt_customers(state, now);
+        connections::adopt_limits(state, now, outputs);
+        loans::borrow(state, now, outputs);
+    }
     finish::take_confirmations(state, now, outputs);
     admit::wake_token_waiters(state, now, outputs);
     dispatch::place_waiting(state, now, outputs);
-    connections::adopt_limits(state, now, outputs);
 }
 
 /// Final negative answer.
--- a/crates/core/src/host/traffic/admit.rs
+++ b/crates/core/src/host/traffic/admit.rs
@@ -147,12 +147,20 @@
     if !needs_position(state, session) {
         return enqueue(state, now, session, outputs);
     }
-    await_position(state, now, session);
+    match dispatch::primary_unavailable(state, now, session) {
+        Some(retry_at) => {
+            let refusal = dispatch::unavailable(state, retry_at);
+            refuse_waiting(state, session, refusal, outputs);
+        }
+        None => await_position(state, now, session),
+    }
 }
 
 /// Asks for the primary's confirmed position.
 pub(super) fn await_position(state: &mut HostState, now: Instant, session: SessionKey) {
-    let Some(request) = waiting_mut(state, session) else { return };
+    let Some(entry) = state.sessions.entries.get_mut(session) else { return };
+    let Some(request) = entry.waiting.as_mut() else { return };
+    entry.open_positions += 1;
     request.stage = WaitStage::Position;
     let (group, deadline) = (request.group, request.attempt.deadline);
     state.confirms.add(ConfirmRequest {
@@ -222,6 +230,7 @@
     for (_, session, served_at) in state.queues.late(policy, now) {
         refuse_overload(state, session, served_at, outputs);
     }
+    refuse_unavailable(state, now, outputs);
     let expired: Vec<SessionKey> = state
         .sessions
         .entries
@@ -243,6 +252,20 @@
     }
 }
 
+/// Refuses requests that wait for a confirmed position of a group without hope of a primary.
+fn refuse_unavailable(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
+    let waiting = state.sessions.entries.iter().filter(|(_, entry)| {
+        entry.waiting.as_ref().is_some_and(|request| request.stage == WaitStage::Position)
+    });
+    let hopeless: Vec<(SessionKey, Instant)> = waiting
+        .filter_map(|(key, _)| Some((key, dispatch::primary_unavailable(state, now, key)?)))
+        .collect();
+    for (session, retry_at) in hopeless {
+        let refusal = dispatch::unavailable(state, retry_at);
+        refuse_waiting(state, session, refusal, outputs);
+    }
+}
+
 /// Refuses a request whose session could not adopt a confirmed position.
 pub(super) fn refuse_unconfirmed(
     state: &mut HostState,
@@ -274,7 +297,7 @@
     outputs: &mut Vec<HostOutput>,
 ) {
     if let Some(request) = take_waiting(state, session) {
-        refuse(outputs, request.tag, with_verdict(refusal, request.attempt.verdict));
+        refuse(outputs, request.tag, with_verdict(refusal, &request.attempt));
     }
 }
 
--- a/crates/core/src/host/traffic/dispatch.rs
+++ b/crates/core/src/host/traffic/dispatch.rs
@@ -4,7 +4,7 @@
 
 use tanagerdeal_wire::member::LogPosition;
 
-use super::{admit, finish, place};
+use super::{admit, connections, finish, place};
 use crate::host::HostState;
 use crate::message::caller::{CallerAnswer, DispatchPlan};
 use crate::message::{DispatchKey, EndpointKey, GroupKey, HostOutput, SessionKey};
@@ -23,8 +23,8 @@
 /// Where a request can run, judged by positions and by room.
 enum PlaceChoice {
     Endpoint(EndpointKey, LogPosition),
-    /// All usable endpoints are full.
-    Full,
+    /// All usable endpoints are full, this one among them.
+    Full(EndpointKey),
     /// No endpoint is usable now.
     Waits,
     WriteLost(LogPosition),
@@ -52,8 +52,9 @@
                 state.queues.serve(now, &ticket);
                 start(state, now, session, (endpoint, required), outputs);
             }
-            Some(PlaceChoice::Full) => {
+            Some(PlaceChoice::Full(endpoint)) => {
                 state.queues.note_full(now, group, ticket.lane);
+                state.queues.note_short(group, ticket.lane, endpoint);
                 block_lane(&mut pass, &ticket);
             }
             Some(PlaceChoice::Waits) if ticket.lane == WorkLane::Write => {
@@ -135,26 +136,28 @@
 
 /// Chooses among the endpoints that have room; the excluded ones grow by those that are full.
 fn with_room(state: &HostState, now: Instant, mut query: RouteQuery) -> PlaceChoice {
-    let mut is_full = false;
+    let mut full = None;
     for _ in 0..TRIED_MEMBERS {
-        match state.endpoints.choose(now, &query) {
-            RouteChoice::Endpoint { endpoint, required } if state.queues.has_room(endpoint) => {
-                return PlaceChoice::Endpoint(endpoint, required);
-            }
-            RouteChoice::Endpoint { endpoint, .. } => {
-                is_full = true;
+        let choice = match (state.endpoints.choose(now, &query), full) {
+            (RouteChoice::Endpoint { endpoint, required }, _) => {
+                if connections::has_room(state, now, endpoint) {
+                    return PlaceChoice::Endpoint(endpoint, required);
+                }
+                let first = *full.get_or_insert(endpoint);
                 if query.is_write || query.excluded.contains(&endpoint) {
-                    break;
+                    return PlaceChoice::Full(first);
                 }
                 query.excluded.push(endpoint);
+                continue;
             }
-            _ if is_full => break,
-            RouteChoice::WaitUntil(_) => return PlaceChoice::Waits,
-            RouteChoice::WriteLost(position) => return PlaceChoice::WriteLost(position),
-            RouteChoice::Unavailable(retry_at) => return PlaceChoice::Unavailable(retry_at),
-        }
+            (_, Some(first)) => PlaceChoice::Full(first),
+            (RouteChoice::WaitUntil(_), None) => PlaceChoice::Waits,
+            (RouteChoice::WriteLost(position), None) => PlaceChoice::WriteLost(position),
+            (RouteChoice::Unavailable(retry_at), None) => PlaceChoice::Unavailable(retry_at),
+        };
+        return choice;
     }
-    PlaceChoice::Full
+    full.map_or(PlaceChoice::Waits, PlaceChoice::Full)
 }
 
 /// Starts a request on an endpoint.
@@ -188,8 +191,21 @@
     answer(state, dispatch, request, outputs);
 }
 
-fn count(state: &mut HostState, now: Instant, request: &WaitingRequest, endpoint: EndpointKey) {
-    let primary = RouteQuery {
+/// When there may be a primary again, if routing gives none before the deadline.
+pub(super) fn primary_unavailable(
+    state: &HostState,
+    now: Instant,
+    session: SessionKey,
+) -> Option<Instant> {
+    let request = state.sessions.entries.get(session)?.waiting.as_ref()?;
+    match choose_primary(state, now, request) {
+        RouteChoice::Unavailable(retry_at) => Some(retry_at),
+        _ => None,
+    }
+}
+
+fn choose_primary(state: &HostState, now: Instant, request: &WaitingRequest) -> RouteChoice {
+    let query = RouteQuery {
         group: request.group,
         is_write: true,
         watermark: LogPosition::default(),
@@ -197,8 +213,12 @@
         excluded: Vec::new(),
         deadline: request.attempt.deadline,
     };
+    state.endpoints.choose(now, &query)
+}
+
+fn count(state: &mut HostState, now: Instant, request: &WaitingRequest, endpoint: EndpointKey) {
     let is_primary = request.lane == WorkLane::Write
-        || matches!(state.endpoints.choose(now, &primary),
+        || matches!(choose_primary(state, now, request),
             RouteChoice::Endpoint { endpoint: chosen, .. } if chosen == endpoint);
     match is_primary {
         true => state.counters.placed_on_primary += 1,
@@ -237,7 +257,7 @@
         // The endpoint's record was deleted while its transaction was open.
         let message = "the endpoint was removed";
         let refusal = RequestRefusal::not_run(RefusalCode::Unavailable, message);
-        let refusal = place::with_verdict(refusal, request.attempt.verdict);
+        let refusal = place::with_verdict(refusal, &request.attempt);
         super::refuse(outputs, request.tag, refusal);
         return finish::drop_dispatch(state, dispatch);
     };
--- a/crates/core/src/host/traffic/finish.rs
+++ b/crates/core/src/host/traffic/finish.rs
@@ -151,7 +151,7 @@
 ) {
     let Some(open) = state.sessions.dispatches.get_mut(dispatch) else { return };
     let Some(tag) = open.commit.take() else { return };
-    let (session, group) = (open.session, open.group);
+    let (session, group, endpoint) = (open.session, open.group, open.endpoint);
     let message = match outcome {
         ConfirmOutcome::Confirmed { position, replicated } => {
             adopt_mark(state, session, group, position);
@@ -169,6 +169,7 @@
         }
         ConfirmOutcome::Expired => "the commit was not confirmed in time",
     };
+    exclude(state, session, endpoint, RunVerdict::MayHaveRun);
     state.counters.outcomes_unknown += 1;
     refuse(outputs, tag, RequestRefusal::may_have_run(message));
 }
@@ -180,9 +181,13 @@
     outcome: ConfirmOutcome,
     outputs: &mut Vec<HostOutput>,
 ) {
-    let entry = state.sessions.entries.get(session);
-    let group = match entry.and_then(|entry| entry.waiting.as_ref()) {
-        Some(request) if request.stage == WaitStage::Position => request.group,
+    let Some(entry) = state.sessions.entries.get_mut(session) else { return };
+    entry.open_positions = entry.open_positions.saturating_sub(1);
+    let group = match &entry.waiting {
+        // A result for an earlier, abandoned request may be older than what the client knows.
+        Some(request) if request.stage == WaitStage::Position && entry.open_positions == 0 => {
+            request.group
+        }
         _ => return,
     };
     match outcome {
@@ -202,27 +207,38 @@
     now: Instant,
     dispatch: DispatchKey,
     (ending, seen, in_transaction): (RequestEnding, Option<LogPosition>, bool),
+    outputs: &mut Vec<HostOutput>,
 ) {
     let is_lost = ending == RequestEnding::Lost;
     release(state, now, dispatch, is_lost);
     let Some(open) = state.sessions.dispatches.get_mut(dispatch) else { return };
     let (session, group, endpoint) = (open.session, open.group, open.endpoint);
-    if ending == RequestEnding::Answered {
-        if let Some(position) = seen {
+    if let Some(tag) = open.commit.take() {
+        let message = "the request ended before its commit was confirmed";
+        refuse(outputs, tag, RequestRefusal::may_have_run(message));
+    }
+    match (ending, seen) {
+        (RequestEnding::Lost, _) => exclude(state, session, endpoint, RunVerdict::MayHaveRun),
+        (RequestEnding::NotSent, _) => exclude(state, session, endpoint, RunVerdict::NotRun),
+        (RequestEnding::Answered, Some(position)) => {
             raise_checked(state, session, group, position);
         }
+        (RequestEnding::Answered | RequestEnding::Failed, _) => {}
     }
-    match ending {
-        RequestEnding::Lost => exclude(state, session, endpoint, RunVerdict::MayHaveRun),
-        RequestEnding::NotSent => exclude(state, session, endpoint, RunVerdict::NotRun),
-        RequestEnding::Answered | RequestEnding::Failed => {}
-    }
+    forget_attempt(state, session);
     match in_transaction && !is_lost {
         true => keep_transaction(state, dispatch),
         false => drop_dispatch(state, dispatch),
     }
 }
 
+/// Forgets a request that has ended well; one that failed on an endpoint may be placed again.
+fn forget_attempt(state: &mut HostState, session: SessionKey) {
+    if let Some(entry) = state.sessions.entries.get_mut(session) {
+        entry.attempt.take_if(|attempt| attempt.excluded.is_empty());
+    }
+}
+
 /// Raises a mark to a position that was read, unless the mark was lost in between.
 fn raise_checked(
     state: &mut HostState,
--- a/crates/core/src/host/traffic/open.rs
+++ b/crates/core/src/host/traffic/open.rs
@@ -80,6 +80,7 @@
         waiting: None,
         dispatch: None,
         attempt: None,
+        open_positions: 0,
         closing: None,
     };
     rights::check_session(state, &entry)?;
--- a/crates/core/src/host/traffic/place.rs
+++ b/crates/core/src/host/traffic/place.rs
@@ -37,7 +37,15 @@
             }
             admit::admit(state, now, session, !is_retry, outputs);
         }
-        Err(refusal) => refuse(outputs, tag, refusal),
+        Err(refusal) => {
+            let entry = state.sessions.entries.get(session);
+            let earlier = entry.and_then(|entry| entry.attempt.as_ref()).filter(|_| is_retry);
+            let refusal = match earlier {
+                Some(attempt) => with_verdict(refusal, attempt),
+                None => refusal,
+            };
+            refuse(outputs, tag, refusal);
+        }
     }
 }
 
@@ -130,7 +138,8 @@
     let is_read = matches!(class, StatementClass::Read | StatementClass::Begin { .. });
     let repeatable = !in_transaction && (is_read || record.is_some() || entry.settings.repeatable);
     let (verdict, excluded) = (RunVerdict::NotRun, Vec::new());
-    Ok(RequestAttempt { class, deadline, record, repeatable, verdict, excluded })
+    let is_single = !in_transaction;
+    Ok(RequestAttempt { class, deadline, record, repeatable, is_single, verdict, excluded })
 }
 
 /// Checks that the last request may be placed again.
@@ -144,13 +153,13 @@
         Some(attempt) if !entry.in_transaction() => attempt.clone(),
         _ => return Err(settings::invalid_value("there is no request to be placed again")),
     };
-    let refusal = |message: &str| {
-        let refusal = RequestRefusal::not_run(RefusalCode::Unavailable, message);
-        with_verdict(refusal, attempt.verdict)
-    };
+    let refusal = |message: &str| RequestRefusal::not_run(RefusalCode::Unavailable, message);
     if attempt.verdict != RunVerdict::NotRun && !attempt.repeatable {
         return Err(RequestRefusal::may_have_run("the connection to the endpoint was lost"));
     }
+    if !attempt.is_single {
+        return Err(refusal("the transaction was lost with its connection"));
+    }
     if attempt.deadline <= now {
         return Err(refusal("the deadline has passed"));
     }
@@ -163,9 +172,13 @@
 }
 
 /// Gives a refusal the verdict of the earlier placements of the same request.
-pub(super) fn with_verdict(mut refusal: RequestRefusal, verdict: RunVerdict) -> RequestRefusal {
-    if verdict != RunVerdict::NotRun {
-        refusal.verdict = verdict;
+pub(super) fn with_verdict(
+    mut refusal: RequestRefusal,
+    attempt: &RequestAttempt,
+) -> RequestRefusal {
+    refusal.verdict = refusal.verdict.max(attempt.verdict);
+    // What a read would have returned is lost either way, so its reason stays.
+    if refusal.verdict != RunVerdict::NotRun && attempt.class != StatementClass::Read {
         refusal.code = RefusalCode::OutcomeUnknown;
     }
     refusal
--- a/crates/core/src/host/traffic/rights.rs
+++ b/crates/core/src/host/traffic/rights.rs
@@ -67,6 +67,11 @@
 /// Closes sessions that have lost their rights, and idle ones while the host drains.
 pub(super) fn close_sessions(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
     let is_draining = state.drain.phase >= DrainPhase::Draining;
+    let revision = state.catalog.revision();
+    if !is_draining && state.sessions.checked_revision == Some(revision) {
+        return;
+    }
+    state.sessions.checked_revision = Some(revision);
     let open = state.sessions.entries.iter().filter(|(_, entry)| entry.closing.is_none());
     let ended: Vec<(SessionKey, RequestRefusal)> = open
         .filter_map(|(key, entry)| match check_session(state, entry) {
--- a/crates/core/src/schedule.rs
+++ b/crates/core/src/schedule.rs
@@ -87,6 +87,8 @@
     connections: u32,
     held: u32,
     running: u32,
+    /// Requests that more connections would let run, since it was asked for last.
+    short: u32,
     window: LatencyWindow,
 }
 
@@ -213,11 +215,20 @@
         self.loads.get(endpoint).map_or(0, |load| load.held)
     }
 
-    /// Whether only the lack of connections keeps new work from an endpoint.
-    pub(crate) fn lacks_connections(&self, endpoint: EndpointKey) -> bool {
-        self.loads
-            .get(endpoint)
-            .is_none_or(|load| load.held >= load.connections && load.window.has_room(load.running))
+    /// Notes that a lane waits for an endpoint without room. Its requests count as demand for as many
+    /// connections as the window has room for.
+    pub(crate) fn note_short(&mut self, group: GroupKey, lane: WorkLane, endpoint: EndpointKey) {
+        let waiting = self.groups.get(&group).map_or(0, |queue| queue.waiting(lane));
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        if let Some(load) = self.load(endpoint) {
+            load.short = load.short.max(waiting.min(load.window.room(load.running)));
+        }
+    }
+
+    /// Connections wanted to an endpoint: those held and those that were lacking since the last call.
+    pub(crate) fn take_wanted(&mut self, endpoint: EndpointKey) -> u64 {
+        let Some(load) = self.loads.get_mut(endpoint) else { return 0 };
+        u64::from(load.held) + u64::from(std::mem::take(&mut load.short))
     }
 
     /// Whether new work may begin on an endpoint.
--- a/crates/core/src/schedule/flow.rs
+++ b/crates/core/src/schedule/flow.rs
@@ -147,7 +147,7 @@
         self.paces[ticket.lane as usize].note(now, is_backlogged);
     }
 
-    fn waiting(&self, lane: WorkLane) -> usize {
+    pub(super) fn waiting(&self, lane: WorkLane) -> usize {
         self.flows.values().map(|flow| flow.lanes[lane as usize].len()).sum()
     }
 
--- a/crates/core/src/schedule/window.rs
+++ b/crates/core/src/schedule/window.rs
@@ -58,6 +58,11 @@
         f64::from(running) + 1.0 <= self.size
     }
 
+    /// Statements that may run in addition.
+    pub(super) fn room(&self, running: u32) -> u32 {
+        (self.size as u32).saturating_sub(running)
+    }
+
     /// Takes the latency of a statement into account; `running` includes it.
     pub(super) fn note(&mut self, now: Instant, lane: WorkLane, took: Duration, running: u32) {
         self.renew_least(now);
--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -26,6 +26,8 @@
     pub(crate) entries: SlotMap<SessionKey, SessionEntry>,
     pub(crate) dispatches: SlotMap<DispatchKey, DispatchEntry>,
     counts: HashMap<CustomerName, u32>,
+    /// Revision of the catalog against which all sessions were checked last.
+    pub(crate) checked_revision: Option<u64>,
 }
 
 /// A key as it was when the session was opened.
@@ -53,6 +55,8 @@
     pub(crate) dispatch: Option<DispatchKey>,
     /// The last request, for judging whether it may be placed again.
     pub(crate) attempt: Option<RequestAttempt>,
+    /// Confirmations of a position that were asked for and have not come.
+    pub(crate) open_positions: u32,
     /// Why the session ends as soon as nothing of it runs.
     pub(crate) closing: Option<RequestRefusal>,
 }
@@ -88,6 +92,8 @@
         pub(crate) deadline: Instant,
         pub(crate) record: Option<RequestRecord>,
         pub(crate) repeatable: bool,
+        /// Whether it is no part of an open transaction; such a part cannot be placed elsewhere.
+        pub(crate) is_single: bool,
         /// Whether an earlier placement may have run.
         pub(crate) verdict: RunVerdict,
         /// Endpoints that failed earlier placements.
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -24,6 +24,10 @@
 /// Steps of the offset with which an endpoint's connections are dealt out.
 const DEAL_STEPS: u64 = 1 << 16;
 
+/// Interval at which holdings are compared with demand. It is far below the time before the end of a
+/// loan at which its connections get no new work.
+const ADOPT_INTERVAL: Duration = Duration::from_millis(100);
+
 value_type! {
     /// Base share of this host under the share views in effect.
     ///
@@ -55,6 +59,9 @@
     rates: HashMap<CustomerName, RateHolding>,
     connections: HashMap<EndpointName, ConnectionHolding>,
     paces: HashMap<ShareResource, BorrowPace>,
+    /// Whether holdings of connections have changed since they were adopted.
+    is_changed: bool,
+    adopted_at: Option<Instant>,
 }
 
 impl Default for ShareTable {
@@ -68,6 +75,8 @@
             rates: HashMap::new(),
             connections: HashMap::new(),
             paces: HashMap::new(),
+            is_changed: false,
+            adopted_at: None,
         }
     }
 }
@@ -135,6 +144,7 @@
     /// ```
     pub fn set_base(&mut self, now: Instant, base: BaseShare) {
         self.settle_all(now);
+        self.is_changed = true;
         self.base = Some(base);
         self.clamp_all(now);
     }
@@ -160,11 +170,13 @@
     /// ```
     pub fn set_ceiling(&mut self, now: Instant, ceiling: Option<BaseShare>) {
         self.settle_all(now);
+        self.is_changed = true;
         self.ceiling = ceiling;
         self.clamp_all(now);
     }
 
-    /// Whether everything lent out fits into a base share, so that a new view may be reported.
+    /// Whether everything lent out, and every connection in use, fits into a base share, so that a
+    /// new view may be reported.
     ///
     /// ```
     /// use std::time::Instant;
@@ -179,7 +191,8 @@
         let rates_fit =
             self.rates.values().all(|holding| holding.ledger.given(now) <= base.rate_units());
         let connections_fit = self.connections.iter().all(|(endpoint, holding)| {
-            holding.ledger.given(now) <= base.connections(endpoint, holding.total)
+            let base = base.connections(endpoint, holding.total);
+            holding.ledger.given(now) <= base && holding.in_use <= holding.ledger.held(now, base)
         });
         rates_fit && connections_fit
     }
@@ -196,6 +209,7 @@
     pub fn lend(&mut self, now: Instant, request: &BorrowRequest) -> ShareLoan {
         let until = now + self.loan_valid;
         let is_lending = self.is_lending && !self.is_handed_over;
+        self.is_changed = true;
         let resource = request.resource.clone();
         let (units, millitokens) = match &resource {
             _ if !is_lending => (0, 0),
@@ -219,6 +233,7 @@
     /// The last part of the time is not used, because clocks run at different rates.
     pub fn accept(&mut self, now: Instant, loan: &ShareLoan, valid_until: Instant) {
         self.paces.entry(loan.resource.clone()).or_default().answer(now, loan.units);
+        self.is_changed = true;
         let until = valid_until.checked_sub(CLOCK_MARGIN).unwrap_or(now);
         if loan.units == 0 || until <= now {
             return;
@@ -256,6 +271,7 @@
             loans.push(ShareLoan { resource, units, millitokens: 0 });
         }
         self.is_handed_over = true;
+        self.is_changed = true;
         self.clamp_all(now);
         loans.retain(|loan| loan.units > 0);
         loans
@@ -326,16 +342,27 @@
         }
     }
 
-    /// Notes how many connections all hosts may open to an endpoint, and how many are wanted here.
+    /// Whether holdings are to be adopted now: when they have changed, and at intervals.
+    pub(crate) fn take_due(&mut self, now: Instant) -> bool {
+        let is_due = self.adopted_at.is_none_or(|at| now >= at + ADOPT_INTERVAL);
+        if is_due {
+            self.adopted_at = Some(now);
+        }
+        is_due | std::mem::take(&mut self.is_changed)
+    }
+
+    /// Notes how many connections all hosts may open to an endpoint, and how many are in use and
+    /// wanted here.
     pub(crate) fn note_connections(
         &mut self,
         now: Instant,
         endpoint: &EndpointName,
         total: u32,
-        wanted: u64,
+        (in_use, wanted): (u64, u64),
     ) {
         let holding = self.connections.entry(endpoint.clone()).or_default();
         holding.total = total;
+        holding.in_use = in_use;
         holding.ledger.prune(now);
         holding.peak.note(now, wanted);
     }
@@ -345,13 +372,15 @@
         self.connections.retain(|endpoint, _| is_known(endpoint));
     }
 
-    /// When the next loan taken of an endpoint's connections ends.
+    /// When the next loan taken of an endpoint's connections, or the base share, ends.
     pub(crate) fn next_connection_end(
         &self,
         now: Instant,
         endpoint: &EndpointName,
     ) -> Option<Instant> {
-        self.connections.get(endpoint)?.ledger.next_end(now)
+        let loan = self.connections.get(endpoint).and_then(|holding| holding.ledger.next_end(now));
+        let base = self.base.map(|base| base.valid_until).filter(|until| *until > now);
+        loan.into_iter().chain(base).min()
     }
 
     /// Units to be borrowed of each resource whose use comes near to what is held, judged ahead of
--- a/crates/core/src/share/holding.rs
+++ b/crates/core/src/share/holding.rs
@@ -30,6 +30,8 @@
 pub(super) struct ConnectionHolding {
     pub(super) ledger: EscrowLedger,
     pub(super) total: u32,
+    /// Connections held.
+    pub(super) in_use: u64,
     pub(super) peak: PeakMeter,
 }
 
@@ -155,10 +157,11 @@
 }
 
 impl ConnectionHolding {
-    /// Connections lent: those of the base share that were not wanted lately. One is kept.
+    /// Connections lent: those of the base share that were not wanted lately, less a part that is
+    /// kept. A single connection is lent whole, or hosts without one would never get any.
     pub(super) fn lend(&mut self, now: Instant, base: u64, wanted: u64, until: Instant) -> u64 {
         self.ledger.prune(now);
-        let needed = self.peak.peak().max(1);
+        let needed = self.peak.peak().max(self.in_use).max(base / 2);
         let own = base.saturating_sub(self.ledger.given(now));
         let units = wanted.min(self.ledger.held(now, base).saturating_sub(needed)).min(own);
         if units > 0 {
--- a/crates/core/src/share/tests.rs
+++ b/crates/core/src/share/tests.rs
@@ -1,1 +1,228 @@
 //! Tests of escrow shares.
+
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use tanagerdeal_wire::peer::{BorrowRequest, ShareLoan, ShareResource};
+use tanagerdeal_wire::{CustomerName, EndpointName, HostName};
+
+use super::{BaseShare, ShareTable};
+use crate::limit::CustomerRate;
+use fleet::{FleetModel, FleetStep};
+
+const RATE: CustomerRate = CustomerRate { rate_per_s: 100, burst: 50 };
+
+fn customer() -> CustomerName {
+    CustomerName::new("quarry").unwrap()
+}
+
+fn rate() -> ShareResource {
+    ShareResource::CustomerRate(customer())
+}
+
+fn base(now: Instant, denominator: u64, rank: u64) -> BaseShare {
+    BaseShare { numerator: 1, denominator, rank, valid_until: now + Duration::from_secs(90) }
+}
+
+fn table(now: Instant, denominator: u64, rank: u64) -> ShareTable {
+    let mut shares = ShareTable::default();
+    shares.set_rate(now, &customer(), RATE);
+    shares.set_base(now, base(now, denominator, rank));
+    shares
+}
+
+fn request(resource: ShareResource, units: u64) -> BorrowRequest {
+    BorrowRequest { resource, units, borrower: HostName::new("h2").unwrap(), incarnation: 1 }
+}
+
+fn take_all(shares: &mut ShareTable, now: Instant) -> usize {
+    std::iter::from_fn(|| shares.take_token(now, &customer(), 0).ok()).count()
+}
+
+fn after(now: Instant, millis: u64) -> Instant {
+    now + Duration::from_millis(millis)
+}
+
+/// Guards against a burst that a restart, a new share or a raised share would give once more.
+#[gtest]
+fn new_and_raised_shares_have_no_tokens() {
+    let now = Instant::now();
+    let mut shares = table(now, 2, 0);
+    expect_that!(take_all(&mut shares, now), eq(0));
+    let full = after(now, 10_000);
+    shares.set_base(full, base(full, 1, 0));
+    expect_that!(take_all(&mut shares, full), eq(25));
+}
+
+/// Guards against a lender that goes on using what it lent, and a borrower that uses it too long.
+#[gtest]
+fn a_loan_moves_units_and_tokens_and_ends() {
+    let start = Instant::now();
+    let (mut lender, mut borrower) = (table(start, 2, 0), table(start, 2, 1));
+    let sent = after(start, 10_000);
+    let loan = lender.lend(sent, &request(rate(), 200_000));
+    expect_that!((loan.units, loan.millitokens), eq((200_000, 10_000)));
+    borrower.accept(after(sent, 5), &loan, after(sent, 10_000));
+    expect_that!(lender.held(sent, &rate()), eq(300_000));
+    expect_that!(borrower.held(after(sent, 5), &rate()), eq(700_000));
+    expect_that!(take_all(&mut lender, sent) + take_all(&mut borrower, sent), le(50));
+    expect_that!(borrower.held(after(sent, 9_900), &rate()), eq(500_000));
+    expect_that!(lender.held(after(sent, 9_999), &rate()), eq(300_000));
+    expect_that!(lender.held(after(sent, 10_000), &rate()), eq(500_000));
+}
+
+/// Guards against a holder that was paused beyond the end of its loan and its lease, and goes on
+/// with the tokens and the rate of both.
+#[gtest]
+fn a_paused_holder_has_neither_tokens_nor_fill_of_an_ended_share() {
+    let start = Instant::now();
+    let mut shares = table(start, 2, 1);
+    let loan = ShareLoan { resource: rate(), units: 300_000, millitokens: 15_000 };
+    shares.accept(start, &loan, after(start, 10_000));
+    expect_that!(take_all(&mut shares, after(start, 20_000)), eq(25));
+    expect_that!(take_all(&mut shares, after(start, 90_000)), eq(0));
+    let renewed = after(start, 95_000);
+    shares.set_base(renewed, base(renewed, 2, 1));
+    expect_that!(take_all(&mut shares, renewed), eq(0));
+}
+
+/// Guards against a loan that arrives after its time and would overlap with the lender's use.
+#[gtest]
+fn a_late_loan_is_not_used() {
+    let start = Instant::now();
+    let mut shares = table(start, 2, 1);
+    let loan = ShareLoan { resource: rate(), units: 300_000, millitokens: 15_000 };
+    shares.accept(after(start, 9_950), &loan, after(start, 10_000));
+    expect_that!(shares.held(after(start, 9_950), &rate()), eq(500_000));
+}
+
+/// Guards against a lender that refuses its own customers because it has lent all it had.
+#[gtest]
+fn a_lender_keeps_what_its_own_demand_needs() {
+    let start = Instant::now();
+    let mut shares = table(start, 2, 0);
+    for millis in (0..3_000).step_by(33) {
+        shares.note_demand(after(start, millis), &customer());
+    }
+    let now = after(start, 3_000);
+    let loan = shares.lend(now, &request(rate(), 1_000_000));
+    // 30 requests a second need 300,000 units, and half as much again is kept.
+    expect_that!(loan.units, all!(ge(20_000), le(90_000)));
+    let mut idle = table(start, 2, 0);
+    let loan = idle.lend(now, &request(rate(), 1_000_000));
+    expect_that!(loan.units, eq(500_000 - 500_000 / 8));
+}
+
+/// Guards against a share that is too small for one request and never grows, because a host with
+/// little traffic shows too little demand to borrow.
+#[gtest]
+fn little_traffic_borrows_enough_for_a_request() {
+    let now = Instant::now();
+    let mut shares = ShareTable::default();
+    shares.set_rate(now, &customer(), CustomerRate { rate_per_s: 10, burst: 4 });
+    shares.set_base(now, base(now, 9, 0));
+    let quiet = shares.shortages(now, Duration::from_secs(3));
+    expect_that!(quiet, is_empty());
+    shares.note_demand(now, &customer());
+    let missing = shares.shortages(now, Duration::from_secs(3));
+    expect_that!(missing, elements_are![eq(&(rate(), 500_000 - 111_111))]);
+}
+
+/// Guards against loans that hide a host's inability to join a new share view.
+#[gtest]
+fn loans_and_connections_in_use_must_fit_a_new_view() {
+    let now = Instant::now();
+    let mut shares = table(now, 2, 0);
+    let endpoint = EndpointName::new("e1").unwrap();
+    shares.note_connections(now, &endpoint, 20, (0, 0));
+    expect_true!(shares.loans_fit(now, &base(now, 4, 0)));
+    shares.note_connections(now, &endpoint, 20, (9, 9));
+    expect_false!(shares.loans_fit(now, &base(now, 4, 0)));
+    shares.note_connections(now, &endpoint, 20, (1, 1));
+    let loan = shares.lend(now, &request(rate(), 300_000));
+    expect_that!(loan.units, eq(300_000));
+    expect_false!(shares.loans_fit(now, &base(now, 4, 0)));
+    expect_true!(shares.loans_fit(after(now, 10_000), &base(now, 4, 0)));
+    shares.set_lending(false);
+    expect_that!(shares.lend(now, &request(rate(), 1)).units, eq(0));
+}
+
+/// Guards against connections that are dealt twice to hosts of failure domains with views of
+/// different size.
+#[gtest]
+fn connections_dealt_out_sum_up_to_the_total() {
+    let now = Instant::now();
+    let sizes = [[3, 3, 3], [3, 1, 2], [1, 5, 4]];
+    for (total, hosts) in (1..40).flat_map(|total| sizes.map(|hosts| (total, hosts))) {
+        let endpoint = EndpointName::new(&format!("e{total}")).unwrap();
+        let mut dealt = 0;
+        for (domain, hosts) in (0..3).zip(hosts) {
+            for rank in domain * hosts..(domain + 1) * hosts {
+                dealt += base(now, 3 * hosts, rank).connections(&endpoint, total);
+            }
+        }
+        expect_that!(dealt, eq(u64::from(total)), "{total} connections, hosts {hosts:?}");
+    }
+}
+
+/// Guards against a share that is used by the host that left and by its heir.
+#[gtest]
+fn a_handed_over_share_is_gone() {
+    let now = Instant::now();
+    let mut shares = table(now, 2, 0);
+    let later = after(now, 10_000);
+    let lent = shares.lend(later, &request(rate(), 100_000));
+    let loans = shares.hand_over(later);
+    expect_that!(loans.iter().map(|loan| loan.units).sum::<u64>() + lent.units, eq(500_000));
+    expect_that!(shares.held(later, &rate()), eq(0));
+    expect_that!(take_all(&mut shares, later), eq(0));
+    expect_that!(shares.lend(later, &request(rate(), 1)).units, eq(0));
+}
+
+/// Guards against a rate that is lowered but still used, and one that is raised and gives a burst.
+#[gtest]
+fn a_changed_rate_is_in_effect_at_once() {
+    let now = Instant::now();
+    let mut shares = table(now, 1, 0);
+    let full = after(now, 10_000);
+    shares.set_rate(full, &customer(), CustomerRate { rate_per_s: 1, burst: 2 });
+    expect_that!(take_all(&mut shares, full), eq(2));
+    shares.set_rate(full, &customer(), RATE);
+    expect_that!(take_all(&mut shares, full), eq(0));
+    expect_that!(take_all(&mut shares, after(full, 100)), eq(10));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(20), ..ProptestConfig::default() })]
+
+    /// Guards against any order of loans, lost, late or repeated messages, pauses, restarts and
+    /// changes of view in which the hosts together exceed a rate, a burst or a connection limit.
+    #[test]
+    fn hosts_together_never_exceed_rate_burst_and_connections(
+        steps in prop::collection::vec(fleet::any_step(), 1..250),
+    ) {
+        let mut fleet = FleetModel::new(4);
+        for step in steps {
+            fleet.run(&step);
+            fleet.check()?;
+        }
+    }
+}
+
+/// Guards against a model in which nothing is ever lent or used, so that the property above would
+/// hold for any code.
+#[gtest]
+fn the_model_lends_and_serves() {
+    let mut fleet = FleetModel::new(4);
+    fleet.run(&FleetStep::Advance(10_000));
+    fleet.run(&FleetStep::Ask { from: 1, to: 0, units: 200_000, is_rate: true });
+    fleet.run(&FleetStep::Deliver(0));
+    fleet.run(&FleetStep::Deliver(0));
+    fleet.run(&FleetStep::Take { host: 1, requests: 100 });
+    // Its own 10 tokens, and as many as 200,000 units of the burst can hold.
+    expect_that!(fleet.served(), eq(18));
+    expect_that!(fleet.check(), ok(anything()));
+}
--- /dev/null
+++ b/crates/core/src/share/tests/fleet.rs
@@ -0,0 +1,327 @@
+//! Model of several hosts that lend to each other over a network that loses and delays messages,
+//! and that change their share view by the rules of the design.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use proptest::test_runner::TestCaseError;
+use tanagerdeal_wire::peer::{BorrowRequest, ShareLoan, ShareResource};
+use tanagerdeal_wire::{CustomerName, EndpointName, HostName};
+
+use super::super::{BaseShare, ShareTable};
+use crate::limit::{CustomerRate, REQUEST_TOKENS};
+
+const RATE: CustomerRate = CustomerRate { rate_per_s: 20, burst: 40 };
+const CONNECTIONS: u32 = 21;
+const LOAN: Duration = Duration::from_secs(10);
+const LEASE: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Debug)]
+pub(super) enum FleetStep {
+    /// Time passes; hosts that are not paused renew their lease.
+    Advance(u64),
+    /// A host serves as many requests as it may.
+    Take {
+        host: usize,
+        requests: u32,
+    },
+    /// A host asks another one for a loan.
+    Ask {
+        from: usize,
+        to: usize,
+        units: u64,
+        is_rate: bool,
+    },
+    /// A message arrives.
+    Deliver(usize),
+    /// A request for a loan arrives, and will arrive once more.
+    Repeat(usize),
+    /// A message is lost.
+    Lose(usize),
+    /// A host neither renews its lease nor gets messages, but may still serve requests.
+    Pause(usize),
+    Resume(usize),
+    /// A host forgets everything.
+    Restart(usize),
+    /// The hosts in this set of bits form the next view.
+    ChangeView(u8),
+}
+
+enum Message {
+    Request { to: usize, from: usize, sent: Instant, request: BorrowRequest },
+    Loan { to: usize, incarnation: u64, sent: Instant, loan: ShareLoan },
+}
+
+struct HostModel {
+    shares: ShareTable,
+    incarnation: u64,
+    is_paused: bool,
+    /// When others may count the lease as expired.
+    lease_over: Instant,
+    /// Whether the host has a base share in the view in effect.
+    has_base: bool,
+    has_reported: bool,
+}
+
+/// Hosts, messages on their way, and an account of all requests served.
+pub(super) struct FleetModel {
+    now: Instant,
+    hosts: Vec<HostModel>,
+    messages: Vec<Message>,
+    view: Vec<usize>,
+    next_view: Option<Vec<usize>>,
+    /// Tokens of a bucket with the whole rate and burst, which all hosts together may not overdraw.
+    tokens: u64,
+    filled_at: Instant,
+    served: u64,
+    is_overdrawn: bool,
+}
+
+pub(super) fn any_step() -> impl Strategy<Value = FleetStep> {
+    let host = 0..4usize;
+    prop_oneof![
+        6 => prop_oneof![0..50u64, 0..3_000u64, 9_000..12_000u64].prop_map(FleetStep::Advance),
+        6 => (host.clone(), 1..60u32)
+            .prop_map(|(host, requests)| FleetStep::Take { host, requests }),
+        6 => (host.clone(), host.clone(), 1..700_000u64, any::<bool>()).prop_map(
+            |(from, to, units, is_rate)| FleetStep::Ask { from, to, units, is_rate }
+        ),
+        8 => (0..20usize).prop_map(FleetStep::Deliver),
+        1 => (0..20usize).prop_map(FleetStep::Repeat),
+        1 => (0..20usize).prop_map(FleetStep::Lose),
+        1 => host.clone().prop_map(FleetStep::Pause),
+        2 => host.clone().prop_map(FleetStep::Resume),
+        1 => host.prop_map(FleetStep::Restart),
+        1 => (1..16u8).prop_map(FleetStep::ChangeView),
+    ]
+}
+
+fn rate() -> ShareResource {
+    ShareResource::CustomerRate(customer())
+}
+
+fn customer() -> CustomerName {
+    CustomerName::new("quarry").unwrap()
+}
+
+fn endpoint() -> EndpointName {
+    EndpointName::new("e1").unwrap()
+}
+
+impl HostModel {
+    fn new(now: Instant, incarnation: u64) -> Self {
+        let mut shares = ShareTable::default();
+        shares.set_rate(now, &customer(), RATE);
+        shares.note_connections(now, &endpoint(), CONNECTIONS, (0, 0));
+        Self {
+            shares,
+            incarnation,
+            is_paused: false,
+            lease_over: now,
+            has_base: false,
+            has_reported: false,
+        }
+    }
+}
+
+impl FleetModel {
+    pub(super) fn new(count: usize) -> Self {
+        let now = Instant::now();
+        let mut fleet = Self {
+            now,
+            hosts: (0..count).map(|_| HostModel::new(now, 1)).collect(),
+            messages: Vec::new(),
+            view: (0..count).collect(),
+            next_view: None,
+            tokens: u64::from(RATE.burst) * REQUEST_TOKENS,
+            filled_at: now,
+            served: 0,
+            is_overdrawn: false,
+        };
+        fleet.hosts.iter_mut().for_each(|host| host.has_base = true);
+        fleet.renew();
+        fleet
+    }
+
+    pub(super) fn served(&self) -> u64 {
+        self.served
+    }
+
+    pub(super) fn run(&mut self, step: &FleetStep) {
+        match step {
+            FleetStep::Advance(millis) => {
+                self.now += Duration::from_millis(*millis);
+                self.renew();
+                self.adopt_view();
+            }
+            FleetStep::Take { host, requests } => (0..*requests).for_each(|_| self.serve(*host)),
+            FleetStep::Ask { from, to, units, is_rate } if from != to => {
+                self.ask(*from, *to, *units, *is_rate);
+            }
+            FleetStep::Ask { .. } => {}
+            FleetStep::Deliver(index) => self.deliver(*index, false),
+            FleetStep::Repeat(index) => self.deliver(*index, true),
+            FleetStep::Lose(index) => {
+                if !self.messages.is_empty() {
+                    self.messages.remove(index % self.messages.len());
+                }
+            }
+            FleetStep::Pause(host) => self.hosts[*host].is_paused = true,
+            FleetStep::Resume(host) => self.hosts[*host].is_paused = false,
+            FleetStep::Restart(host) => {
+                let old = &self.hosts[*host];
+                let lease_over = old.lease_over;
+                self.hosts[*host] = HostModel::new(self.now, old.incarnation + 1);
+                self.hosts[*host].lease_over = lease_over;
+            }
+            FleetStep::ChangeView(bits) if self.next_view.is_none() => self.change_view(*bits),
+            FleetStep::ChangeView(_) => {}
+        }
+    }
+
+    /// Fails when the hosts together hold, or have used, more than there is.
+    pub(super) fn check(&self) -> Result<(), TestCaseError> {
+        let sum = |resource: &ShareResource| -> u64 {
+            self.hosts.iter().map(|host| host.shares.held(self.now, resource)).sum()
+        };
+        prop_assert!(sum(&rate()) <= 1_000_000, "units held: {}", sum(&rate()));
+        let connections = sum(&ShareResource::EndpointConnections(endpoint()));
+        prop_assert!(connections <= u64::from(CONNECTIONS), "connections: {connections}");
+        prop_assert!(!self.is_overdrawn, "the hosts together exceeded rate and burst");
+        Ok(())
+    }
+
+    fn base_in(&self, view: &[usize], host: usize) -> Option<BaseShare> {
+        let rank = view.iter().position(|member| *member == host)? as u64;
+        let valid_until = self.now + LEASE;
+        Some(BaseShare { numerator: 1, denominator: view.len() as u64, rank, valid_until })
+    }
+
+    fn renew(&mut self) {
+        for index in 0..self.hosts.len() {
+            let base = self.base_in(&self.view, index);
+            let now = self.now;
+            let host = &mut self.hosts[index];
+            if let Some(base) = base.filter(|_| host.has_base && !host.is_paused) {
+                host.shares.set_base(now, base);
+                host.lease_over = now + LEASE + LOAN;
+            }
+        }
+    }
+
+    /// Every host of both views drops to the smaller base share and stops lending.
+    fn change_view(&mut self, bits: u8) {
+        let count = self.hosts.len();
+        let next: Vec<usize> = (0..count).filter(|host| bits & (1 << host) != 0).collect();
+        self.next_view = Some(next);
+        self.hosts.iter_mut().for_each(|host| host.has_reported = false);
+        self.adopt_view();
+    }
+
+    fn adopt_view(&mut self) {
+        let Some(next) = self.next_view.clone() else { return };
+        for host in self.view.clone() {
+            self.prepare_host(host, &next);
+        }
+        // A restarted host waits for the lease of its predecessor, whose loans may still be out.
+        let is_over = |host: &usize| {
+            let host = &self.hosts[*host];
+            (host.has_reported && host.has_base) || self.now >= host.lease_over
+        };
+        if self.view.iter().all(is_over) && next.iter().all(is_over) {
+            self.enter_view(next);
+        }
+    }
+
+    fn prepare_host(&mut self, index: usize, next: &[usize]) {
+        let base = self.base_in(next, index);
+        let (now, valid_until) = (self.now, self.now + LEASE);
+        let none = BaseShare { numerator: 0, denominator: 1, rank: 0, valid_until };
+        let base = base.unwrap_or(none);
+        let host = &mut self.hosts[index];
+        if !host.is_paused && host.has_base {
+            host.shares.set_lending(false);
+            host.shares.set_ceiling(now, Some(base));
+            host.has_reported = host.shares.loans_fit(now, &base);
+        }
+    }
+
+    fn enter_view(&mut self, next: Vec<usize>) {
+        for index in 0..self.hosts.len() {
+            let is_member = next.contains(&index);
+            let was_silent = self.hosts[index].is_paused;
+            let host = &mut self.hosts[index];
+            // A host that was counted out must not come back with its old base share.
+            host.has_base = is_member && !was_silent;
+            if !host.is_paused {
+                host.shares.set_ceiling(self.now, None);
+                host.shares.set_lending(true);
+            }
+        }
+        self.view = next;
+        self.next_view = None;
+        for index in 0..self.hosts.len() {
+            let base = self.base_in(&self.view, index).filter(|_| self.hosts[index].has_base);
+            let valid_until = self.now;
+            let none = BaseShare { numerator: 0, denominator: 1, rank: 0, valid_until };
+            if !self.hosts[index].is_paused {
+                self.hosts[index].shares.set_base(self.now, base.unwrap_or(none));
+            }
+        }
+        self.renew();
+    }
+
+    fn serve(&mut self, host: usize) {
+        let now = self.now;
+        self.hosts[host].shares.note_demand(now, &customer());
+        if self.hosts[host].shares.take_token(now, &customer(), 0).is_err() {
+            return;
+        }
+        self.served += 1;
+        let passed = now.duration_since(self.filled_at).as_millis() as u64;
+        let fill = passed * u64::from(RATE.rate_per_s) * REQUEST_TOKENS / 1_000;
+        let full = u64::from(RATE.burst) * REQUEST_TOKENS;
+        self.filled_at = now;
+        self.tokens = (self.tokens + fill).min(full);
+        self.is_overdrawn |= self.tokens < REQUEST_TOKENS;
+        self.tokens = self.tokens.saturating_sub(REQUEST_TOKENS);
+    }
+
+    fn ask(&mut self, from: usize, to: usize, units: u64, is_rate: bool) {
+        let resource = match is_rate {
+            true => rate(),
+            false => ShareResource::EndpointConnections(endpoint()),
+        };
+        let units = if is_rate { units } else { units % 5 + 1 };
+        let borrower = HostName::new(&format!("h{from}")).unwrap();
+        let incarnation = self.hosts[from].incarnation;
+        let request = BorrowRequest { resource, units, borrower, incarnation };
+        self.messages.push(Message::Request { to, from, sent: self.now, request });
+    }
+
+    fn deliver(&mut self, index: usize, is_repeated: bool) {
+        let Some(index) = index.checked_rem(self.messages.len()) else { return };
+        let to = match &self.messages[index] {
+            Message::Request { to, .. } | Message::Loan { to, .. } => *to,
+        };
+        if self.hosts[to].is_paused {
+            return;
+        }
+        match self.messages.swap_remove(index) {
+            Message::Request { to, from, sent, request } => {
+                let loan = self.hosts[to].shares.lend(self.now, &request);
+                let incarnation = request.incarnation;
+                if is_repeated {
+                    self.messages.push(Message::Request { to, from, sent, request });
+                }
+                self.messages.push(Message::Loan { to: from, incarnation, sent, loan });
+            }
+            Message::Loan { to, incarnation, sent, loan } => {
+                let host = &mut self.hosts[to];
+                if host.incarnation == incarnation {
+                    host.shares.accept(self.now, &loan, sent + LOAN);
+                }
+            }
+        }
+    }
+}
