--- a/crates/core/src/host/fleet/status.rs
+++ b/crates/core/src/host/fleet/status.rs
@@ -4,7 +4,7 @@
 
 use tanagerdeal_wire::peer::ShareResource;
 
-use super::{HostState, may_serve_keyed};
+use super::{HostState, groups, may_serve_keyed};
 use crate::message::DrainPhase;
 use crate::message::fleet::{HostReport, LimitReport, StatusReport};
 
@@ -22,7 +22,7 @@
         ready: state.drain.phase == DrainPhase::Serving && confirmed_at.is_some(),
         unknown_records: state.catalog.unknown().map(|(key, _)| key.to_owned()).collect(),
         hosts: hosts(state, now),
-        groups: Vec::new(),
+        groups: groups::reports(state, now),
         limits: limits(state, now),
         counters: state.counters.clone(),
     }
