--- /dev/null
+++ b/crates/proxy/src/endpoint.rs
@@ -0,0 +1,11 @@
+//! Connections to endpoints and the pools that hold them.
+
+mod connection;
+mod login;
+mod pool;
+mod prepared;
+
+pub use connection::{CancelTarget, ConnectionError, EndpointConnection, HiddenReply};
+pub use login::EndpointLogin;
+pub use pool::{ConnectionLease, PoolError, PoolSet};
+pub use prepared::{PreparedStatement, PreparedTable};
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,3 +1,5 @@
 //! Database proxy: client sessions, endpoint connections and the runtime around the decision core.
 
+pub mod codec;
 pub mod driver;
+pub mod endpoint;
