--- /dev/null
+++ b/crates/proxy/src/caller/place.rs
@@ -0,0 +1,138 @@
+//! Placement of a request and the connection it runs on.
+
+use std::time::{Duration, Instant};
+
+use tanagerdeal_core::message::caller::{CallerAnswer, CallerCall, DispatchPlan};
+use tanagerdeal_core::statement::StatementClass;
+use tanagerdeal_core::verdict::{RefusalCode, RequestRefusal};
+use tokio::time::timeout_at;
+
+use super::session::Session;
+use crate::endpoint::{ConnectionError, ConnectionLease, EndpointConnection, PoolError};
+
+/// Least time that is left for the settings of a connection before it is given up.
+const SETTING_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why a request was not placed.
+pub(super) enum PlaceFault {
+    /// The core refused it.
+    Refused(RequestRefusal),
+    /// The client cancelled it.
+    Cancelled,
+    /// The client has gone.
+    ClientGone,
+}
+
+/// A setting made by the client, replayed on each connection that its session takes.
+#[derive(Clone)]
+pub(super) struct SessionSetting {
+    /// What it sets; a later setting of the same name replaces it.
+    pub(super) name: String,
+    /// Its text.
+    pub(super) text: String,
+}
+
+impl SessionSetting {
+    /// A setting from its statement; nothing when it ends with the transaction.
+    pub(super) fn parse(text: &str) -> Option<Self> {
+        let lower = text.trim().trim_end_matches(';').to_ascii_lowercase();
+        let words: Vec<&str> = lower.split([' ', '\t', '\n', '=']).filter(is_word).collect();
+        let name = match words.as_slice() {
+            ["set", "local", ..] | ["set", "transaction", ..] => return None,
+            ["set", "session", "authorization" | "characteristics", ..] => words[2],
+            ["set", "session", name, ..] | ["set" | "reset", name, ..] => name,
+            [first, ..] => first,
+            [] => return None,
+        };
+        Some(Self { name: name.to_owned(), text: text.to_owned() })
+    }
+
+    /// Whether it takes back all others.
+    pub(super) fn is_reset_of_all(&self) -> bool {
+        self.name == "all" || self.name == "discard"
+    }
+}
+
+impl Session {
+    /// Asks the core where a request may run.
+    pub(super) async fn place(
+        &mut self,
+        class: &StatementClass,
+        is_retry: bool,
+    ) -> Result<DispatchPlan, PlaceFault> {
+        let session = self.key;
+        let call = CallerCall::PlaceRequest { session, class: class.clone(), is_retry };
+        let fault = tokio::select! {
+            biased;
+            answer = self.context.driver.call(call) => match answer {
+                CallerAnswer::RequestPlaced(plan) => return Ok(plan),
+                CallerAnswer::Refused(refusal) => return Err(PlaceFault::Refused(refusal)),
+                _ => return Err(PlaceFault::Refused(unexpected_answer())),
+            },
+            () = self.cancel.cancelled() => PlaceFault::Cancelled,
+            _ = self.client.watch() => PlaceFault::ClientGone,
+        };
+        self.context.driver.tell(CallerCall::AbandonRequest { session });
+        Err(fault)
+    }
+
+    /// Takes a connection for a plan and brings the session's settings into effect on it. Within a
+    /// transaction it is the connection of the transaction.
+    pub(super) async fn connect(
+        &mut self,
+        plan: &DispatchPlan,
+    ) -> Result<ConnectionLease, PoolError> {
+        if let Some(transaction) = &mut self.transaction
+            && let Some(lease) = transaction.lease.take()
+        {
+            return Ok(lease);
+        }
+        let pools = &self.context.pools;
+        let mut lease = pools.take(plan.endpoint, &plan.sql_address, plan.deadline).await?;
+        let by = plan.deadline.min(Instant::now() + SETTING_TIMEOUT);
+        let adopting = adopt_settings(lease.connection(), &self.settings);
+        timeout_at(by.into(), adopting).await.map_err(|_| ConnectionError::TimedOut)??;
+        Ok(lease)
+    }
+}
+
+/// Makes the settings in effect on a connection equal to those of a session.
+async fn adopt_settings(
+    connection: &mut EndpointConnection,
+    settings: &[SessionSetting],
+) -> Result<(), ConnectionError> {
+    let is_equal = connection.settings.iter().eq(settings.iter().map(|setting| &setting.text));
+    if is_equal {
+        return Ok(());
+    }
+    if !connection.settings.is_empty() {
+        // RESET ALL leaves the role and the session authorization as they are.
+        for sql in ["RESET ALL", "RESET SESSION AUTHORIZATION", "RESET ROLE"] {
+            run_checked(connection, sql).await?;
+        }
+        connection.settings.clear();
+    }
+    for setting in settings {
+        run_checked(connection, &setting.text).await?;
+        connection.settings.push(setting.text.clone());
+    }
+    Ok(())
+}
+
+async fn run_checked(connection: &mut EndpointConnection, sql: &str) -> Result<(), ConnectionError> {
+    match connection.run(sql).await?.error {
+        None => Ok(()),
+        Some(error) => Err(ConnectionError::Refused(format!(
+            "a session setting could not be made: {}",
+            crate::endpoint::field_of(&error, b'M').unwrap_or("no message")
+        ))),
+    }
+}
+
+fn is_word(word: &&str) -> bool {
+    !word.is_empty()
+}
+
+fn unexpected_answer() -> RequestRefusal {
+    RequestRefusal::not_run(RefusalCode::Unavailable, "the request could not be placed")
+}
--- a/crates/proxy/src/codec.rs
+++ b/crates/proxy/src/codec.rs
@@ -117,6 +117,11 @@
         Self { io, input: BytesMut::new(), output: BytesMut::new(), limit }
     }
 
+    /// Sets the length in bytes above which a frame is an error.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     /// The stream.
     pub fn io(&self) -> &S {
         &self.io
@@ -162,14 +167,17 @@
     }
 
     /// Reads bytes without taking a frame, and ends only when the stream ends or fails. Stops
-    /// reading when a frame of the greatest length would fit.
+    /// reading when a frame of the greatest length would fit. A stream that ended after further
+    /// bytes does not count as ended, because a client may send its last messages and close.
     pub async fn watch(&mut self) -> CodecError {
         loop {
             if self.input.len() >= self.limit {
                 std::future::pending::<()>().await;
             }
-            if let Err(error) = self.receive().await {
-                return error;
+            match self.receive().await {
+                Ok(()) => {}
+                Err(CodecError::Truncated) => std::future::pending().await,
+                Err(error) => return error,
             }
         }
     }
--- a/crates/proxy/src/endpoint.rs
+++ b/crates/proxy/src/endpoint.rs
@@ -5,6 +5,7 @@
 mod pool;
 mod prepared;
 
+pub(crate) use connection::field_of;
 pub use connection::{CancelTarget, ConnectionError, EndpointConnection, HiddenReply};
 pub use login::EndpointLogin;
 pub use pool::{ConnectionLease, PoolError, PoolSet};
--- a/crates/proxy/src/endpoint/pool.rs
+++ b/crates/proxy/src/endpoint/pool.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep_until, timeout_at};
 
 use super::{ConnectionError, EndpointConnection, EndpointLogin};
+use crate::codec::Frame;
 use crate::driver::LimitTask;
 
 /// Why no connection could be had.
@@ -63,6 +64,7 @@
     slot: PoolSlot,
     key: usize,
     recall: oneshot::Receiver<()>,
+    is_recalled: bool,
 }
 
 impl PoolSet {
@@ -110,7 +112,7 @@
         }
         let (recall, recalled) = oneshot::channel();
         let key = pool.lock().busy.insert(recall);
-        Ok(ConnectionLease { slot, key, recall: recalled })
+        Ok(ConnectionLease { slot, key, recall: recalled, is_recalled: false })
     }
 
     /// Open connections and idle ones among them, over all endpoints.
@@ -239,10 +241,18 @@
         self.slot.connection.as_mut().expect("a lease holds a connection until it is dropped")
     }
 
-    /// Waits until the pool wants the connection closed.
-    pub async fn recalled(&mut self) {
-        if (&mut self.recall).await.is_err() {
-            std::future::pending::<()>().await;
+    /// Reads the next message; nothing when the pool wants the connection closed.
+    pub async fn read(&mut self) -> Option<Result<Frame, ConnectionError>> {
+        let Some(connection) = &mut self.slot.connection else {
+            return None;
+        };
+        tokio::select! {
+            biased;
+            Ok(()) = &mut self.recall, if !self.is_recalled => {
+                self.is_recalled = true;
+                None
+            }
+            frame = connection.read() => Some(frame),
         }
     }
 
