--- a/crates/proxy/src/caller/local.rs
+++ b/crates/proxy/src/caller/local.rs
@@ -176,8 +176,7 @@
 
 fn columns(name: &str) -> RowDescription {
     let name = name.to_owned();
-    let field =
-        FieldDescription::new(name, 0, 0, TEXT_OID, VARIABLE_SIZE, -1, FORMAT_CODE_TEXT);
+    let field = FieldDescription::new(name, 0, 0, TEXT_OID, VARIABLE_SIZE, -1, FORMAT_CODE_TEXT);
     RowDescription::new(vec![field])
 }
 
--- a/crates/proxy/src/caller/place.rs
+++ b/crates/proxy/src/caller/place.rs
@@ -119,7 +119,10 @@
     Ok(())
 }
 
-async fn run_checked(connection: &mut EndpointConnection, sql: &str) -> Result<(), ConnectionError> {
+async fn run_checked(
+    connection: &mut EndpointConnection,
+    sql: &str,
+) -> Result<(), ConnectionError> {
     match connection.run(sql).await?.error {
         None => Ok(()),
         Some(error) => Err(ConnectionError::Refused(format!(
--- a/crates/proxy/src/caller/request.rs
+++ b/crates/proxy/src/caller/request.rs
@@ -230,7 +230,8 @@
         }
         let earlier = self.transaction.take();
         self.statements.end_transaction();
-        let is_tainted = was_cancelled || earlier.as_ref().is_some_and(|earlier| earlier.is_tainted);
+        let is_tainted =
+            was_cancelled || earlier.as_ref().is_some_and(|earlier| earlier.is_tainted);
         drop_or_return(lease, is_tainted);
         let has_committed = !reply.is_error && reply.tag.as_deref() != Some("ROLLBACK");
         if has_committed {
--- a/crates/proxy/src/endpoint/login.rs
+++ b/crates/proxy/src/endpoint/login.rs
@@ -70,9 +70,7 @@
     let password = match request {
         Authentication::Ok => return Ok(()),
         Authentication::CleartextPassword => login.password.clone(),
-        Authentication::MD5Password(salt) => {
-            hash_md5_password(&login.user, &login.password, &salt)
-        }
+        Authentication::MD5Password(salt) => hash_md5_password(&login.user, &login.password, &salt),
         _ => return Err(ConnectionError::Unexpected("an authentication method that is unknown")),
     };
     stream.push(&Password::new(password));
