--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,4 +1,6 @@
 //! Test bed: stand-ins for the platform, the database members and the network, and their tools.
 
 pub mod clock;
+mod control;
+pub mod member;
 pub mod platform;
--- a/crates/testbed/src/platform.rs
+++ b/crates/testbed/src/platform.rs
@@ -28,6 +28,8 @@
 use hosts::HostTable;
 use table::TableStore;
 
+use crate::control::merge_fields;
+
 /// Interval at which silent hosts are dropped and the host list is kept for later.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -264,18 +266,6 @@
     }
 }
 
-/// Replaces the fields of a value that a JSON object names.
-pub(crate) fn merge_fields<T>(current: &T, change: Value) -> serde_json::Result<T>
-where
-    T: serde::Serialize + serde::de::DeserializeOwned,
-{
-    let mut merged = serde_json::to_value(current)?;
-    if let (Value::Object(fields), Value::Object(change)) = (&mut merged, change) {
-        fields.extend(change);
-    }
-    serde_json::from_value(merged)
-}
-
 async fn show_state(State(handle): State<PlatformHandle>) -> Json<PlatformState> {
     let data = handle.lock();
     Json(PlatformState {
--- /dev/null
+++ b/crates/testbed/tests/member/main.rs
@@ -0,0 +1,5 @@
+//! The stand-in of a database member.
+
+mod common;
+mod group;
+mod sql;
