Add the relay of links between failure domains

Partitions, delays and loss between failure domains must be set one direction at a time and without the processes' help. The relay tells a caller's domain by its source address, since the SQL and peer protocols carry no name of it.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,3 +4,4 @@
 mod control;
 pub mod member;
 pub mod platform;
+pub mod relay;
--- a/crates/testbed/src/member.rs
+++ b/crates/testbed/src/member.rs
@@ -167,7 +167,7 @@
             ::log::error!("member: the API listener failed: {error}");
         }
     });
-    tokio::spawn(replicate::fetch_log(member.clone()));
+    tokio::spawn(replicate::fetch_log(member.clone(), addresses.api.ip()));
     tokio::spawn(replicate::apply_log(member.clone()));
     tokio::spawn(accept_connections(member, sql));
     Ok(addresses)
--- a/crates/testbed/src/member/replicate.rs
+++ b/crates/testbed/src/member/replicate.rs
@@ -1,5 +1,6 @@
 //! Fetching and applying the primary's log.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -20,8 +21,16 @@
 const APPLY_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Fetches the log of the primary that the member follows, for the life of the process.
-pub(super) async fn fetch_log(member: Arc<Member>) {
-    let client = Client::new();
+///
+/// Requests come from the member's own address, by which relays tell its failure domain.
+pub(super) async fn fetch_log(member: Arc<Member>, source: IpAddr) {
+    let client = match Client::builder().local_address(source).build() {
+        Ok(client) => client,
+        Err(error) => {
+            log::error!("member: no client for the primary's log: {error}");
+            return;
+        }
+    };
     loop {
         let (followed, position) = {
             let data = member.lock();
