Add deployments of stand-ins for tests

Tests need whole deployments with ports that the kernel chooses and processes that can be killed, stopped and continued by name, and that leave nothing behind.

--- a/crates/testbed/src/bin/standin-member.rs
+++ b/crates/testbed/src/bin/standin-member.rs
@@ -5,12 +5,14 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use serde_json::json;
+use tanagerdeal_testbed::control::{end_with_input, end_with_input_flag};
 use tanagerdeal_testbed::member::{MemberIdentity, MemberOptions, start};
 use tanagerdeal_wire::{DomainName, EndpointName, GroupName};
 
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let matches = command().get_matches();
+    end_with_input(&matches);
     let addresses = start(options(&matches)?, text(&matches, "sql"), text(&matches, "api")).await?;
     println!("{}", json!({"sql": addresses.sql.to_string(), "api": addresses.api.to_string()}));
     std::future::pending().await
@@ -22,6 +24,7 @@
         Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u32))
     };
     Command::new("standin-member")
+        .arg(end_with_input_flag())
         .arg(required("group"))
         .arg(required("name"))
         .arg(required("domain"))
--- /dev/null
+++ b/crates/testbed/src/deployment.rs
@@ -0,0 +1,316 @@
+//! Deployments for tests: stand-ins and proxies as child processes of the test.
+
+mod control;
+mod hosts;
+mod members;
+mod plan;
+mod process;
+mod records;
+mod settings;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+use serde_json::json;
+use tanagerdeal_platform::PlatformClient;
+use tempfile::TempDir;
+
+pub use control::ControlClient;
+pub use hosts::HostNode;
+pub use members::MemberNode;
+pub use plan::{CustomerPlan, DeploymentPlan, DomainPlan, RoutePlan};
+pub use process::ChildProcess;
+
+use control::{printed_address, relay_sources};
+use process::program;
+use settings::FleetFiles;
+
+/// Longest wait for a condition of a deployment.
+const CONDITION_LIMIT: Duration = Duration::from_secs(30);
+
+/// Interval at which a condition is checked.
+const CONDITION_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Name under which the relay knows the platform.
+pub const PLATFORM_DOMAIN: &str = "platform";
+
+/// Why a deployment could not be started or changed.
+#[derive(Debug, thiserror::Error)]
+pub enum DeploymentError {
+    /// A process failed.
+    #[error("process {name}: {reason}")]
+    Process {
+        /// Its name.
+        name: String,
+        /// What happened.
+        reason: String,
+    },
+    /// A control API failed.
+    #[error("{path} of {address}: {reason}")]
+    Control {
+        /// Address of the listener.
+        address: SocketAddr,
+        /// Path of the call.
+        path: String,
+        /// What happened.
+        reason: String,
+    },
+    /// A file could not be written.
+    #[error("{}: {}", .0.display(), .1)]
+    File(PathBuf, io::Error),
+    /// A certificate could not be made.
+    #[error("certificate: {0}")]
+    Certificate(String),
+    /// The records could not be written.
+    #[error("records: {0}")]
+    Records(String),
+    /// A process or link of this name is not part of the deployment.
+    #[error("{0:?} is not part of the deployment")]
+    Unknown(String),
+    /// A condition was not met in time.
+    #[error("not met in time: {0}")]
+    Condition(String),
+}
+
+/// A running deployment; dropping it kills its processes and removes its files.
+pub struct Deployment {
+    plan: DeploymentPlan,
+    platform: ChildProcess,
+    platform_control: ControlClient,
+    platform_address: SocketAddr,
+    relay: ChildProcess,
+    relay_control: ControlClient,
+    members: BTreeMap<String, MemberNode>,
+    hosts: BTreeMap<String, HostNode>,
+    files: FleetFiles,
+    directory: TempDir,
+}
+
+impl Deployment {
+    /// Starts the platform, the relay and the members, and writes the records. Hosts are started by
+    /// [`Deployment::start_hosts`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start or the records cannot be written.
+    ///
+    /// ```no_run
+    /// use tanagerdeal_testbed::deployment::{Deployment, DeploymentPlan};
+    ///
+    /// # async fn example() -> Result<(), tanagerdeal_testbed::deployment::DeploymentError> {
+    /// let mut deployment = Deployment::start(DeploymentPlan::small()).await?;
+    /// deployment.start_hosts().await?;
+    /// deployment.kill("orders-1-a").await
+    /// # }
+    /// ```
+    pub async fn start(plan: DeploymentPlan) -> Result<Self, DeploymentError> {
+        let directory =
+            TempDir::new().map_err(|error| DeploymentError::File(std::env::temp_dir(), error))?;
+        let files = FleetFiles::create(directory.path())?;
+        let (platform, platform_control) =
+            start_listener("standin-platform", "address", directory.path()).await?;
+        let (relay, relay_control) =
+            start_listener("link-relay", "control", directory.path()).await?;
+        relay_control.post("/control/sources", &relay_sources(&plan.domains)).await?;
+        let mut deployment = Self {
+            platform_address: platform_control.address(),
+            plan,
+            platform,
+            platform_control,
+            relay,
+            relay_control,
+            members: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            files,
+            directory,
+        };
+        if deployment.plan.relayed {
+            let target = deployment.platform_address;
+            deployment.platform_address =
+                deployment.open_relayed("tcp", target, PLATFORM_DOMAIN).await?;
+            deployment.set_domain_delays().await?;
+        }
+        deployment.start_members().await?;
+        deployment.write_records().await?;
+        Ok(deployment)
+    }
+
+    /// The plan.
+    pub fn plan(&self) -> &DeploymentPlan {
+        &self.plan
+    }
+
+    /// Directory of the logs and settings.
+    pub fn directory(&self) -> &Path {
+        self.directory.path()
+    }
+
+    /// Control API of the platform.
+    pub fn platform(&self) -> &ControlClient {
+        &self.platform_control
+    }
+
+    /// Control API of the relay.
+    pub fn relay(&self) -> &ControlClient {
+        &self.relay_control
+    }
+
+    /// Client with which operators call the platform, past the relay.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the HTTP client cannot be made.
+    pub fn operator(&self) -> Result<PlatformClient, DeploymentError> {
+        let address = self.platform_control.address().to_string();
+        PlatformClient::new(&address, "operator", "operator", Duration::from_secs(2))
+            .map_err(|error| DeploymentError::Records(error.to_string()))
+    }
+
+    /// Password with which a customer connects to a host.
+    pub fn password(&self, customer: &str) -> String {
+        records::password(customer)
+    }
+
+    /// Name of the key record of a customer.
+    pub fn key_name(&self, customer: &str) -> String {
+        records::key_name(customer)
+    }
+
+    /// Kills a process of the deployment and waits until it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such process.
+    pub async fn kill(&mut self, name: &str) -> Result<(), DeploymentError> {
+        self.process_mut(name)?.kill().await
+    }
+
+    /// Stops a process without ending it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such process or it has ended.
+    pub fn pause(&self, name: &str) -> Result<(), DeploymentError> {
+        self.process(name)?.signal(Signal::STOP)
+    }
+
+    /// Continues a stopped process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such process or it has ended.
+    pub fn resume(&self, name: &str) -> Result<(), DeploymentError> {
+        self.process(name)?.signal(Signal::CONT)
+    }
+
+    /// Asks a process to shut down.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such process or it has ended.
+    pub fn terminate(&self, name: &str) -> Result<(), DeploymentError> {
+        self.process(name)?.signal(Signal::TERM)
+    }
+
+    /// Cuts or heals both directions between two failure domains; [`PLATFORM_DOMAIN`] is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the deployment is not relayed.
+    pub async fn cut(&self, one: &str, other: &str, cut: bool) -> Result<(), DeploymentError> {
+        if !self.plan.relayed {
+            return Err(DeploymentError::Unknown(format!("link {one} {other}")));
+        }
+        let delay = self.plan.domain_delay_us;
+        let rules = [(one, other), (other, one)].map(|(from, to)| {
+            let delay = if from == to { 0 } else { delay };
+            json!({"from": from, "to": to, "delay_us": delay, "cut": cut})
+        });
+        self.relay_control.post("/control/links", &rules).await.map(|_| ())
+    }
+
+    /// Process of a name: `standin-platform`, `link-relay`, a member or a host.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such process.
+    pub fn process(&self, name: &str) -> Result<&ChildProcess, DeploymentError> {
+        let member = self.members.get(name).map(|member| &member.process);
+        let host = self.hosts.get(name).map(|host| &host.process);
+        let own = [&self.platform, &self.relay].into_iter().find(|own| own.name() == name);
+        member.or(host).or(own).ok_or_else(|| DeploymentError::Unknown(name.to_owned()))
+    }
+
+    fn process_mut(&mut self, name: &str) -> Result<&mut ChildProcess, DeploymentError> {
+        let member = self.members.get_mut(name).map(|member| &mut member.process);
+        let host = self.hosts.get_mut(name).map(|host| &mut host.process);
+        let own = [&mut self.platform, &mut self.relay].into_iter().find(|own| own.name() == name);
+        member.or(host).or(own).ok_or_else(|| DeploymentError::Unknown(name.to_owned()))
+    }
+
+    /// Opens a port of the relay that leads to a target in a failure domain.
+    async fn open_relayed(
+        &self,
+        protocol: &str,
+        target: SocketAddr,
+        domain: &str,
+    ) -> Result<SocketAddr, DeploymentError> {
+        let body = json!({
+            "protocol": protocol, "listen": "127.0.0.1:0", "target": target, "domain": domain,
+        });
+        printed_address(&self.relay_control.post("/control/ports", &body).await?, "address")
+    }
+
+    async fn set_domain_delays(&self) -> Result<(), DeploymentError> {
+        let names: Vec<&str> = self.plan.domains.iter().map(|domain| &*domain.name).collect();
+        let delay = self.plan.domain_delay_us;
+        let pairs = names.iter().flat_map(|from| names.iter().map(move |to| (from, to)));
+        let rules = pairs.filter(|(from, to)| from != to);
+        let rules = rules.map(|(from, to)| json!({"from": from, "to": to, "delay_us": delay}));
+        let rules: Vec<_> = rules.collect();
+        self.relay_control.post("/control/links", &rules).await.map(|_| ())
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Errors
+///
+/// Fails when it does not hold in time, or when checking it fails.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")] async fn main() {
+/// use tanagerdeal_testbed::deployment::wait_until;
+///
+/// wait_until("nothing", async || Ok(true)).await.unwrap();
+/// # }
+/// ```
+pub async fn wait_until(
+    what: &str,
+    mut condition: impl AsyncFnMut() -> Result<bool, DeploymentError>,
+) -> Result<(), DeploymentError> {
+    let deadline = Instant::now() + CONDITION_LIMIT;
+    while !condition().await? {
+        if Instant::now() > deadline {
+            return Err(DeploymentError::Condition(what.to_owned()));
+        }
+        tokio::time::sleep(CONDITION_INTERVAL).await;
+    }
+    Ok(())
+}
+
+/// Starts a stand-in with one listener.
+async fn start_listener(
+    name: &str,
+    printed: &str,
+    directory: &Path,
+) -> Result<(ChildProcess, ControlClient), DeploymentError> {
+    let arguments = ["--end-with-input".to_owned()];
+    let (process, line) =
+        ChildProcess::announce(&program(name)?, &arguments, name, directory).await?;
+    Ok((process, ControlClient::new(printed_address(&line, printed)?)))
+}
--- /dev/null
+++ b/crates/testbed/src/deployment/hosts.rs
@@ -0,0 +1,126 @@
+//! The hosts of a deployment.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::time::Duration;
+
+use super::process::program;
+use super::settings::HostSettings;
+use super::{ChildProcess, ControlClient, Deployment, DeploymentError, wait_until};
+
+/// A host: one proxy process.
+pub struct HostNode {
+    /// Its name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Listener for callers.
+    pub caller: SocketAddr,
+    /// Admin listener.
+    pub admin: ControlClient,
+    pub(super) process: ChildProcess,
+}
+
+impl Deployment {
+    /// Hosts by name.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostNode> {
+        self.hosts.values()
+    }
+
+    /// Host of a name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such host.
+    pub fn host(&self, name: &str) -> Result<&HostNode, DeploymentError> {
+        self.hosts.get(name).ok_or_else(|| DeploymentError::Unknown(name.to_owned()))
+    }
+
+    /// Starts all hosts and waits until each is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a host does not start or does not become ready in time.
+    pub async fn start_hosts(&mut self) -> Result<(), DeploymentError> {
+        for (name, domain) in self.plan.host_names() {
+            self.start_host(&name, domain).await?;
+        }
+        for host in self.hosts.values() {
+            wait_until(&format!("{} is ready", host.name), async || Ok(host.is_ready().await))
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Starts, or starts again, one host in the failure domain of an index.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub async fn start_host(&mut self, name: &str, domain: usize) -> Result<(), DeploymentError> {
+        let place = &self.plan.domains[domain];
+        let peer = free_udp_port(&place.address)?;
+        let advertised_peer = match self.plan.relayed {
+            true => self.open_relayed("udp", peer, &place.name).await?,
+            false => peer,
+        };
+        let settings = HostSettings {
+            name: name.to_owned(),
+            domain: place.name.clone(),
+            caller: free_tcp_port(&place.address)?,
+            peer,
+            advertised_peer,
+            admin: free_tcp_port(&place.address)?,
+            platform: self.platform_address,
+        };
+        let path = self.files.write_host(&settings)?;
+        let arguments = ["--settings".to_owned(), path.display().to_string()];
+        let process =
+            ChildProcess::start(&program("tanagerdeal")?, &arguments, name, self.directory())?;
+        let node = HostNode {
+            name: name.to_owned(),
+            domain: place.name.clone(),
+            caller: settings.caller,
+            admin: ControlClient::new(settings.admin),
+            process,
+        };
+        self.hosts.insert(name.to_owned(), node);
+        Ok(())
+    }
+
+    /// Waits until a host has ended by itself and returns its exit code.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such host or it does not end in time.
+    pub async fn wait_host(
+        &mut self,
+        name: &str,
+        limit: Duration,
+    ) -> Result<Option<i32>, DeploymentError> {
+        self.process_mut(name)?.wait(limit).await
+    }
+}
+
+impl HostNode {
+    /// Whether the host takes new sessions.
+    pub async fn is_ready(&self) -> bool {
+        self.admin.succeeds("/ready").await
+    }
+}
+
+/// A port that was free a moment ago; the kernel does not hand it out again soon.
+fn free_tcp_port(address: &str) -> Result<SocketAddr, DeploymentError> {
+    let listener = TcpListener::bind(format!("{address}:0"));
+    let bound = listener.and_then(|listener| listener.local_addr());
+    bound.map_err(|error| port_error(address, &error))
+}
+
+fn free_udp_port(address: &str) -> Result<SocketAddr, DeploymentError> {
+    let socket = UdpSocket::bind(format!("{address}:0"));
+    let bound = socket.and_then(|socket| socket.local_addr());
+    bound.map_err(|error| port_error(address, &error))
+}
+
+fn port_error(address: &str, error: &std::io::Error) -> DeploymentError {
+    DeploymentError::Process { name: address.to_owned(), reason: error.to_string() }
+}
--- /dev/null
+++ b/crates/testbed/src/deployment/members.rs
@@ -0,0 +1,201 @@
+//! The members of a deployment.
+
+use std::net::SocketAddr;
+
+use serde_json::json;
+use tanagerdeal_wire::member::{MemberRole, MemberStatus};
+use tanagerdeal_wire::record::{GroupRecord, MemberRecord, ServiceRecord};
+use tanagerdeal_wire::{DomainName, EndpointName, GroupName};
+use tokio_postgres::{Client, NoTls};
+
+use super::control::printed_address;
+use super::process::program;
+use super::{ChildProcess, ControlClient, Deployment, DeploymentError, records, wait_until};
+
+/// A member of a group.
+pub struct MemberNode {
+    /// Its name.
+    pub name: String,
+    /// Its group.
+    pub group: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Control API and member API, past the relay.
+    pub control: ControlClient,
+    /// PostgreSQL listener, past the relay.
+    pub sql: SocketAddr,
+    /// Addresses in the records: PostgreSQL listener and member API.
+    published: [SocketAddr; 2],
+    pub(super) process: ChildProcess,
+}
+
+impl MemberNode {
+    /// Status of the member.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the member does not answer.
+    pub async fn status(&self) -> Result<MemberStatus, DeploymentError> {
+        self.control.get("/v1/status").await
+    }
+}
+
+impl Deployment {
+    /// Members by name.
+    pub fn members(&self) -> impl Iterator<Item = &MemberNode> {
+        self.members.values()
+    }
+
+    /// Member of a name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such member.
+    pub fn member(&self, name: &str) -> Result<&MemberNode, DeploymentError> {
+        self.members.get(name).ok_or_else(|| DeploymentError::Unknown(name.to_owned()))
+    }
+
+    /// Connects to a member with the service's credentials, past the proxies.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the member refuses.
+    pub async fn connect_member(&self, name: &str) -> Result<Client, DeploymentError> {
+        let failed = |reason: String| DeploymentError::Process { name: name.to_owned(), reason };
+        let password = std::fs::read_to_string(self.files.service_password_file())
+            .map_err(|error| failed(error.to_string()))?;
+        let address = self.member(name)?.sql;
+        let mut config = tokio_postgres::Config::new();
+        config.host(address.ip().to_string()).port(address.port());
+        config.user("tanagerdeal").password(password).dbname(&self.plan.service);
+        let connected = config.connect(NoTls).await;
+        let (client, connection) = connected.map_err(|error| failed(error.to_string()))?;
+        tokio::spawn(connection);
+        Ok(client)
+    }
+
+    /// Member that calls itself primary in the highest term, among those that answer.
+    pub async fn primary_of(&self, group: &str) -> Option<String> {
+        let mut newest = None;
+        for member in self.members.values().filter(|member| member.group == group) {
+            if let Ok(status) = member.status().await
+                && status.role == MemberRole::Primary
+            {
+                newest = newest.max(Some((status.promised_term, member.name.clone())));
+            }
+        }
+        newest.map(|(_, name)| name)
+    }
+
+    pub(super) async fn start_members(&mut self) -> Result<(), DeploymentError> {
+        for group in self.plan.group_names() {
+            let mut names = Vec::new();
+            for domain in 0..self.plan.domains.len() {
+                let member = self.start_member(&group, domain).await?;
+                names.push(member.name.clone());
+                self.members.insert(member.name.clone(), member);
+            }
+            self.form_group(&names).await?;
+        }
+        Ok(())
+    }
+
+    async fn start_member(
+        &self,
+        group: &str,
+        domain: usize,
+    ) -> Result<MemberNode, DeploymentError> {
+        let plan = &self.plan;
+        let (name, place) = (plan.member_name(group, domain), &plan.domains[domain]);
+        let listen = format!("{}:0", place.address);
+        let password = self.files.service_password_file().display().to_string();
+        let (slots, connections) = (plan.slots.to_string(), plan.connections.to_string());
+        let (connect, service) = (plan.connect_ms.to_string(), plan.service_ms.to_string());
+        let mut arguments: Vec<String> = [
+            ("--group", group),
+            ("--name", &name),
+            ("--domain", &place.name),
+            ("--sql", &listen),
+            ("--api", &listen),
+            ("--service-password-file", &password),
+            ("--slots", &slots),
+            ("--connections", &connections),
+            ("--connect-ms", &connect),
+            ("--service-ms", &service),
+        ]
+        .iter()
+        .flat_map(|(flag, value)| [(*flag).to_owned(), (*value).to_owned()])
+        .collect();
+        arguments.push("--end-with-input".to_owned());
+        if domain == 0 {
+            arguments.extend(["--primary-of-term".to_owned(), "1".to_owned()]);
+        }
+        let program = program("standin-member")?;
+        let (process, line) =
+            ChildProcess::announce(&program, &arguments, &name, self.directory()).await?;
+        let (sql, api) = (printed_address(&line, "sql")?, printed_address(&line, "api")?);
+        let published = match plan.relayed {
+            true => [
+                self.open_relayed("tcp", sql, &place.name).await?,
+                self.open_relayed("tcp", api, &place.name).await?,
+            ],
+            false => [sql, api],
+        };
+        Ok(MemberNode {
+            name,
+            group: group.to_owned(),
+            domain: place.name.clone(),
+            control: ControlClient::new(api),
+            sql,
+            published,
+            process,
+        })
+    }
+
+    /// Makes the replicas follow the first member, creates the tables and waits for the replicas.
+    async fn form_group(&self, names: &[String]) -> Result<(), DeploymentError> {
+        let [primary, replicas @ ..] = names else { return Ok(()) };
+        let primary = self.member(primary)?;
+        let follow = json!({
+            "term": 1, "primary": primary.name, "primary_api": primary.published[1].to_string(),
+        });
+        for replica in replicas {
+            self.member(replica)?.control.post("/v1/follow", &follow).await?;
+        }
+        let client = self.connect_member(&primary.name).await?;
+        for table in &self.plan.tables {
+            let created = client.batch_execute(table).await;
+            created.map_err(|error| DeploymentError::Records(error.to_string()))?;
+        }
+        let position = primary.status().await?.applied;
+        for replica in replicas {
+            let replica = self.member(replica)?;
+            let caught_up = async || Ok(replica.status().await?.applied == position);
+            wait_until("replicas have the tables", caught_up).await?;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn write_records(&self) -> Result<(), DeploymentError> {
+        let invalid =
+            |error: tanagerdeal_wire::name::NameError| DeploymentError::Records(error.to_string());
+        let mut groups = Vec::new();
+        for group in self.plan.group_names() {
+            let mut members = Vec::new();
+            for member in self.members.values().filter(|member| member.group == group) {
+                members.push(MemberRecord {
+                    endpoint: EndpointName::new(&member.name).map_err(invalid)?,
+                    domain: DomainName::new(&member.domain).map_err(invalid)?,
+                    sql_address: member.published[0].to_string(),
+                    api_address: member.published[1].to_string(),
+                    connections: self.plan.connections,
+                    slots: self.plan.slots,
+                });
+            }
+            groups.push(GroupRecord { group: GroupName::new(&group).map_err(invalid)?, members });
+        }
+        let txn = records::initial_records(&self.plan, &ServiceRecord { groups });
+        let written = self.operator()?.transact(&txn).await;
+        written.map(|_| ()).map_err(|error| DeploymentError::Records(error.to_string()))
+    }
+}
