--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,2 +1,7 @@
-//! placeholder
-fn main() {}
+//! The proxy process.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    tanagerdeal::command::execute(std::env::args_os())
+}
