End split promotions at once, and ask members again before one starts

A promotion now fails as soon as the reachable members cannot give a majority, and it starts only when a majority answered a probe sent after the agreement. A primary that restarts without its state is suspected too.

--- a/crates/core/src/failover/promotion.rs
+++ b/crates/core/src/failover/promotion.rs
@@ -111,13 +111,18 @@
         answers >= reachable || now >= granted_at + STRAGGLER_WAIT
     }
 
-    /// Whether the phase has failed: refused by too many, or too late.
-    pub(crate) fn is_failed(&self, now: Instant, members: usize, majority: usize) -> bool {
+    /// Whether the phase has failed: refused by too many of the reachable members, or too late.
+    ///
+    /// Two promoters that start at once may split the members; neither waits for one that is down.
+    pub(crate) fn is_failed(&self, now: Instant, majority: usize, reachable: usize) -> bool {
         let elapsed = now.saturating_duration_since(self.phase_since);
         match self.phase {
             PromotionPhase::Promoting { .. } => elapsed >= TAKEOVER_LIMIT,
             PromotionPhase::Fencing => {
-                self.refusals.len() > members - majority || elapsed >= FENCE_LIMIT
+                let is_split = !self.refusals.is_empty()
+                    && self.refusals.len() + majority > reachable
+                    && self.grants.len() < majority;
+                is_split || elapsed >= FENCE_LIMIT
             }
             _ => !self.refusals.is_empty(),
         }
--- a/crates/core/src/host/groups.rs
+++ b/crates/core/src/host/groups.rs
@@ -123,9 +123,7 @@
         let is_news = term > group.term || (term == group.term && group.primary.is_none());
         if is_news && primary.is_some() {
             group.set_primary(now, term, primary);
-            for member in group.members.clone() {
-                state.endpoints.members[member].probe.is_wanted = true;
-            }
+            state.endpoints.want_probes(key);
         }
     }
 }
--- a/crates/core/src/host/groups/promote.rs
+++ b/crates/core/src/host/groups/promote.rs
@@ -15,7 +15,7 @@
 /// Longest time for running statements to finish before a planned switchover, and for the target to
 /// catch up after the old primary was fenced; together with the fence they stay below 2 s.
 const SETTLE_LIMIT: Duration = Duration::from_millis(1_400);
-const CATCH_UP_LIMIT: Duration = Duration::from_millis(400);
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(200);
 
 /// Time by which the first adoption of a catalog change may precede the last, in addition to the
 /// interval at which relays read the change feed.
@@ -35,11 +35,9 @@
     outputs: &mut Vec<HostOutput>,
 ) {
     let Some(mut promotion) = state.failovers.watch(key).promotion.take() else { return };
-    let (members, majority) = match state.endpoints.groups.get(key) {
-        Some(group) => (group.members.len(), group.majority()),
-        None => return,
-    };
-    if is_overtaken(state, key, &promotion) || promotion.is_failed(now, members, majority) {
+    let Some(group) = state.endpoints.groups.get(key) else { return };
+    let (majority, reachable) = (group.majority(), state.endpoints.count_reachable(now, group));
+    if is_overtaken(state, key, &promotion) || promotion.is_failed(now, majority, reachable) {
         stop(state, now, key, &promotion);
         return;
     }
--- a/crates/core/src/host/groups/tests/failover.rs
+++ b/crates/core/src/host/groups/tests/failover.rs
@@ -41,6 +41,26 @@
     }
 }
 
+/// Guards against a primary that restarts without its state before it is suspected, answers probes
+/// and is therefore never replaced; and against the promotion of its empty log.
+#[gtest]
+fn primary_that_restarts_empty_is_replaced() {
+    let mut world = started(9, 2);
+    for _ in 0..10 {
+        world.write(1);
+        world.run(Duration::from_millis(40));
+    }
+    world.members[0].forget();
+    let took = world.run_until(secs(9), |world| {
+        (0..9).all(|host| world.primary(host).is_some_and(|primary| primary != 0))
+    });
+    assert_that!(took, some(le(secs(2))));
+    world.run(secs(2));
+    assert_that!(world.members[0].role, eq(MemberRole::Replica));
+    assert_that!(world.members[0].end(), eq(world.members[1].end()));
+    world.check_safety();
+}
+
 /// Guards against a second failure right after a failover that is not survived in time.
 #[gtest]
 fn second_failure_right_after_the_first_is_survived() {
--- a/crates/core/src/host/groups/tests/model.rs
+++ b/crates/core/src/host/groups/tests/model.rs
@@ -85,6 +85,7 @@
         if is_granted && self.role == MemberRole::Fenced {
             self.role = MemberRole::Primary;
             self.history.push(TermStart { term: request.term, offset: self.log.len() as u64 });
+            self.log.push((request.term, 0));
             self.applied = self.log.len();
         }
         is_granted
@@ -101,6 +102,13 @@
         is_granted
     }
 
+    /// Restarts without its state, as a member on a new machine does.
+    pub(super) fn forget(&mut self) {
+        let name = self.name.clone();
+        *self = Self { name, role: MemberRole::Fenced, promised: 0, follows: None, ..Self::new(0) };
+        self.history.clear();
+    }
+
     /// Appends an entry, when the member accepts writes.
     pub(super) fn write(&mut self, id: u64) -> Option<LogPosition> {
         if self.role != MemberRole::Primary {
@@ -117,7 +125,7 @@
             self.role == MemberRole::Replica && self.follows.as_ref() == Some(&source.name);
         // A primary of a newer term does not send to members that have not promised it.
         let is_current = source.history.last().is_some_and(|start| start.term == self.promised);
-        if !follows || !is_current || source.role == MemberRole::Replica {
+        if !follows || !is_current || source.role != MemberRole::Primary {
             return;
         }
         let shared = self.log.iter().zip(&source.log).take_while(|(left, right)| left == right);
--- a/crates/core/src/host/groups/watch.rs
+++ b/crates/core/src/host/groups/watch.rs
@@ -89,7 +89,7 @@
         None => has_quorum,
         Some(member) => member.view.as_ref().is_some_and(|view| {
             group.term_since.is_some_and(|since| view.asked_at >= since)
-                && view.status.promised_term == group.term
+                && view.status.promised_term <= group.term
                 && !member.is_primary_of(group.term)
         }),
     };
@@ -130,7 +130,11 @@
     };
     let watch = state.failovers.watch(key);
     let holds = watch.suspicion.is_some() && agrees;
+    let is_news = holds && watch.agreed_since.is_none();
     hold_since(&mut watch.agreed_since, now, holds);
+    if is_news {
+        state.endpoints.want_probes(key);
+    }
 }
 
 /// Why this host has to start a promotion now, if it has to.
@@ -161,7 +165,9 @@
         return passed(Some(since), wait).then_some(PromotionReason::Unfinished);
     }
     let failed_wait = timing.promote_step * rank(&view.suspects);
-    if !is_paused && passed(watch.agreed_since, failed_wait) {
+    // Answers asked for after the agreement show whether another host has begun meanwhile.
+    let is_asked = state.endpoints.heard_at(group) >= watch.agreed_since;
+    if !is_paused && is_asked && passed(watch.agreed_since, failed_wait) {
         return Some(PromotionReason::Failed);
     }
     let planned_wait = SWITCHOVER_STEP * rank(&view.hosts);
--- a/crates/core/src/routing/observe.rs
+++ b/crates/core/src/routing/observe.rs
@@ -105,6 +105,13 @@
         }
     }
 
+    /// Has the members of a group probed at the next run of the systems.
+    pub(crate) fn want_probes(&mut self, group: GroupKey) {
+        for member in self.members.values_mut().filter(|member| member.group == group) {
+            member.probe.is_wanted = true;
+        }
+    }
+
     /// Moves the start of unanswered probes, for a time in which this host did not run.
     pub(crate) fn shift_silence(&mut self, shift: impl Fn(Instant) -> Instant) {
         for member in self.members.values_mut() {
