--- a/crates/core/src/failover/tests.rs
+++ b/crates/core/src/failover/tests.rs
@@ -1,1 +1,91 @@
-//! Tests.
+//! Tests of agreement and hysteresis.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use tanagerdeal_wire::{DomainName, HostName};
+
+use super::{GroupWatch, PeerView, is_agreed};
+
+fn domain(name: &str) -> DomainName {
+    DomainName::new(name).unwrap()
+}
+
+/// Hosts `<domain><number>`, of which those in capitals suspect the primary.
+fn view(hosts: &[&str]) -> PeerView {
+    let entry = |host: &str| {
+        let name = host.to_lowercase();
+        (HostName::new(&name).unwrap(), domain(&name[..1]))
+    };
+    let suspects = hosts.iter().filter(|host| host.starts_with(char::is_uppercase));
+    PeerView {
+        hosts: hosts.iter().map(|host| entry(host)).collect(),
+        suspects: suspects.map(|host| entry(host)).collect(),
+    }
+}
+
+fn agreed(member_domains: &[&str], hosts: &[&str]) -> bool {
+    let domains: Vec<_> = member_domains.iter().map(|name| domain(name)).collect();
+    let domains: BTreeSet<_> = domains.iter().collect();
+    is_agreed(&domain("a"), &view(hosts), &domains)
+}
+
+/// Guards against a failover on the word of one failure domain, and against one that needs a host
+/// of the failure domain that was lost with the primary.
+#[gtest]
+fn majority_of_the_members_domains_must_agree() {
+    let members = ["a", "b", "c"];
+    assert_that!(agreed(&members, &["B1", "c1"]), eq(true));
+    assert_that!(agreed(&members, &["b1", "c1"]), eq(false));
+    assert_that!(agreed(&members, &["A2", "A3", "b1", "c1"]), eq(false));
+    assert_that!(agreed(&members, &["B1"]), eq(true), "failure domain c is not heard from");
+    assert_that!(agreed(&members, &[]), eq(false), "alone in one of three failure domains");
+}
+
+/// Guards against single hosts with bad links that speak for their failure domains.
+#[gtest]
+fn failure_domain_agrees_when_half_of_its_hosts_do() {
+    let members = ["a", "b", "c"];
+    assert_that!(agreed(&members, &["B1", "b2", "b3", "c1", "c2"]), eq(false));
+    assert_that!(agreed(&members, &["B1", "B2", "b3", "c1", "c2"]), eq(true));
+    assert_that!(agreed(&members, &["a2", "a3", "B1", "B2", "c1"]), eq(false), "a: one of three");
+}
+
+/// Guards against a group that cannot fail over because hosts are missing where its members are.
+#[gtest]
+fn all_domains_heard_from_may_agree_instead() {
+    assert_that!(agreed(&["x", "y", "z"], &["B1", "C1", "D1"]), eq(true));
+    assert_that!(agreed(&["x", "y", "z"], &["B1", "C1"]), eq(false), "3 of 6 failure domains");
+}
+
+/// Guards against a suspicion that is raised and cleared on every second lost packet.
+#[gtest]
+fn suspicion_is_cleared_by_three_probes_only() {
+    let start = Instant::now();
+    let interval = Duration::from_millis(250);
+    let at = |step: u32| start + interval * step;
+    let mut watch = GroupWatch::default();
+    watch.judge(start, 1, true, None, interval);
+    for (step, is_failed, holds) in [
+        (1, false, true),
+        (2, false, true),
+        (3, true, true),
+        (4, false, true),
+        (5, false, true),
+        (6, false, false),
+    ] {
+        watch.judge(at(step), 1, is_failed, Some(at(step)), interval);
+        assert_that!(watch.suspicion.is_some(), eq(holds), "step {step}");
+    }
+}
+
+/// Guards against a suspicion that outlives the primary it was about.
+#[gtest]
+fn suspicion_ends_with_its_term() {
+    let now = Instant::now();
+    let mut watch = GroupWatch::default();
+    watch.judge(now, 1, true, None, Duration::ZERO);
+    watch.judge(now, 2, false, None, Duration::ZERO);
+    assert_that!(watch.suspicion.is_some(), eq(false));
+}
