--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -9,7 +9,7 @@
 use slotmap::SlotMap;
 use tanagerdeal_wire::peer::{PeerRequest, PeerState};
 use tanagerdeal_wire::platform::{HostEntry, HostList, HostPhase};
-use tanagerdeal_wire::{DomainName, HostName, value_type};
+use tanagerdeal_wire::{DomainName, GroupName, HostName, value_type};
 
 use crate::message::{HostOutput, PeerCallKey};
 
@@ -135,6 +135,26 @@
         })
     }
 
+    /// Other hosts that were heard of recently and are not leaving, with their failure domains.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = (&HostName, &DomainName)> {
+        self.others(now).map(|(name, host)| (name, &host.domain))
+    }
+
+    /// Hosts among [`HostTable::heard`] that suspect the primary of a group in a term.
+    pub fn suspicions(
+        &self,
+        now: Instant,
+        group: &GroupName,
+        term: u64,
+    ) -> impl Iterator<Item = (&HostName, &DomainName)> {
+        let suspects = move |host: &KnownHost| {
+            let mut all = host.state.iter().flat_map(|state| &state.suspicions);
+            all.any(|suspicion| suspicion.group == *group && suspicion.term == term)
+        };
+        let others = self.others(now).filter(move |(_, host)| suspects(host));
+        others.map(|(name, host)| (name, &host.domain))
+    }
+
     /// Whether a host was heard of recently, or, if never heard of, is in the platform's list.
     pub fn is_heard(&self, now: Instant, host: &KnownHost) -> bool {
         let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
--- /dev/null
+++ b/crates/proxy/src/endpoint.rs
@@ -0,0 +1,12 @@
+//! Connections to endpoints and the pools that hold them.
+
+mod connection;
+mod login;
+mod pool;
+mod prepared;
+
+pub(crate) use connection::field_of;
+pub use connection::{CancelTarget, ConnectionError, EndpointConnection, HiddenReply};
+pub use login::EndpointLogin;
+pub use pool::{ConnectionLease, PoolError, PoolSet};
+pub use prepared::{PreparedStatement, PreparedTable};
