--- a/crates/core/src/schedule/tests.rs
+++ b/crates/core/src/schedule/tests.rs
@@ -1,1 +1,240 @@
 //! Tests of the order of service.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use slotmap::{Key as _, KeyData};
+use tanagerdeal_wire::CustomerName;
+
+use super::{QueueEntry, QueuePass, QueueTable, QueueTicket, WorkLane};
+use crate::message::{EndpointKey, GroupKey, SessionKey};
+use crate::profile::SchedulerPolicy;
+
+const FAIR: SchedulerPolicy = SchedulerPolicy::Fair;
+
+fn customer(name: &str) -> CustomerName {
+    CustomerName::new(name).unwrap()
+}
+
+fn session(number: u64) -> SessionKey {
+    SessionKey::from(KeyData::from_ffi(number | 1 << 32))
+}
+
+fn endpoint() -> EndpointKey {
+    EndpointKey::from(KeyData::from_ffi(1 | 1 << 32))
+}
+
+fn group() -> GroupKey {
+    GroupKey::from(KeyData::from_ffi(1 | 1 << 32))
+}
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+struct Line {
+    now: Instant,
+    policy: SchedulerPolicy,
+    queues: QueueTable,
+    added: u64,
+}
+
+impl Line {
+    fn new(policy: SchedulerPolicy) -> Self {
+        Self { now: Instant::now(), policy, queues: QueueTable::default(), added: 0 }
+    }
+
+    fn add(&mut self, name: &str, weight: u32, worth: u32, deadline: Duration) -> QueueTicket {
+        self.added += 1;
+        let entry = QueueEntry {
+            session: session(self.added),
+            account: customer(name),
+            lane: WorkLane::Write,
+            deadline: self.now + deadline,
+            weight,
+            worth,
+        };
+        self.queues.enqueue(self.policy, group(), entry).unwrap()
+    }
+
+    fn serve(&mut self) -> Option<String> {
+        let pass = QueuePass::default();
+        let (ticket, session) = self.queues.next(self.policy, group(), &pass)?;
+        assert!(!session.is_null());
+        self.queues.serve(self.now, &ticket);
+        Some(ticket.account.to_string())
+    }
+
+    fn serve_count(&mut self, count: usize) -> BTreeMap<String, usize> {
+        let mut served = BTreeMap::new();
+        for _ in 0..count {
+            *served.entry(self.serve().unwrap()).or_default() += 1;
+        }
+        served
+    }
+
+    fn wait(&self, name: &str) -> Duration {
+        let name = customer(name);
+        self.queues.expected_wait(self.policy, self.now, group(), &name, WorkLane::Write, 1)
+    }
+
+    /// Serves one request every 10 ms, so that this becomes the measured rate.
+    fn measure(&mut self, count: usize) {
+        self.queues.note_full(self.now, group(), WorkLane::Write);
+        for _ in 0..count {
+            self.now += millis(10);
+            self.serve();
+        }
+    }
+}
+
+/// Guards against a customer with a long queue that delays customers with short ones.
+#[gtest]
+fn service_follows_weights_not_queue_lengths() {
+    let mut line = Line::new(FAIR);
+    (0..600).for_each(|_| drop(line.add("large", 1, 1, millis(5_000))));
+    (0..60).for_each(|_| drop(line.add("double", 2, 1, millis(5_000))));
+    (0..60).for_each(|_| drop(line.add("small", 1, 1, millis(5_000))));
+    let served = line.serve_count(40);
+    let share = |name: &str| served.get(name).copied().unwrap_or(0);
+    expect_that!(share("large"), all!(ge(9), le(11)));
+    expect_that!(share("small"), all!(ge(9), le(11)));
+    expect_that!(share("double"), all!(ge(19), le(21)));
+}
+
+/// Guards against credit that a customer saves up while it sends nothing.
+#[gtest]
+fn an_idle_customer_saves_up_no_service() {
+    let mut line = Line::new(FAIR);
+    (0..300).for_each(|_| drop(line.add("steady", 1, 1, millis(5_000))));
+    line.serve_count(100);
+    (0..300).for_each(|_| drop(line.add("late", 1, 1, millis(5_000))));
+    let served = line.serve_count(40);
+    expect_that!(served.get("steady"), some(ge(&19)));
+}
+
+/// Guards against an arbitrary order among customers that are equally entitled.
+#[gtest]
+fn earlier_deadline_then_higher_worth_decides_between_equals() {
+    let mut line = Line::new(FAIR);
+    line.add("a", 1, 1, millis(300));
+    line.add("b", 1, 9, millis(200));
+    line.add("c", 1, 5, millis(300));
+    let order: Vec<String> = std::iter::from_fn(|| line.serve()).collect();
+    expect_that!(order, elements_are![eq("b"), eq("c"), eq("a")]);
+}
+
+/// Guards against a baseline that is fair and would hide the effect of fair queueing.
+#[gtest]
+fn the_baseline_serves_by_arrival() {
+    let mut line = Line::new(SchedulerPolicy::Fifo);
+    (0..5).for_each(|_| drop(line.add("large", 1, 1, millis(300))));
+    line.add("small", 100, 9, millis(200));
+    let served = line.serve_count(5);
+    expect_that!(served.get("large"), some(eq(&5)));
+}
+
+/// Guards against requests that wait until their deadline although it was clear that they would be
+/// late, and against refusing those of a customer within its share.
+#[gtest]
+fn late_requests_are_found_at_the_customer_over_its_share() {
+    let mut line = Line::new(FAIR);
+    (0..120).for_each(|_| drop(line.add("large", 1, 1, millis(1_000))));
+    line.measure(20);
+    (0..5).for_each(|_| drop(line.add("small", 1, 1, millis(500))));
+    let late = line.queues.late(FAIR, line.now);
+    expect_that!(late, not(is_empty()));
+    for (ticket, _, served_at) in &late {
+        expect_that!(ticket.account.as_str(), eq("large"));
+        expect_that!(*served_at, gt(line.now + millis(700)));
+    }
+    expect_that!(line.wait("large"), gt(millis(1_000)));
+    expect_that!(line.wait("small"), lt(millis(150)));
+    expect_that!(line.wait("other"), lt(millis(50)));
+}
+
+/// Guards against a failover that is measured as slow service, after which requests are refused
+/// although the new primary is fast.
+#[gtest]
+fn a_time_without_endpoint_does_not_count_as_service_time() {
+    let mut line = Line::new(FAIR);
+    (0..60).for_each(|_| drop(line.add("a", 1, 1, millis(9_000))));
+    line.measure(20);
+    line.queues.note_unroutable(group(), WorkLane::Write);
+    line.now += millis(4_000);
+    line.serve();
+    expect_that!(line.wait("a"), lt(millis(600)));
+}
+
+/// Guards against an endpoint that stops serving but is still taken for as fast as before.
+#[gtest]
+fn a_stall_lengthens_the_expected_wait_at_once() {
+    let mut line = Line::new(FAIR);
+    (0..60).for_each(|_| drop(line.add("a", 1, 1, millis(9_000))));
+    line.measure(20);
+    let before = line.wait("a");
+    line.now += millis(500);
+    expect_that!(before, lt(millis(600)));
+    expect_that!(line.wait("a"), gt(millis(9_000)));
+}
+
+/// Guards against work beyond the connections, or beyond what an endpoint serves without queueing.
+#[gtest]
+fn connections_and_latency_bound_the_work_in_flight() {
+    let now = Instant::now();
+    let mut queues = QueueTable::default();
+    expect_false!(queues.has_room(endpoint()));
+    queues.set_connections(endpoint(), 2);
+    for _ in 0..2 {
+        expect_true!(queues.has_room(endpoint()));
+        queues.hold(endpoint());
+        queues.begin(endpoint());
+    }
+    expect_false!(queues.has_room(endpoint()));
+    queues.set_connections(endpoint(), 100);
+    expect_true!(queues.has_room(endpoint()));
+    queues.end(now, endpoint(), WorkLane::Read, Some(millis(1)));
+    for step in 0..60 {
+        queues.begin(endpoint());
+        queues.end(now + millis(100 * step), endpoint(), WorkLane::Read, Some(millis(50)));
+    }
+    expect_false!(queues.has_room(endpoint()));
+}
+
+/// Guards against slow writes that are taken for an overload because reads are fast.
+#[gtest]
+fn latencies_of_reads_and_writes_are_not_compared() {
+    let now = Instant::now();
+    let mut queues = QueueTable::default();
+    queues.set_connections(endpoint(), 100);
+    for step in 0..60 {
+        let at = now + millis(100 * step);
+        for (lane, took) in [(WorkLane::Read, 1), (WorkLane::Write, 50)] {
+            queues.begin(endpoint());
+            queues.end(at, endpoint(), lane, Some(millis(took)));
+        }
+    }
+    queues.begin(endpoint());
+    expect_true!(queues.has_room(endpoint()));
+}
+
+/// Guards against queues that grow without bound, and against tickets that leave traces.
+#[gtest]
+fn queues_are_bounded_and_removal_is_complete() {
+    let mut line = Line::new(FAIR);
+    let tickets: Vec<_> =
+        (0..super::MAX_WAITING).map(|_| line.add("a", 1, 1, millis(100))).collect();
+    let entry = QueueEntry {
+        session: session(1),
+        account: customer("b"),
+        lane: WorkLane::Read,
+        deadline: line.now,
+        weight: 1,
+        worth: 1,
+    };
+    expect_that!(line.queues.enqueue(FAIR, group(), entry), none());
+    tickets.iter().for_each(|ticket| line.queues.remove(ticket));
+    expect_that!(line.queues.backlogged(), is_empty());
+    expect_that!(line.serve(), none());
+}
--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -3,6 +3,8 @@
 pub(crate) mod mark;
 pub(crate) mod placement;
 pub(crate) mod setting;
+#[cfg(test)]
+mod tests;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Instant;
--- a/crates/core/src/share/tests.rs
+++ b/crates/core/src/share/tests.rs
@@ -74,6 +74,19 @@
     expect_that!(lender.held(after(sent, 10_000), &rate()), eq(500_000));
 }
 
+/// Guards against a lender that fills its bucket, once a loan has come back, for the time during
+/// which the borrower filled its own.
+#[gtest]
+fn units_lent_fill_no_bucket_of_the_lender() {
+    let start = Instant::now();
+    let mut shares = table(start, 1, 0);
+    shares.set_rate(start, &customer(), CustomerRate { rate_per_s: 100, burst: 5_000 });
+    let loan = shares.lend(start, &request(rate(), 800_000));
+    expect_that!(loan.units, eq(800_000));
+    expect_that!(take_all(&mut shares, after(start, 11_000)), eq(220));
+    expect_that!(take_all(&mut shares, after(start, 12_000)), eq(100));
+}
+
 /// Guards against a holder that was paused beyond the end of its loan and its lease, and goes on
 /// with the tokens and the rate of both.
 #[gtest]
@@ -168,6 +181,21 @@
     }
 }
 
+/// Guards against a larger base share that fills a bucket for the time before it was in effect.
+#[gtest]
+fn a_raised_share_fills_from_then_on() {
+    let start = Instant::now();
+    let mut shares = table(start, 4, 0);
+    let later = after(start, 1_000);
+    shares.set_base(later, base(later, 1, 0));
+    // A second at a quarter of 100 requests a second, of which the capacity of 12.5 is kept.
+    expect_that!(take_all(&mut shares, later), eq(12));
+    let mut renewed = table(start, 4, 0);
+    renewed.set_rate(start, &customer(), CustomerRate { rate_per_s: 100, burst: 5_000 });
+    renewed.set_base(later, base(later, 1, 0));
+    expect_that!(take_all(&mut renewed, later), eq(25));
+}
+
 /// Guards against a share that is used by the host that left and by its heir.
 #[gtest]
 fn a_handed_over_share_is_gone() {
@@ -202,9 +230,11 @@
     /// changes of view in which the hosts together exceed a rate, a burst or a connection limit.
     #[test]
     fn hosts_together_never_exceed_rate_burst_and_connections(
+        burst in prop_oneof![Just(40), Just(400)],
         steps in prop::collection::vec(fleet::any_step(), 1..250),
     ) {
-        let mut fleet = FleetModel::new(4);
+        // A burst of 20 s of the rate is never full, so that every token too many shows.
+        let mut fleet = FleetModel::new(4, CustomerRate { rate_per_s: 20, burst });
         for step in steps {
             fleet.run(&step);
             fleet.check()?;
@@ -216,7 +246,7 @@
 /// hold for any code.
 #[gtest]
 fn the_model_lends_and_serves() {
-    let mut fleet = FleetModel::new(4);
+    let mut fleet = FleetModel::new(4, CustomerRate { rate_per_s: 20, burst: 40 });
     fleet.run(&FleetStep::Advance(10_000));
     fleet.run(&FleetStep::Ask { from: 1, to: 0, units: 200_000, is_rate: true });
     fleet.run(&FleetStep::Deliver(0));
--- a/crates/core/src/share/tests/fleet.rs
+++ b/crates/core/src/share/tests/fleet.rs
@@ -11,7 +11,6 @@
 use super::super::{BaseShare, ShareTable};
 use crate::limit::{CustomerRate, REQUEST_TOKENS};
 
-const RATE: CustomerRate = CustomerRate { rate_per_s: 20, burst: 40 };
 const CONNECTIONS: u32 = 21;
 const LOAN: Duration = Duration::from_secs(10);
 const LEASE: Duration = Duration::from_secs(20);
@@ -25,6 +24,8 @@
         host: usize,
         requests: u32,
     },
+    /// All hosts serve as many requests as they may, which shows any token too many.
+    TakeAll,
     /// A host asks another one for a loan.
     Ask {
         from: usize,
@@ -66,6 +67,7 @@
 /// Hosts, messages on their way, and an account of all requests served.
 pub(super) struct FleetModel {
     now: Instant,
+    rate: CustomerRate,
     hosts: Vec<HostModel>,
     messages: Vec<Message>,
     view: Vec<usize>,
@@ -83,6 +85,7 @@
         6 => prop_oneof![0..50u64, 0..3_000u64, 9_000..12_000u64].prop_map(FleetStep::Advance),
         6 => (host.clone(), 1..60u32)
             .prop_map(|(host, requests)| FleetStep::Take { host, requests }),
+        3 => Just(FleetStep::TakeAll),
         6 => (host.clone(), host.clone(), 1..700_000u64, any::<bool>()).prop_map(
             |(from, to, units, is_rate)| FleetStep::Ask { from, to, units, is_rate }
         ),
@@ -109,9 +112,9 @@
 }
 
 impl HostModel {
-    fn new(now: Instant, incarnation: u64) -> Self {
+    fn new(now: Instant, incarnation: u64, rate: CustomerRate) -> Self {
         let mut shares = ShareTable::default();
-        shares.set_rate(now, &customer(), RATE);
+        shares.set_rate(now, &customer(), rate);
         shares.note_connections(now, &endpoint(), CONNECTIONS, (0, 0));
         Self {
             shares,
@@ -125,15 +128,16 @@
 }
 
 impl FleetModel {
-    pub(super) fn new(count: usize) -> Self {
+    pub(super) fn new(count: usize, rate: CustomerRate) -> Self {
         let now = Instant::now();
         let mut fleet = Self {
             now,
-            hosts: (0..count).map(|_| HostModel::new(now, 1)).collect(),
+            hosts: (0..count).map(|_| HostModel::new(now, 1, rate)).collect(),
             messages: Vec::new(),
             view: (0..count).collect(),
             next_view: None,
-            tokens: u64::from(RATE.burst) * REQUEST_TOKENS,
+            tokens: u64::from(rate.burst) * REQUEST_TOKENS,
+            rate,
             filled_at: now,
             served: 0,
             is_overdrawn: false,
@@ -154,7 +158,13 @@
                 self.renew();
                 self.adopt_view();
             }
-            FleetStep::Take { host, requests } => (0..*requests).for_each(|_| self.serve(*host)),
+            FleetStep::Take { host, requests } => {
+                let served = (0..*requests).take_while(|_| self.serve(*host)).count();
+                self.served += served as u64;
+            }
+            FleetStep::TakeAll => {
+                (0..self.hosts.len()).for_each(|host| while self.serve(host) {});
+            }
             FleetStep::Ask { from, to, units, is_rate } if from != to => {
                 self.ask(*from, *to, *units, *is_rate);
             }
@@ -171,7 +181,7 @@
             FleetStep::Restart(host) => {
                 let old = &self.hosts[*host];
                 let lease_over = old.lease_over;
-                self.hosts[*host] = HostModel::new(self.now, old.incarnation + 1);
+                self.hosts[*host] = HostModel::new(self.now, old.incarnation + 1, self.rate);
                 self.hosts[*host].lease_over = lease_over;
             }
             FleetStep::ChangeView(bits) if self.next_view.is_none() => self.change_view(*bits),
@@ -271,20 +281,20 @@
         self.renew();
     }
 
-    fn serve(&mut self, host: usize) {
+    fn serve(&mut self, host: usize) -> bool {
         let now = self.now;
         self.hosts[host].shares.note_demand(now, &customer());
         if self.hosts[host].shares.take_token(now, &customer(), 0).is_err() {
-            return;
+            return false;
         }
-        self.served += 1;
         let passed = now.duration_since(self.filled_at).as_millis() as u64;
-        let fill = passed * u64::from(RATE.rate_per_s) * REQUEST_TOKENS / 1_000;
-        let full = u64::from(RATE.burst) * REQUEST_TOKENS;
+        let fill = passed * u64::from(self.rate.rate_per_s) * REQUEST_TOKENS / 1_000;
+        let full = u64::from(self.rate.burst) * REQUEST_TOKENS;
         self.filled_at = now;
         self.tokens = (self.tokens + fill).min(full);
         self.is_overdrawn |= self.tokens < REQUEST_TOKENS;
         self.tokens = self.tokens.saturating_sub(REQUEST_TOKENS);
+        true
     }
 
     fn ask(&mut self, from: usize, to: usize, units: u64, is_rate: bool) {
