--- /dev/null
+++ b/crates/core/src/host/groups/tests.rs
@@ -0,0 +1,8 @@
+//! Tests of groups: several cores around a model of the members.
+
+mod confirm;
+mod failover;
+mod model;
+mod random;
+mod switchover;
+mod world;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,5 +1,7 @@
 //! The proxy process.
 
-fn main() -> std::process::ExitCode {
-    std::process::ExitCode::SUCCESS
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    tanagerdeal::command::execute(std::env::args_os())
 }
