--- a/crates/proxy/src/caller/exchange.rs
+++ b/crates/proxy/src/caller/exchange.rs
@@ -17,6 +17,10 @@
 use crate::driver::DriverHandle;
 use crate::endpoint::{ConnectionError, ConnectionLease, field_of};
 
+/// Command tags of statements without a result, which have no position of their own.
+const WITHOUT_RESULT: [&str; 6] =
+    ["BEGIN", "START TRANSACTION", "COMMIT", "ROLLBACK", "SET", "RESET"];
+
 /// Why the reply to a request could not be completed; the endpoint connection must be closed.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum ExchangeFault {
@@ -61,6 +65,8 @@
     pub(super) tag: Option<String>,
     /// Last position reported.
     pub(super) position: Option<LogPosition>,
+    /// Highest position at which rows were read.
+    pub(super) seen: Option<LogPosition>,
     /// The reason for which rows were rejected; nothing of the reply has reached the client then.
     pub(super) rejected: Option<RequestRefusal>,
 }
@@ -217,27 +223,30 @@
                 _ => return Err(unexpected("the end of a result that was not asked for")),
             }
         }
-        // An empty result is as old as its snapshot, so it is checked like one with rows.
-        if frame.tag() != b'I' {
-            self.verify().await?;
-        }
+        let mut has_result = frame.tag() == b's';
         if let PgWireBackendMessage::CommandComplete(complete) =
             frame.clone().backend().map_err(ConnectionError::Codec)?
         {
+            has_result = !WITHOUT_RESULT.contains(&complete.tag.as_str());
             self.reply.tag = Some(complete.tag);
         }
+        // An empty result is as old as its snapshot, so it is checked like one with rows.
+        if has_result {
+            self.verify().await?;
+        }
         self.is_holding |= self.rules.holds_completion;
         self.pass(frame).await?;
-        self.has_result();
+        self.end_result();
         Ok(())
     }
 
     /// After the end of a result, the next one needs its own position.
-    fn has_result(&mut self) {
+    fn end_result(&mut self) {
         if self.expected.is_none() {
             self.has_ended = true;
         }
         self.is_verified = self.rules.required.is_none();
+        self.reply.position = self.reply.position.filter(|_| self.is_verified);
     }
 
     fn take_ready(&mut self, frame: Frame) -> Result<bool, ExchangeFault> {
@@ -298,7 +307,8 @@
         Ok(())
     }
 
-    /// Checks the reported position before anything of the result leaves.
+    /// Checks the reported position before anything of the result leaves. A result without a position
+    /// is checked as if it were older than everything.
     async fn verify(&mut self) -> Result<(), ExchangeFault> {
         let Some(required) = self.rules.required.filter(|_| !self.is_verified) else {
             return Ok(());
@@ -306,22 +316,17 @@
         if self.reply.rejected.is_some() {
             return Ok(());
         }
-        let is_covered = |position: LogPosition| {
-            position.term == required.term && position.offset >= required.offset
-        };
-        match self.reply.position {
-            Some(position) if is_covered(position) => {}
-            Some(position) => {
-                let call = CallerCall::CheckRead { dispatch: self.rules.dispatch, position };
-                match self.driver.call(call).await {
-                    CallerAnswer::ReadAccepted => {}
-                    CallerAnswer::Refused(refusal) => return self.reject(refusal),
-                    _ => return self.reject(no_position()),
-                }
+        let position = self.reply.position.unwrap_or_default();
+        let is_covered = position.term == required.term && position.offset >= required.offset;
+        if !is_covered {
+            let call = CallerCall::CheckRead { dispatch: self.rules.dispatch, position };
+            match self.driver.call(call).await {
+                CallerAnswer::ReadAccepted => {}
+                CallerAnswer::Refused(refusal) => return self.reject(refusal),
+                _ => return Err(unexpected("a result that could not be checked")),
             }
-            None if required == LogPosition::default() => {}
-            None => return self.reject(no_position()),
         }
+        self.reply.seen = self.reply.seen.max(Some(position));
         self.is_verified = true;
         self.release().await
     }
@@ -380,10 +385,6 @@
     ConnectionError::Unexpected(what).into()
 }
 
-fn no_position() -> RequestRefusal {
-    RequestRefusal::may_have_run("the endpoint reported no position with its result")
-}
-
 fn is_fatal(error: &ErrorResponse) -> bool {
     let severity = field_of(error, b'V').or_else(|| field_of(error, b'S'));
     matches!(severity, Some("FATAL" | "PANIC"))
--- a/crates/proxy/src/caller/request.rs
+++ b/crates/proxy/src/caller/request.rs
@@ -82,9 +82,7 @@
                 Ok(plan) => plan,
                 Err(PlaceFault::Refused(mut refusal)) => {
                     // What the core says of a further attempt must not hide an earlier one.
-                    if last.verdict != RunVerdict::NotRun {
-                        refusal.verdict = last.verdict;
-                    }
+                    refusal.verdict = refusal.verdict.max(last.verdict);
                     return self.refuse(&refusal, request.ends_with_sync).await;
                 }
                 Err(PlaceFault::Cancelled) => return self.refuse_cancelled(&request).await,
@@ -109,6 +107,13 @@
         request: &Request,
         plan: &DispatchPlan,
     ) -> Result<AttemptEnd, SessionEnd> {
+        let mode = RecordMode::of(plan, request, self.transaction.is_some());
+        if plan.record.is_some() && !mode.is_recorded() {
+            self.end(plan, RequestEnding::NotSent, false);
+            let message = "a request id needs a simple query or a batch that ends with Sync";
+            let refusal = RequestRefusal::not_run(RefusalCode::Unsupported, message);
+            return Ok(AttemptEnd::Refused(refusal));
+        }
         let mut lease = match self.connect(plan).await {
             Ok(lease) => lease,
             Err(error) => {
@@ -119,7 +124,7 @@
                 return Ok(AttemptEnd::Again(refusal));
             }
         };
-        let end = self.exchange(request, plan, &mut lease).await;
+        let end = self.exchange(request, plan, &mode, &mut lease).await;
         match end.result {
             Ok(RecordedReply::First(reply)) if reply.rejected.is_some() => {
                 Ok(self.reject(plan, lease, reply, end.was_cancelled))
@@ -143,10 +148,10 @@
         &mut self,
         request: &Request,
         plan: &DispatchPlan,
+        mode: &RecordMode<'_>,
         lease: &mut ConnectionLease,
     ) -> ExchangeEnd {
         let in_transaction = self.transaction.is_some();
-        let mode = RecordMode::of(plan, request, in_transaction);
         let commits = request.commits(self.transaction.as_ref());
         let rules = ExchangeRules {
             deadline: plan.deadline,
@@ -221,10 +226,9 @@
         reply: ExchangeReply,
         was_cancelled: bool,
     ) -> Result<AttemptEnd, SessionEnd> {
-        let ending = if reply.is_error { RequestEnding::Failed } else { RequestEnding::Answered };
         if reply.status != Some(TransactionStatus::Idle) {
             self.pin(request, plan, lease, &reply, was_cancelled);
-            self.end(plan, ending, true);
+            self.end_replied(plan, &reply, true);
             self.is_skipping = reply.is_error && !request.ends_with_sync;
             return self.finish(&reply, None).await;
         }
@@ -239,7 +243,7 @@
         }
         let wrote = request.writes || earlier.as_ref().is_some_and(|earlier| earlier.wrote);
         if !wrote || !has_committed {
-            self.end(plan, ending, false);
+            self.end_replied(plan, &reply, false);
             return self.finish(&reply, None).await;
         }
         let position = reply.position.or(earlier.and_then(|earlier| earlier.position));
@@ -385,10 +389,19 @@
         }
     }
 
-    /// Tells the core how a request ended.
+    /// Tells the core that a request ended with a complete reply.
+    fn end_replied(&self, plan: &DispatchPlan, reply: &ExchangeReply, in_transaction: bool) {
+        let ending = if reply.is_error { RequestEnding::Failed } else { RequestEnding::Answered };
+        let (dispatch, seen) = (plan.dispatch, reply.seen);
+        let call = CallerCall::EndRequest { dispatch, ending, seen, in_transaction };
+        self.context.driver.tell(call);
+    }
+
+    /// Tells the core how a request without a reply for the client ended.
     pub(super) fn end(&self, plan: &DispatchPlan, ending: RequestEnding, in_transaction: bool) {
         let dispatch = plan.dispatch;
-        let call = CallerCall::EndRequest { dispatch, ending, in_transaction };
+        let seen = None;
+        let call = CallerCall::EndRequest { dispatch, ending, seen, in_transaction };
         self.context.driver.tell(call);
     }
 }
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -259,11 +259,12 @@
         }
         let class = self.batch_class(&batch, is_sync);
         let is_failed = self.transaction.as_ref().is_some_and(|open| open.is_failed);
+        let in_transaction = self.transaction.is_some();
         if let Some(reason) = batch.rejection() {
             let refusal = unsupported(reason);
             return self.refuse(&refusal, is_sync).await;
         }
-        if !awaits_sync && batch.is_local(self.transaction.is_some()) {
+        if !awaits_sync && batch.is_local(in_transaction) {
             return self.run_local_batch(&batch, is_sync).await;
         }
         if is_failed {
@@ -272,11 +273,14 @@
         let settings = self.settings_of(batch.executed().zip(batch.texts()));
         let writes = batch.executed().any(|class| *class == StatementClass::Write);
         let reads = batch.executed().any(|class| *class == StatementClass::Read);
+        let is_block = !in_transaction
+            && batch.executed().any(|class| matches!(class, StatementClass::Begin { .. }))
+            && batch.executed().any(|class| *class == StatementClass::Commit);
         let request = Request {
             writes,
             reads,
             class,
-            is_block: false,
+            is_block,
             body: RequestBody::Batch(batch),
             ends_with_sync: is_sync,
             settings,
@@ -393,7 +397,8 @@
 
     /// Tells the core that a transaction is over.
     pub(super) fn end_dispatch(&self, dispatch: DispatchKey, ending: RequestEnding) {
-        let call = CallerCall::EndRequest { dispatch, ending, in_transaction: false };
+        let (seen, in_transaction) = (None, false);
+        let call = CallerCall::EndRequest { dispatch, ending, seen, in_transaction };
         self.context.driver.tell(call);
     }
 
--- a/crates/proxy/src/caller/startup.rs
+++ b/crates/proxy/src/caller/startup.rs
@@ -1,7 +1,7 @@
 //! Start-up of a client connection: encryption, authentication, first messages.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use pgwire::messages::response::{ErrorResponse, TransactionStatus};
 use pgwire::messages::startup::{
@@ -209,7 +209,9 @@
         _ => return Err(StartupError::Unexpected("no answer for the route")),
     };
     let settings = proxy_settings(startup);
-    Ok(Ok(SessionOpening { user, database, password, settings }))
+    let wall_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let wall_ms = u64::try_from(wall_ms).unwrap_or(u64::MAX);
+    Ok(Ok(SessionOpening { user, database, password, settings, wall_ms }))
 }
 
 async fn read_password(client: &mut FrameStream<CallerStream>) -> Result<String, StartupError> {
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -136,7 +136,11 @@
     fn receive(&mut self, now: Instant, message: DriverMessage) {
         let mut outputs = Vec::new();
         match message {
-            DriverMessage::Tick => self.core.tick(now, &mut outputs),
+            DriverMessage::Tick => {
+                // An abandoned request gets no answer, so nothing else removes its entry.
+                self.calls.retain(|_, pending| !pending.reply.is_closed());
+                self.core.tick(now, &mut outputs);
+            }
             DriverMessage::Adopt(change) => self.core.adopt_settings(change.0, change.1),
             message => {
                 let input = self.input_of(message);
@@ -241,6 +245,7 @@
         CallerAnswer::RequestPlaced(plan) => Some(CallerCall::EndRequest {
             dispatch: plan.dispatch,
             ending: RequestEnding::NotSent,
+            seen: None,
             in_transaction: false,
         }),
         CallerAnswer::SessionOpened { session } => {
