--- a/crates/proxy/tests/proxy/records.rs
+++ b/crates/proxy/tests/proxy/records.rs
@@ -54,6 +54,7 @@
     let error = error.as_db_error().unwrap();
     assert_that!(error.message(), starts_with("ran: "));
     assert_eq!(error.detail(), Some("outcome=COMMIT"));
+    again.batch_execute(ID).await.unwrap();
     let block = "BEGIN; INSERT INTO t VALUES ('explicit'); COMMIT";
     again.batch_execute(block).await.unwrap();
     assert_eq!(fleet.commits_of("explicit"), 1);
