Add the load generator

The proofs need a history of every attempt by many callers with open-loop arrivals, roaming with and without tokens, and repetitions by request id. Members now also write their executions to a file, so that a killed primary's record is kept.

--- a/crates/testbed/src/bin/standin-member.rs
+++ b/crates/testbed/src/bin/standin-member.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a database member; prints the bound addresses as one line of JSON.
 
 use std::error::Error;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
@@ -29,6 +30,7 @@
         .arg(required("name"))
         .arg(required("domain"))
         .arg(required("service-password-file"))
+        .arg(Arg::new("execution-file").long("execution-file"))
         .arg(Arg::new("sql").long("sql").default_value("127.0.0.1:0"))
         .arg(Arg::new("api").long("api").default_value("127.0.0.1:0"))
         .arg(number("slots", "3"))
@@ -52,6 +54,7 @@
         connect_time: Duration::from_millis(number(matches, "connect-ms").into()),
         service_time: Duration::from_millis(number(matches, "service-ms").into()),
         primary_of_term: matches.get_one("primary-of-term").copied(),
+        execution_file: matches.get_one::<String>("execution-file").map(PathBuf::from),
     })
 }
 
--- a/crates/testbed/src/deployment/members.rs
+++ b/crates/testbed/src/deployment/members.rs
@@ -1,6 +1,7 @@
 //! The members of a deployment.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use serde_json::json;
 use tanagerdeal_wire::member::{MemberRole, MemberStatus};
@@ -8,6 +9,9 @@
 use tanagerdeal_wire::{DomainName, EndpointName, GroupName};
 use tokio_postgres::{Client, NoTls};
 
+use crate::history::read_lines;
+use crate::member::Execution;
+
 use super::control::printed_address;
 use super::process::program;
 use super::{ChildProcess, ControlClient, Deployment, DeploymentError, records, wait_until};
@@ -87,6 +91,25 @@
         newest.map(|(_, name)| name)
     }
 
+    /// What all members have executed, also those that were killed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file cannot be read.
+    pub fn executions(&self) -> Result<Vec<Execution>, DeploymentError> {
+        let mut executions = Vec::new();
+        for name in self.members.keys() {
+            let path = self.execution_file(name);
+            let lines = read_lines(&path);
+            executions.extend(lines.map_err(|error| DeploymentError::File(path, error))?);
+        }
+        Ok(executions)
+    }
+
+    fn execution_file(&self, member: &str) -> PathBuf {
+        self.directory().join(format!("{member}.executions.jsonl"))
+    }
+
     pub(super) async fn start_members(&mut self) -> Result<(), DeploymentError> {
         for group in self.plan.group_names() {
             let mut names = Vec::new();
@@ -126,6 +149,8 @@
         .iter()
         .flat_map(|(flag, value)| [(*flag).to_owned(), (*value).to_owned()])
         .collect();
+        let executions = self.execution_file(&name).display().to_string();
+        arguments.extend(["--execution-file".to_owned(), executions]);
         arguments.push("--end-with-input".to_owned());
         if domain == 0 {
             arguments.extend(["--primary-of-term".to_owned(), "1".to_owned()]);
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod clock;
 pub mod control;
 pub mod deployment;
+pub mod history;
+pub mod load;
 pub mod member;
 pub mod platform;
 pub mod relay;
--- a/crates/testbed/src/member.rs
+++ b/crates/testbed/src/member.rs
@@ -17,8 +17,10 @@
 mod transaction;
 
 use std::collections::HashMap;
-use std::io;
+use std::fs::File;
+use std::io::{self, Write as _};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -56,6 +58,8 @@
         pub service_time: Duration,
         /// Term whose first primary this member is from the start.
         pub primary_of_term: Option<u64>,
+        /// File that gets each execution as a line of JSON, which survives a kill of the process.
+        pub execution_file: Option<PathBuf>,
     }
 
     /// Addresses on which a member listens.
@@ -77,16 +81,18 @@
     log_extended: Notify,
     connections_dropped: Notify,
     recorder: ByteRecorder,
+    execution_file: Option<Mutex<File>>,
     cancels: Mutex<CancelTable>,
 }
 
 impl Member {
-    fn new(options: MemberOptions) -> Self {
+    fn new(options: MemberOptions) -> io::Result<Self> {
+        let execution_file = options.execution_file.as_ref().map(File::create).transpose()?;
         let mut data = MemberData::new(options.identity.clone());
         if let Some(term) = options.primary_of_term {
             data.begin_term(term);
         }
-        Self {
+        Ok(Self {
             slots: Semaphore::new(options.slots),
             options,
             data: Mutex::new(data),
@@ -94,8 +100,9 @@
             log_extended: Notify::new(),
             connections_dropped: Notify::new(),
             recorder: ByteRecorder::default(),
+            execution_file: execution_file.map(Mutex::new),
             cancels: Mutex::default(),
-        }
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, MemberData> {
@@ -106,6 +113,23 @@
         self.cancels.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Keeps executions in memory and in the file.
+    fn record(&self, data: &mut MemberData, mut executions: Vec<Execution>) {
+        if let Some(file) = &self.execution_file {
+            let mut text = Vec::new();
+            for execution in &executions {
+                if serde_json::to_writer(&mut text, execution).is_ok() {
+                    text.push(b'\n');
+                }
+            }
+            let mut file = file.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Err(error) = file.write_all(&text) {
+                ::log::error!("member: executions not written: {error}");
+            }
+        }
+        data.executions.append(&mut executions);
+    }
+
     /// Wakes statements that wait for a row and requests that wait for a log entry.
     fn announce_commit(&self) {
         self.lock_released.notify_waiters();
@@ -129,7 +153,7 @@
 ///
 /// # Errors
 ///
-/// Fails when an address cannot be bound.
+/// Fails when an address cannot be bound or the execution file not be created.
 ///
 /// ```
 /// use std::time::Duration;
@@ -151,6 +175,7 @@
 ///     connect_time: Duration::from_millis(10),
 ///     service_time: Duration::from_millis(2),
 ///     primary_of_term: Some(1),
+///     execution_file: None,
 /// };
 /// let addresses = start(options, "127.0.0.1:0", "127.0.0.1:0").await.unwrap();
 /// assert_ne!(addresses.sql.port(), addresses.api.port());
@@ -160,7 +185,7 @@
     let sql = TcpListener::bind(sql).await?;
     let api = TcpListener::bind(api).await?;
     let addresses = MemberAddresses { sql: sql.local_addr()?, api: api.local_addr()? };
-    let member = Arc::new(Member::new(options));
+    let member = Arc::new(Member::new(options)?);
     let router = api::router(member.clone());
     tokio::spawn(async move {
         if let Err(error) = axum::serve(api, router).await {
--- a/crates/testbed/src/member/execute.rs
+++ b/crates/testbed/src/member/execute.rs
@@ -145,7 +145,7 @@
                 for execution in &mut executions {
                     (execution.position, execution.end_us) = (position, now_us());
                 }
-                data.executions.append(&mut executions);
+                self.member.record(&mut data, executions);
             }
             position
         };
@@ -264,12 +264,13 @@
             statement: parsed.text.clone(),
             params: params.iter().map(Datum::to_text).collect(),
             write: parsed.plan.is_write(),
+            primary: data.is_primary(),
             rows: outcome.affected as u64,
             position,
         };
         match open && parsed.plan.is_write() {
             true => self.uncommitted.push(execution),
-            false => data.executions.push(execution),
+            false => member.record(&mut data, vec![execution]),
         }
         let reported = !open || !columns.is_empty();
         Ok(StatementResult {
--- a/crates/testbed/src/member/state.rs
+++ b/crates/testbed/src/member/state.rs
@@ -62,6 +62,8 @@
         pub params: Vec<Option<String>>,
         /// Whether the statement changes data.
         pub write: bool,
+        /// Whether the member was the primary.
+        pub primary: bool,
         /// Rows returned or changed.
         pub rows: u64,
         /// Position of the commit, or of the snapshot of a read.
--- a/crates/testbed/tests/member/common.rs
+++ b/crates/testbed/tests/member/common.rs
@@ -34,6 +34,7 @@
             connect_time: Duration::from_millis(10),
             service_time: Duration::from_millis(1),
             primary_of_term,
+            execution_file: None,
         };
         let addresses = start(options, "127.0.0.1:0", "127.0.0.1:0").await.expect("free ports");
         Self { name: name.to_owned(), addresses, http: reqwest::Client::new() }
