--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -148,7 +148,7 @@
         host: settings.host.clone(),
         domain: settings.domain.clone(),
         incarnation: settings.incarnation.unwrap_or_else(rand::random),
-        peer_address: peer_address.to_string(),
+        peer_address: settings.listen.advertise_peers.unwrap_or(peer_address).to_string(),
         admin_address: admin_address.to_string(),
     };
     Ok(HostProfile {
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -66,6 +66,8 @@
         pub callers: SocketAddr,
         /// For other hosts.
         pub peers: SocketAddr,
+        /// Address at which other hosts reach the listener, where it differs from the bound one.
+        pub advertise_peers: Option<SocketAddr>,
         /// For health, metrics and status.
         pub admin: SocketAddr,
     }
--- a/crates/proxy/src/settings/read.rs
+++ b/crates/proxy/src/settings/read.rs
@@ -51,6 +51,7 @@
             listen: ListenAddresses {
                 callers: self.parse("listen", "callers")?,
                 peers: self.parse("listen", "peers")?,
+                advertise_peers: self.optional("listen", "advertise_peers")?,
                 admin: self.parse("listen", "admin")?,
             },
             platform: self.text("platform", "address")?.to_owned(),
--- a/crates/proxy/src/settings/table.rs
+++ b/crates/proxy/src/settings/table.rs
@@ -40,11 +40,12 @@
     [listen] fixed {
         callers: "address for clients, ip:port",
         peers: "address for other hosts, ip:port (UDP)",
+        advertise_peers = "": "address at which other hosts reach it, where it differs",
         admin: "address for health, readiness, metrics and status, ip:port",
     }
     [platform] fixed {
         address: "address of the platform, ip:port",
-        timeout_ms = "1000": "time for a call of the platform",
+        timeout_ms = "3000": "time for a call of the platform",
     }
     [fleet] fixed {
         secret_file: "file with the secret that signs session tokens",
--- a/crates/testbed/src/deployment/hosts.rs
+++ b/crates/testbed/src/deployment/hosts.rs
@@ -73,7 +73,7 @@
             platform: self.platform_address,
         };
         let path = self.files.write_host(&settings)?;
-        let arguments = ["--settings".to_owned(), path.display().to_string()];
+        let arguments = ["run", "--config", &path.display().to_string()].map(str::to_owned);
         let process =
             ChildProcess::start(&program("tanagerdeal")?, &arguments, name, self.directory())?;
         let node = HostNode {
--- a/crates/testbed/src/deployment/settings.rs
+++ b/crates/testbed/src/deployment/settings.rs
@@ -70,25 +70,31 @@
         let sections: [(&str, Vec<(&str, String)>); 6] = [
             ("host", vec![("name", host.name.clone()), ("domain", host.domain.clone())]),
             (
-                "caller",
-                vec![("listen", host.caller.to_string()), ("require_tls", "off".to_owned())],
+                "listen",
+                vec![
+                    ("callers", host.caller.to_string()),
+                    ("peers", host.peer.to_string()),
+                    ("advertise_peers", host.advertised_peer.to_string()),
+                    ("admin", host.admin.to_string()),
+                ],
             ),
+            ("platform", vec![("address", host.platform.to_string())]),
             (
-                "peer",
+                "fleet",
                 vec![
-                    ("listen", host.peer.to_string()),
-                    ("advertise", host.advertised_peer.to_string()),
-                    ("certificate", file(&format!("{}.pem", host.name))),
-                    ("key", file(&format!("{}.key", host.name))),
-                    ("authority", file("authority.pem")),
-                    ("fleet_secret", file("fleet-secret")),
+                    ("secret_file", file("fleet-secret")),
+                    ("peer_certificate_file", file(&format!("{}.pem", host.name))),
+                    ("peer_key_file", file(&format!("{}.key", host.name))),
+                    ("peer_ca_file", file("authority.pem")),
                 ],
             ),
-            ("admin", vec![("listen", host.admin.to_string())]),
-            ("platform", vec![("address", host.platform.to_string())]),
+            ("tls", vec![("require_tls", "no".to_owned())]),
             (
                 "endpoint",
-                vec![("user", "tanagerdeal".to_owned()), ("password", file("service-password"))],
+                vec![
+                    ("user", "tanagerdeal".to_owned()),
+                    ("password_file", file("service-password")),
+                ],
             ),
         ];
         let mut text = String::new();
