--- a/crates/core/src/host/groups/promote.rs
+++ b/crates/core/src/host/groups/promote.rs
@@ -194,10 +194,11 @@
 fn choose(state: &HostState, now: Instant, key: GroupKey, promotion: &mut Promotion) {
     let group = &state.endpoints.groups[key];
     let reachable = state.endpoints.count_reachable(now, group);
-    if promotion.is_fenced(now, group.majority(), reachable) {
-        if let Some(target) = choose_target(&state.endpoints, group, &promotion.grants) {
-            promotion.enter(now, PromotionPhase::Promoting { target });
-        }
+    if !promotion.is_fenced(now, group.majority(), reachable) {
+        return;
+    }
+    if let Some(target) = choose_target(&state.endpoints, group, &promotion.grants) {
+        promotion.enter(now, PromotionPhase::Promoting { target });
     }
 }
 
--- a/crates/core/src/host/groups/tests/world.rs
+++ b/crates/core/src/host/groups/tests/world.rs
@@ -1,41 +1,31 @@
 //! Several cores around the model of one group, on virtual time with a seeded order of messages.
 
+mod delivery;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
-use tanagerdeal_wire::member::{LogPosition, MemberStatus, TermReply};
+use tanagerdeal_wire::member::LogPosition;
 use tanagerdeal_wire::peer::{GroupAnnouncement, GroupSuspicion};
 use tanagerdeal_wire::record::{
-    DomainPhase, EndpointPhase, GroupRecord, MemberRecord, ServiceRecord, WriteDurability,
+    DomainPhase, EndpointPhase, GroupRecord, MemberRecord, ServiceRecord,
 };
 use tanagerdeal_wire::{DomainName, GroupName, HostName, ServiceName};
 
-use super::super::{announcements, run_with, settle_waits, suspicions};
+use super::super::{announcements, run_with, suspicions};
 use super::model::ModelMember;
-use crate::confirm::{ConfirmOutcome, ConfirmRequest, ConfirmResult, ConfirmWaiter};
+use crate::confirm::ConfirmOutcome;
 use crate::failover::PeerView;
 use crate::host::HostState;
-use crate::message::fleet::{MemberEvent, TermCommand};
-use crate::message::{DispatchKey, EndpointKey, GroupKey, HostOutput};
+use crate::message::{EndpointKey, GroupKey};
 use crate::profile::{HostIdentity, HostPolicies, HostProfile, HostTiming};
-use crate::routing::{RouteChoice, RouteQuery, RouteSettings};
+use crate::routing::{RouteChoice, RouteSettings};
+use delivery::Delivery;
 
 pub(super) const TICK: Duration = Duration::from_millis(20);
 const PEER_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after which the runtime reports a probe or command without an answer.
-const CALL_LIMIT: Duration = Duration::from_millis(400);
-
-/// A message on its way.
-enum Delivery {
-    Probe { host: usize, member: usize, asked_at: Instant },
-    Command { host: usize, member: usize, command: TermCommand },
-    Write { host: usize, member: usize },
-    Event { host: usize, event: Box<MemberEvent> },
-    Commit { host: usize, id: u64, position: LogPosition },
-}
-
 /// A commit that a host acknowledged, or the end of another wait.
 pub(super) struct EndedCommit {
     pub(super) id: u64,
@@ -176,162 +166,6 @@
         }
     }
 
-    fn post(&mut self, delivery: Delivery) {
-        let delay = Duration::from_micros(self.random.random_range(500..6_000));
-        self.post_at(self.now + delay, delivery);
-    }
-
-    fn post_at(&mut self, at: Instant, delivery: Delivery) {
-        self.sequence += 1;
-        self.queue.insert((at, self.sequence), delivery);
-    }
-
-    fn is_lost(&mut self, host: usize, member: usize) -> bool {
-        let by_chance = self.random.random_range(0..100) < self.loss;
-        by_chance || self.cut.contains(&(host, member)) || self.frozen.contains(&member)
-    }
-
-    fn carry_out(&mut self, host: usize, outputs: Vec<HostOutput>) {
-        let asked_at = self.now;
-        for output in outputs {
-            match output {
-                HostOutput::ProbeMember { endpoint, .. } => {
-                    let member = self.index(host, endpoint);
-                    self.post(Delivery::Probe { host, member, asked_at });
-                    let event = Box::new(MemberEvent::Unreachable { endpoint, asked_at });
-                    self.post_at(asked_at + CALL_LIMIT, Delivery::Event { host, event });
-                }
-                HostOutput::CommandMember { endpoint, command, .. } => {
-                    let member = self.index(host, endpoint);
-                    self.post(Delivery::Command { host, member, command });
-                }
-                _ => {}
-            }
-        }
-        self.collect(host);
-    }
-
-    fn collect(&mut self, host: usize) {
-        for ConfirmResult { waiter, outcome } in self.hosts[host].confirms.take_results() {
-            let ConfirmWaiter::Commit(key) = waiter else { continue };
-            let number = slotmap::Key::data(&key).as_ffi();
-            if let Some((id, position, since)) = self.open.remove(&(host, number)) {
-                let at = self.now;
-                self.commits.push(EndedCommit { id, position, since, at, outcome });
-            }
-        }
-    }
-
-    /// Asks a host to confirm a commit.
-    pub(super) fn confirm(&mut self, host: usize, id: u64, position: LogPosition) {
-        let key = DispatchKey::from(slotmap::KeyData::from_ffi((1 << 32) | id));
-        let number = slotmap::Key::data(&key).as_ffi();
-        self.open.insert((host, number), (id, position, self.now));
-        let group = self.group(host);
-        self.hosts[host].confirms.add(ConfirmRequest {
-            waiter: ConfirmWaiter::Commit(key),
-            group,
-            position,
-            since: self.now,
-            replicated_by: self.now + Duration::from_millis(400),
-            deadline: self.now + Duration::from_secs(5),
-            durability: WriteDurability::Term,
-        });
-        self.settle(host);
-    }
-
-    pub(super) fn settle(&mut self, host: usize) {
-        let mut outputs = Vec::new();
-        settle_waits(&mut self.hosts[host], self.now, &mut outputs);
-        self.carry_out(host, outputs);
-    }
-
-    pub(super) fn handle(&mut self, host: usize, event: MemberEvent) {
-        let mut outputs = Vec::new();
-        super::super::handle_member(&mut self.hosts[host], self.now, event, &mut outputs);
-        settle_waits(&mut self.hosts[host], self.now, &mut outputs);
-        self.carry_out(host, outputs);
-    }
-
-    /// Where a host would place a request.
-    pub(super) fn choose(
-        &self,
-        host: usize,
-        is_write: bool,
-        watermark: LogPosition,
-    ) -> RouteChoice {
-        let query = RouteQuery {
-            group: self.group(host),
-            is_write,
-            watermark,
-            max_age: Duration::ZERO,
-            excluded: Vec::new(),
-            deadline: self.now + Duration::from_secs(5),
-        };
-        self.hosts[host].endpoints.choose(self.now, &query)
-    }
-
-    /// Places a write of a client of a host; false when there is no primary to place it on.
-    pub(super) fn write(&mut self, host: usize) -> bool {
-        match self.choose(host, true, LogPosition::default()) {
-            RouteChoice::Endpoint { endpoint, .. } => {
-                let member = self.index(host, endpoint);
-                self.post(Delivery::Write { host, member });
-                true
-            }
-            _ => false,
-        }
-    }
-
-    fn deliver(&mut self, delivery: Delivery) {
-        match delivery {
-            Delivery::Probe { host, member, asked_at } if !self.is_lost(host, member) => {
-                let status = self.members[member].status(&self.group_name);
-                self.answer(host, member, asked_at, status);
-            }
-            Delivery::Command { host, member, command } if !self.is_lost(host, member) => {
-                self.run_command(host, member, command);
-            }
-            Delivery::Write { host, member } if !self.is_lost(host, member) => {
-                self.writes += 1;
-                let id = self.writes;
-                if let Some(position) = self.members[member].write(id) {
-                    self.post(Delivery::Commit { host, id, position });
-                }
-            }
-            Delivery::Event { host, .. } | Delivery::Commit { host, .. }
-                if self.paused.contains(&host) =>
-            {
-                self.held[host].push(delivery);
-            }
-            Delivery::Event { host, event } => self.handle(host, *event),
-            Delivery::Commit { host, id, position } => self.confirm(host, id, position),
-            _ => {}
-        }
-    }
-
-    fn answer(&mut self, host: usize, member: usize, asked_at: Instant, status: MemberStatus) {
-        if !self.is_lost(host, member) {
-            let endpoint = self.key(host, member);
-            let event = Box::new(MemberEvent::Answered { endpoint, asked_at, status });
-            self.post(Delivery::Event { host, event });
-        }
-    }
-
-    fn run_command(&mut self, host: usize, member: usize, command: TermCommand) {
-        let was_primary = self.members[member].history.len();
-        let reply: TermReply = self.members[member].command(&self.group_name, &command);
-        if self.members[member].history.len() > was_primary {
-            self.promotions.push((self.now, self.members[member].promised, member));
-        }
-        if !self.is_lost(host, member) {
-            let endpoint = self.key(host, member);
-            let reply = Some(reply);
-            let event = Box::new(MemberEvent::Commanded { endpoint, command, reply });
-            self.post(Delivery::Event { host, event });
-        }
-    }
-
     fn exchange(&mut self) {
         self.peers_at = self.now + PEER_INTERVAL;
         let running: Vec<_> = (0..self.hosts.len()).filter(|h| !self.paused.contains(h)).collect();
--- a/crates/core/src/host/groups/watch.rs
+++ b/crates/core/src/host/groups/watch.rs
@@ -23,13 +23,12 @@
 const SWITCHOVER_STEP: Duration = Duration::from_secs(2);
 
 /// Why a promotion starts.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum PromotionReason {
     /// The failure domains agree that the primary has failed.
     Failed,
     /// Members have promised a term that has no primary.
     Unfinished,
-    /// The primary is to get no new work.
+    /// The primary is to get no new work, and this member takes over.
     Planned(EndpointKey),
 }
 
@@ -204,11 +203,14 @@
     let identity = &state.profile.identity;
     let promoter =
         format!("{}/{}/{}", identity.host, identity.incarnation, state.failovers.attempts);
-    log::info!("failover: Promotion of {} to term {term} starts: {reason:?}.", group.name);
-    let phase = match reason {
-        PromotionReason::Planned(target) => PromotionPhase::Settling { target },
-        _ => PromotionPhase::Fencing,
+    let (phase, text) = match reason {
+        PromotionReason::Failed => (PromotionPhase::Fencing, "its primary has failed"),
+        PromotionReason::Unfinished => (PromotionPhase::Fencing, "a fenced term has no primary"),
+        PromotionReason::Planned(target) => {
+            (PromotionPhase::Settling { target }, "its primary is to get no new work")
+        }
     };
+    log::info!("failover: Promotion of {} to term {term} starts: {text}.", group.name);
     let promotion = Promotion::new(now, TermRequest { term, promoter }, phase);
     state.failovers.watch(key).promotion = Some(promotion);
     state.counters.promotions_started += 1;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -83,6 +83,8 @@
     pub(crate) members: SlotMap<EndpointKey, MemberState>,
     pub(crate) groups: SlotMap<GroupKey, GroupState>,
     services: BTreeMap<ServiceName, Vec<GroupKey>>,
+    group_names: BTreeMap<GroupName, GroupKey>,
+    member_names: BTreeMap<EndpointName, EndpointKey>,
     domains: BTreeMap<DomainName, DomainState>,
     settings: RouteSettings,
     /// Requests placed since the start; varies the choice while a failure domain returns.
@@ -167,7 +169,7 @@
     /// assert!(EndpointTable::default().group(&name).is_none());
     /// ```
     pub fn group(&self, name: &GroupName) -> Option<GroupKey> {
-        self.groups.iter().find(|(_, group)| group.name == *name).map(|(key, _)| key)
+        self.group_names.get(name).copied()
     }
 
     /// Address of an endpoint.
--- a/crates/core/src/routing/adopt.rs
+++ b/crates/core/src/routing/adopt.rs
@@ -31,14 +31,20 @@
             self.services.insert(name.clone(), keys);
         }
         self.groups.retain(|key, _| groups.contains(&key));
+        self.group_names.retain(|_, key| groups.contains(key));
         members.extend(self.groups.values().flat_map(|group| group.members.iter().copied()));
         self.members.retain(|key, _| members.contains(&key));
+        self.member_names.retain(|_, key| members.contains(key));
     }
 
     fn adopt_group(&mut self, record: &GroupRecord) -> GroupKey {
         let key = match self.group(&record.group) {
             Some(key) => key,
-            None => self.groups.insert(GroupState::new(record.group.clone())),
+            None => {
+                let key = self.groups.insert(GroupState::new(record.group.clone()));
+                self.group_names.insert(record.group.clone(), key);
+                key
+            }
         };
         let members: Vec<_> =
             record.members.iter().map(|record| self.adopt_member(key, record)).collect();
@@ -54,7 +60,11 @@
                 self.members[key].adopt(group, record);
                 key
             }
-            None => self.members.insert(MemberState::new(group, record)),
+            None => {
+                let key = self.members.insert(MemberState::new(group, record));
+                self.member_names.insert(record.endpoint.clone(), key);
+                key
+            }
         }
     }
 
@@ -84,7 +94,6 @@
 
     /// An endpoint by name.
     pub(crate) fn member_named(&self, name: &EndpointName) -> Option<EndpointKey> {
-        let mut members = self.members.iter();
-        members.find(|(_, member)| member.address.name == *name).map(|(key, _)| key)
+        self.member_names.get(name).copied()
     }
 }
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -125,8 +125,7 @@
     ) -> Option<EndpointKey> {
         let key = group.primary?;
         let member = self.members.get(key)?;
-        let is_recovered = member.lost_at.is_some() && !member.is_in_doubt();
-        let is_excluded = query.excluded.contains(&key) && !is_recovered;
+        let is_excluded = query.excluded.contains(&key);
         let is_stale_term = query.watermark.term > group.term;
         let is_blocked = is_excluded || is_stale_term || self.is_withheld(member);
         (!is_blocked && self.is_live(now, member) && self.is_in_office(group, member))
