Close connections with stale prepared statements; wait for the last responses at shutdown

A connection on which DISCARD ran or a prepared statement proved unknown or out of date is closed, because its noted statements no longer hold. The process waits up to 2 s after the core has finished until sessions have written their last responses. Session and request code is split by subject.

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -2,11 +2,13 @@
 
 mod batch;
 mod cancel;
+mod conclude;
 mod exchange;
 mod listener;
 mod local;
 mod place;
 mod record;
+mod refuse;
 mod reply;
 mod request;
 mod session;
--- a/crates/proxy/src/caller/exchange.rs
+++ b/crates/proxy/src/caller/exchange.rs
@@ -61,6 +61,8 @@
     pub(super) status: Option<TransactionStatus>,
     /// Whether the endpoint reported an error.
     pub(super) is_error: bool,
+    /// Whether the error means that a prepared statement of the connection is gone or out of date.
+    pub(super) is_stale: bool,
     /// Tag of the last CommandComplete.
     pub(super) tag: Option<String>,
     /// Last position reported.
@@ -203,10 +205,12 @@
     async fn take_error(&mut self, frame: Frame) -> Result<(), ExchangeFault> {
         if let PgWireBackendMessage::ErrorResponse(error) =
             frame.clone().backend().map_err(ConnectionError::Codec)?
-            && is_fatal(&error)
         {
-            let message = field_of(&error, b'M').unwrap_or("no message").to_owned();
-            return Err(ConnectionError::Refused(message).into());
+            if is_fatal(&error) {
+                let message = field_of(&error, b'M').unwrap_or("no message").to_owned();
+                return Err(ConnectionError::Refused(message).into());
+            }
+            self.reply.is_stale |= field_of(&error, b'C').is_some_and(is_stale_statement);
         }
         self.reply.is_error = true;
         if let Some(expected) = &mut self.expected {
@@ -360,8 +364,10 @@
         }
         self.held_bytes += frame.size();
         self.reply.held.push(frame);
-        // More than the buffer cannot be held; the end of the reply is held again from here on.
-        match self.is_holding && self.held_bytes > self.rules.buffer_bytes {
+        // More rows than the buffer takes cannot be held. They belong to a batch of several
+        // statements, of which ReadyForQuery, not CommandComplete, tells that it was committed.
+        let is_row = self.reply.held.last().is_some_and(|frame| frame.tag() == b'D');
+        match is_row && self.is_holding && self.held_bytes > self.rules.buffer_bytes {
             true => self.release().await,
             false => Ok(()),
         }
@@ -390,6 +396,12 @@
     matches!(severity, Some("FATAL" | "PANIC"))
 }
 
+/// Whether an error means that a connection does not hold its prepared statements as noted: the name
+/// is unknown or taken, or the result of a cached plan has changed its columns.
+fn is_stale_statement(sqlstate: &str) -> bool {
+    matches!(sqlstate, "26000" | "42P05" | "0A000")
+}
+
 impl From<CodecError> for ExchangeFault {
     fn from(error: CodecError) -> Self {
         Self::Connection(error.into())
--- a/crates/proxy/src/caller/listener.rs
+++ b/crates/proxy/src/caller/listener.rs
@@ -19,7 +19,7 @@
 /// Time that a client beyond the limit has to take the error.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Accepts clients until the shutdown closes the listener; sessions go on after that.
+/// Accepts clients until the shutdown closes the listener, and returns when all sessions have ended.
 pub async fn serve(
     listener: TcpListener,
     context: Arc<CallerContext>,
@@ -48,7 +48,12 @@
             }
         }
     }
+    drop(listener);
     log::info!("caller: listener closed");
+    let all = u32::try_from(context.limits.sessions).unwrap_or(u32::MAX);
+    if permits.acquire_many(all).await.is_ok() {
+        log::info!("caller: all sessions have ended");
+    }
 }
 
 async fn attend(socket: TcpStream, context: Arc<CallerContext>) {
--- a/crates/proxy/src/caller/place.rs
+++ b/crates/proxy/src/caller/place.rs
@@ -2,13 +2,14 @@
 
 use std::time::{Duration, Instant};
 
+use pgwire::messages::simplequery::Query;
 use tanagerdeal_core::message::caller::{CallerAnswer, CallerCall, DispatchPlan};
 use tanagerdeal_core::statement::StatementClass;
 use tanagerdeal_core::verdict::{RefusalCode, RequestRefusal};
 use tokio::time::timeout_at;
 
 use super::session::Session;
-use crate::endpoint::{ConnectionError, ConnectionLease, EndpointConnection, PoolError};
+use crate::endpoint::{ConnectionError, ConnectionLease, EndpointConnection, PoolError, field_of};
 
 /// Least time that is left for the settings of a connection before it is given up.
 const SETTING_TIMEOUT: Duration = Duration::from_secs(5);
@@ -49,7 +50,12 @@
 
     /// Whether it takes back all others.
     pub(super) fn is_reset_of_all(&self) -> bool {
-        self.name == "all" || self.name == "discard"
+        self.name == "all" || self.is_discard()
+    }
+
+    /// Whether it also drops the prepared statements of its connection.
+    pub(super) fn is_discard(&self) -> bool {
+        self.name == "discard"
     }
 }
 
@@ -105,33 +111,26 @@
     if is_equal {
         return Ok(());
     }
-    if !connection.settings.is_empty() {
-        // RESET ALL leaves the role and the session authorization as they are.
-        for sql in ["RESET ALL", "RESET SESSION AUTHORIZATION", "RESET ROLE"] {
-            run_checked(connection, sql).await?;
-        }
-        connection.settings.clear();
+    // RESET ALL leaves the role and the session authorization as they are.
+    let resets = ["RESET ALL", "RESET SESSION AUTHORIZATION", "RESET ROLE"];
+    let resets = resets.into_iter().filter(|_| !connection.settings.is_empty());
+    let statements: Vec<&str> =
+        resets.chain(settings.iter().map(|setting| setting.text.as_str())).collect();
+    for sql in &statements {
+        connection.push(&Query::new((*sql).to_owned()));
     }
-    for setting in settings {
-        run_checked(connection, &setting.text).await?;
-        connection.settings.push(setting.text.clone());
+    connection.flush().await?;
+    for _ in &statements {
+        if let Some(error) = connection.read_hidden().await?.error {
+            let message = field_of(&error, b'M').unwrap_or("no message");
+            let message = format!("a session setting could not be made: {message}");
+            return Err(ConnectionError::Refused(message));
+        }
     }
+    connection.settings = settings.iter().map(|setting| setting.text.clone()).collect();
     Ok(())
 }
 
-async fn run_checked(
-    connection: &mut EndpointConnection,
-    sql: &str,
-) -> Result<(), ConnectionError> {
-    match connection.run(sql).await?.error {
-        None => Ok(()),
-        Some(error) => Err(ConnectionError::Refused(format!(
-            "a session setting could not be made: {}",
-            crate::endpoint::field_of(&error, b'M').unwrap_or("no message")
-        ))),
-    }
-}
-
 fn is_word(word: &&str) -> bool {
     !word.is_empty()
 }
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -11,14 +11,14 @@
 use tanagerdeal_core::verdict::{RefusalCode, RequestRefusal};
 use tanagerdeal_wire::member::LogPosition;
 use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::CallerContext;
 use super::batch::{ExtendedBatch, StatementTable};
 use super::cancel::CancelSlot;
 use super::place::SessionSetting;
-use super::reply::{self, Severity};
-use super::request::{Request, RequestBody, drop_or_return};
+use super::reply;
+use super::request::{Request, RequestBody};
 use super::startup::CallerStream;
 use crate::codec::{CodecError, Frame, FrameStream};
 use crate::endpoint::ConnectionLease;
@@ -27,8 +27,6 @@
 const MAX_STATEMENTS: usize = 1_000;
 /// Settings that a session may have made.
 const MAX_SETTINGS: usize = 100;
-/// Time that an endpoint has to roll back a transaction before its connection is closed.
-const ROLLBACK_TIMEOUT: Duration = Duration::from_secs(5);
 /// Least wait for the end of an unlimited idle time.
 const FOREVER: Duration = Duration::from_secs(365 * 24 * 3600);
 
@@ -208,6 +206,10 @@
     }
 
     async fn query(&mut self, sql: String) -> Result<(), SessionEnd> {
+        if !self.batch.items.is_empty() {
+            let error = CodecError::Malformed("a simple query within a batch".to_owned());
+            return Err(self.close_invalid(&error).await);
+        }
         let class = classify(&sql);
         let is_failed = self.transaction.as_ref().is_some_and(|open| open.is_failed);
         let is_open = self.transaction.is_some();
@@ -289,7 +291,7 @@
     }
 
     /// Answers Sync after an error in the batch.
-    async fn synchronize(&mut self) -> Result<(), SessionEnd> {
+    pub(super) async fn synchronize(&mut self) -> Result<(), SessionEnd> {
         if let Some(transaction) = self.transaction.take_if(|open| open.is_batch) {
             drop(transaction.lease);
             self.end_dispatch(transaction.dispatch, RequestEnding::Failed);
@@ -320,75 +322,6 @@
         }
     }
 
-    /// Refuses a statement in a transaction that has failed, or ends the transaction.
-    async fn refuse_failed(
-        &mut self,
-        class: &StatementClass,
-        body: RequestBody,
-        ends_with_sync: bool,
-    ) -> Result<(), SessionEnd> {
-        if !matches!(class, StatementClass::Commit | StatementClass::Rollback) {
-            let message = "not run: the transaction has failed; it must be rolled back first";
-            return self.refuse_with(reply::FAILED_TRANSACTION, message, ends_with_sync).await;
-        }
-        if let Some(mut transaction) = self.transaction.take() {
-            if let Some(mut lease) = transaction.lease.take() {
-                let rolling_back = timeout(ROLLBACK_TIMEOUT, lease.connection().run("ROLLBACK"));
-                match rolling_back.await {
-                    Ok(Ok(reply)) if !reply.in_transaction => {
-                        drop_or_return(lease, transaction.is_tainted);
-                    }
-                    _ => drop(lease),
-                }
-            }
-            self.end_dispatch(transaction.dispatch, RequestEnding::Failed);
-        }
-        self.push_local_reply(&body, "ROLLBACK");
-        if ends_with_sync {
-            self.client.push(&reply::ready(TransactionStatus::Idle));
-        }
-        self.flush().await
-    }
-
-    /// Writes a refusal as the response to a request.
-    pub(super) async fn refuse(
-        &mut self,
-        refusal: &RequestRefusal,
-        ends_with_sync: bool,
-    ) -> Result<(), SessionEnd> {
-        let error = reply::refusal(Severity::Error, refusal);
-        self.push_error(&error, ends_with_sync).await
-    }
-
-    /// Writes an error of the proxy as the response to a request.
-    pub(super) async fn refuse_with(
-        &mut self,
-        sqlstate: &str,
-        message: &str,
-        ends_with_sync: bool,
-    ) -> Result<(), SessionEnd> {
-        let error = reply::error(Severity::Error, sqlstate, message, None);
-        self.push_error(&error, ends_with_sync).await
-    }
-
-    async fn push_error(
-        &mut self,
-        error: &pgwire::messages::response::ErrorResponse,
-        ends_with_sync: bool,
-    ) -> Result<(), SessionEnd> {
-        if let Some(transaction) = &mut self.transaction {
-            transaction.is_failed = true;
-        }
-        self.client.push(error);
-        match ends_with_sync {
-            true => self.synchronize().await,
-            false => {
-                self.is_skipping = true;
-                self.flush().await
-            }
-        }
-    }
-
     async fn answer_tag(&mut self, tag: &str) -> Result<(), SessionEnd> {
         self.client.push(&reply::complete(tag));
         self.client.push(&reply::ready(self.status()));
@@ -426,40 +359,6 @@
             .filter_map(|(_, text)| SessionSetting::parse(text))
             .collect()
     }
-
-    async fn close(&mut self, refusal: &RequestRefusal) -> SessionEnd {
-        self.client.push(&reply::refusal(Severity::Fatal, refusal));
-        self.close_client().await
-    }
-
-    async fn close_idle(&mut self, is_open: bool) -> SessionEnd {
-        let (sqlstate, message) = match is_open {
-            true => (reply::IDLE_IN_TRANSACTION, "not run: the transaction was idle for too long"),
-            false => (reply::IDLE_SESSION, "not run: the session was idle for too long"),
-        };
-        self.client.push(&reply::error(Severity::Fatal, sqlstate, message, None));
-        self.close_client().await
-    }
-
-    async fn close_invalid(&mut self, error: &CodecError) -> SessionEnd {
-        self.context.metrics.count_invalid();
-        log::warn!("caller: session closed: {error}");
-        let sqlstate = match error {
-            CodecError::TooLarge { .. } => RefusalCode::LimitExceeded.sqlstate(),
-            _ => reply::PROTOCOL_VIOLATION,
-        };
-        let message = format!("not run: {error}");
-        self.client.push(&reply::error(Severity::Fatal, sqlstate, &message, None));
-        self.close_client().await
-    }
-
-    /// A client that does not take the error is closed all the same.
-    async fn close_client(&mut self) -> SessionEnd {
-        match self.flush().await {
-            Ok(()) => SessionEnd::Closed,
-            Err(end) => end,
-        }
-    }
 }
 
 /// The class under which a statement is placed: a setting may run anywhere.
--- a/crates/proxy/src/endpoint/connection.rs
+++ b/crates/proxy/src/endpoint/connection.rs
@@ -91,6 +91,11 @@
         timeout(wait, opening).await.map_err(|_| ConnectionError::TimedOut)?
     }
 
+    /// Address of the endpoint.
+    pub fn address(&self) -> &str {
+        &self.cancel.address
+    }
+
     /// Where a cancel request for this connection goes.
     pub fn cancel_target(&self) -> CancelTarget {
         self.cancel.clone()
--- a/crates/proxy/src/endpoint/pool.rs
+++ b/crates/proxy/src/endpoint/pool.rs
@@ -102,8 +102,10 @@
         let pool = self.pool(endpoint);
         let waiting = timeout_at(deadline.into(), pool.clone().slot());
         let mut slot = waiting.await.map_err(|_| PoolError::Exhausted)?;
-        let is_quiet = slot.connection.as_ref().is_some_and(EndpointConnection::is_quiet);
-        if !is_quiet {
+        let is_usable = |connection: &EndpointConnection| {
+            connection.is_quiet() && connection.address() == address
+        };
+        if !slot.connection.as_ref().is_some_and(is_usable) {
             slot.connection = None;
             let left = deadline.saturating_duration_since(Instant::now());
             let wait = left.min(self.shared.connect_timeout);
--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tanagerdeal_core::message::fleet::StoreRequest;
 use tanagerdeal_core::message::{DrainPhase, HostInput};
@@ -11,6 +12,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use crate::admin;
 use crate::caller::{self, CallerContext, CancelRegistry};
@@ -22,6 +24,9 @@
 use crate::settings::HostSettings;
 use crate::tls::{self, TlsError};
 
+/// Time for the last responses to reach their clients after the core has nothing left to do.
+const LAST_WRITES: Duration = Duration::from_secs(2);
+
 /// Why a host could not be started.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -72,6 +77,7 @@
     pub admin: SocketAddr,
     drain: watch::Receiver<DrainPhase>,
     stopped: JoinHandle<()>,
+    sessions: JoinHandle<()>,
 }
 
 /// Starts the listeners, the core and the pools. `peer_address` is the bound address for other
@@ -107,14 +113,14 @@
         require_tls: settings.require_tls,
     });
     tokio::spawn(apply_limits(pools, limit_tasks));
-    tokio::spawn(caller::serve(caller_listener, context.clone(), drained.clone()));
+    let sessions = tokio::spawn(caller::serve(caller_listener, context.clone(), drained.clone()));
     tokio::spawn(async move {
         if let Err(error) = admin::serve(admin_listener, context).await {
             log::error!("admin: listener failed: {error}");
         }
     });
     let tasks = HostTasks { members: member_tasks, store: store_requests, peers: peer_tasks };
-    Ok((RunningHost { driver, callers, admin, drain: drained, stopped }, tasks))
+    Ok((RunningHost { driver, callers, admin, drain: drained, stopped, sessions }, tasks))
 }
 
 impl RunningHost {
@@ -125,10 +131,14 @@
 
     /// Waits until the shutdown has finished; false when the core has failed instead.
     pub async fn finished(&mut self) -> bool {
-        tokio::select! {
+        let is_done = tokio::select! {
             phase = self.drain.wait_for(|phase| *phase == DrainPhase::Finished) => phase.is_ok(),
             _ = &mut self.stopped => false,
+        };
+        if timeout(LAST_WRITES, &mut self.sessions).await.is_err() {
+            log::warn!("drain: sessions were cut off");
         }
+        is_done
     }
 }
 
