--- a/crates/proxy/tests/proxy/support/mod.rs
+++ b/crates/proxy/tests/proxy/support/mod.rs
@@ -1,6 +1,7 @@
 //! A host with the stand-in of the platform and a group of scripted endpoints.
 
 pub mod endpoint;
+pub mod raw;
 pub mod script;
 
 use std::net::SocketAddr;
@@ -44,7 +45,7 @@
     pub endpoints: Vec<Arc<EndpointScript>>,
     pub host: RunningHost,
     pub platform: PlatformClient,
-    pub directory: TempDir,
+    _directory: TempDir,
 }
 
 /// Starts a platform, a group of a primary and two replicas, and one host.
@@ -72,7 +73,7 @@
     let settings = settings(directory.path(), &platform, more);
     let (host, tasks) = runtime::start(&settings, "127.0.0.1:1".parse().unwrap()).await.unwrap();
     connect(&host, tasks, &settings);
-    let fleet = TestFleet { endpoints, host, platform: client, directory };
+    let fleet = TestFleet { endpoints, host, platform: client, _directory: directory };
     fleet.wait_until_serving().await;
     fleet
 }
--- a/crates/proxy/tests/proxy/support/script.rs
+++ b/crates/proxy/tests/proxy/support/script.rs
@@ -118,6 +118,11 @@
         u32::try_from(self.state().connections.len()).unwrap()
     }
 
+    /// Whether a connection is open.
+    pub fn is_open(&self, pid: i32) -> bool {
+        self.state().connections.contains_key(&pid)
+    }
+
     pub fn note_bytes(&self, bytes: &[u8]) {
         self.state().received.extend_from_slice(bytes);
     }
