--- a/crates/testbed/src/deployment/hosts.rs
+++ b/crates/testbed/src/deployment/hosts.rs
@@ -60,8 +60,8 @@
         let place = &self.plan.domains[domain];
         let peer = free_udp_port(&place.address)?;
         let advertised_peer = match self.plan.relayed {
-            true => self.open_relayed("udp", peer, &place.name).await?,
-            false => peer,
+            true => Some(self.open_relayed("udp", peer, &place.name).await?),
+            false => None,
         };
         let settings = HostSettings {
             name: name.to_owned(),
@@ -73,7 +73,7 @@
             platform: self.platform_address,
         };
         let path = self.files.write_host(&settings)?;
-        let arguments = ["--settings".to_owned(), path.display().to_string()];
+        let arguments = ["run", "--config", &path.display().to_string()].map(str::to_owned);
         let process =
             ChildProcess::start(&program("tanagerdeal")?, &arguments, name, self.directory())?;
         let node = HostNode {
--- a/crates/testbed/src/deployment/settings.rs
+++ b/crates/testbed/src/deployment/settings.rs
@@ -29,8 +29,9 @@
         pub(super) domain: String,
         pub(super) caller: SocketAddr,
         pub(super) peer: SocketAddr,
-        /// Address at which other hosts reach the peer listener.
-        pub(super) advertised_peer: SocketAddr,
+        /// Address of the relay's port that leads to the peer listener, when links are relayed. The
+        /// host then also connects from the address of its failure domain.
+        pub(super) advertised_peer: Option<SocketAddr>,
         pub(super) admin: SocketAddr,
         pub(super) platform: SocketAddr,
     }
@@ -67,28 +68,36 @@
     /// The INI text of a host; the only place that knows the proxy's setting names.
     fn settings_text(&self, host: &HostSettings) -> String {
         let file = |name: &str| self.directory.join(name).display().to_string();
-        let sections: [(&str, Vec<(&str, String)>); 6] = [
-            ("host", vec![("name", host.name.clone()), ("domain", host.domain.clone())]),
-            (
-                "caller",
-                vec![("listen", host.caller.to_string()), ("require_tls", "off".to_owned())],
-            ),
+        let mut listen = vec![
+            ("callers", host.caller.to_string()),
+            ("peers", host.peer.to_string()),
+            ("admin", host.admin.to_string()),
+        ];
+        let mut own = vec![("name", host.name.clone()), ("domain", host.domain.clone())];
+        if let Some(advertised) = host.advertised_peer {
+            listen.push(("peers_advertised", advertised.to_string()));
+            own.push(("source_address", host.peer.ip().to_string()));
+        }
+        let sections = [
+            ("host", own),
+            ("listen", listen),
+            ("platform", vec![("address", host.platform.to_string())]),
             (
-                "peer",
+                "fleet",
                 vec![
-                    ("listen", host.peer.to_string()),
-                    ("advertise", host.advertised_peer.to_string()),
-                    ("certificate", file(&format!("{}.pem", host.name))),
-                    ("key", file(&format!("{}.key", host.name))),
-                    ("authority", file("authority.pem")),
-                    ("fleet_secret", file("fleet-secret")),
+                    ("secret_file", file("fleet-secret")),
+                    ("peer_certificate_file", file(&format!("{}.pem", host.name))),
+                    ("peer_key_file", file(&format!("{}.key", host.name))),
+                    ("peer_ca_file", file("authority.pem")),
                 ],
             ),
-            ("admin", vec![("listen", host.admin.to_string())]),
-            ("platform", vec![("address", host.platform.to_string())]),
+            ("tls", vec![("require_tls", "no".to_owned())]),
             (
                 "endpoint",
-                vec![("user", "tanagerdeal".to_owned()), ("password", file("service-password"))],
+                vec![
+                    ("user", "tanagerdeal".to_owned()),
+                    ("password_file", file("service-password")),
+                ],
             ),
         ];
         let mut text = String::new();
--- a/crates/testbed/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -17,6 +17,7 @@
 use tokio::task::JoinSet;
 
 pub use plan::{CustomerLoad, HostTarget, LoadPlan, RequestMix, SurgePlan};
+pub(crate) use report::tag_of;
 pub use report::{CustomerReport, LoadReport};
 
 use arrival::{Arrival, generate_arrivals};
