--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -67,7 +67,7 @@
         /// For other hosts.
         pub peers: SocketAddr,
         /// Address at which other hosts reach the listener, where it differs from the bound one.
-        pub advertise_peers: Option<SocketAddr>,
+        pub peers_advertised: Option<SocketAddr>,
         /// For health, metrics and status.
         pub admin: SocketAddr,
     }
--- a/crates/proxy/src/settings/read.rs
+++ b/crates/proxy/src/settings/read.rs
@@ -51,7 +51,7 @@
             listen: ListenAddresses {
                 callers: self.parse("listen", "callers")?,
                 peers: self.parse("listen", "peers")?,
-                advertise_peers: self.optional("listen", "advertise_peers")?,
+                peers_advertised: self.optional("listen", "peers_advertised")?,
                 admin: self.parse("listen", "admin")?,
             },
             platform: self.text("platform", "address")?.to_owned(),
--- a/crates/testbed/src/deployment/hosts.rs
+++ b/crates/testbed/src/deployment/hosts.rs
@@ -60,8 +60,8 @@
         let place = &self.plan.domains[domain];
         let peer = free_udp_port(&place.address)?;
         let advertised_peer = match self.plan.relayed {
-            true => self.open_relayed("udp", peer, &place.name).await?,
-            false => peer,
+            true => Some(self.open_relayed("udp", peer, &place.name).await?),
+            false => None,
         };
         let settings = HostSettings {
             name: name.to_owned(),
--- a/crates/testbed/src/deployment/settings.rs
+++ b/crates/testbed/src/deployment/settings.rs
@@ -29,8 +29,9 @@
         pub(super) domain: String,
         pub(super) caller: SocketAddr,
         pub(super) peer: SocketAddr,
-        /// Address at which other hosts reach the peer listener.
-        pub(super) advertised_peer: SocketAddr,
+        /// Address of the relay's port that leads to the peer listener, when links are relayed. The
+        /// host then also connects from the address of its failure domain.
+        pub(super) advertised_peer: Option<SocketAddr>,
         pub(super) admin: SocketAddr,
         pub(super) platform: SocketAddr,
     }
@@ -67,17 +68,19 @@
     /// The INI text of a host; the only place that knows the proxy's setting names.
     fn settings_text(&self, host: &HostSettings) -> String {
         let file = |name: &str| self.directory.join(name).display().to_string();
-        let sections: [(&str, Vec<(&str, String)>); 6] = [
-            ("host", vec![("name", host.name.clone()), ("domain", host.domain.clone())]),
-            (
-                "listen",
-                vec![
-                    ("callers", host.caller.to_string()),
-                    ("peers", host.peer.to_string()),
-                    ("advertise_peers", host.advertised_peer.to_string()),
-                    ("admin", host.admin.to_string()),
-                ],
-            ),
+        let mut listen = vec![
+            ("callers", host.caller.to_string()),
+            ("peers", host.peer.to_string()),
+            ("admin", host.admin.to_string()),
+        ];
+        let mut own = vec![("name", host.name.clone()), ("domain", host.domain.clone())];
+        if let Some(advertised) = host.advertised_peer {
+            listen.push(("peers_advertised", advertised.to_string()));
+            own.push(("source_address", host.peer.ip().to_string()));
+        }
+        let sections = [
+            ("host", own),
+            ("listen", listen),
             ("platform", vec![("address", host.platform.to_string())]),
             (
                 "fleet",
