--- a/crates/core/src/host/fleet/peer.rs
+++ b/crates/core/src/host/fleet/peer.rs
@@ -67,9 +67,7 @@
         Some(PeerReply::Loan(loan)) => {
             let loan_valid = state.profile.timing.loan_valid;
             let valid_until = asked_at + loan_valid.saturating_sub(LOAN_MARGIN);
-            if loan.units > 0 && valid_until > now {
-                state.shares.accept(now, &loan, valid_until);
-            }
+            state.shares.accept(now, &loan, valid_until);
         }
         _ if ended.is_pull => pull_failed(state, now, call, &ended),
         _ => {}
