--- a/crates/core/src/host/fleet/base.rs
+++ b/crates/core/src/host/fleet/base.rs
@@ -49,7 +49,7 @@
 /// Drops to the smaller of the shares before and after a change of the views.
 ///
 /// The place in the order can change as well, so while a change is in progress only the units count
-/// that every place gets: those of the last one.
+/// that every place gets.
 fn adopt(state: &mut HostState, now: Instant, target: Option<(u64, u64)>) {
     let newest = newest_epochs(state);
     let is_same_lease = state.base.generation == state.lease.generation;
@@ -67,7 +67,7 @@
     let held = state.base.base.as_ref().filter(|base| base.numerator > 0);
     let lowered = held.zip(target).map(|(base, (denominator, _))| {
         let denominator = denominator.max(base.denominator);
-        BaseShare { denominator, rank: denominator - 1, ..*base }
+        BaseShare { denominator, rank: denominator, ..*base }
     });
     set(state, now, lowered);
 }
--- a/crates/core/src/host/fleet/peer.rs
+++ b/crates/core/src/host/fleet/peer.rs
@@ -12,9 +12,8 @@
 use crate::membership::{HeldPull, PeerCall};
 use crate::message::{CallTag, HostOutput, PeerCallKey};
 
-/// Part of a loan's validity that the borrower does not use, against clocks that run at slightly
-/// different rates.
-const LOAN_MARGIN: Duration = Duration::from_millis(100);
+/// Part of a handover's validity that is not used, because it is counted from the sending.
+const WIRE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Pauses after failed pulls from one host start here and double.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -65,22 +64,19 @@
             pull_answered(state, now, call, &ended, asked_at, reply);
         }
         Some(PeerReply::Loan(loan)) => {
-            let loan_valid = state.profile.timing.loan_valid;
-            let valid_until = asked_at + loan_valid.saturating_sub(LOAN_MARGIN);
-            if loan.units > 0 && valid_until > now {
-                state.shares.accept(now, &loan, valid_until);
-            }
+            let valid_until = asked_at + state.profile.timing.loan_valid;
+            state.shares.accept(now, &loan, valid_until);
         }
         _ if ended.is_pull => pull_failed(state, now, call, &ended),
         _ => {}
     }
 }
 
-/// Takes over shares. The time on the wire is unknown, but the sender keeps its lease for longer than
-/// the loans are valid, so the margin has to cover only that time.
+/// Takes over shares. The time on the wire is unknown, so part of the validity is not used; the host
+/// that leaves has given up its lease for a longer time than that.
 fn accept_handover(state: &mut HostState, now: Instant, handover: &ShareHandover) {
-    let valid = Duration::from_millis(handover.valid_ms).saturating_sub(LOAN_MARGIN);
-    for loan in handover.loans.iter().filter(|loan| loan.units > 0) {
+    let valid = Duration::from_millis(handover.valid_ms).saturating_sub(WIRE_MARGIN);
+    for loan in &handover.loans {
         state.shares.accept(now, loan, now + valid);
     }
 }
--- a/crates/core/src/host/traffic/finish.rs
+++ b/crates/core/src/host/traffic/finish.rs
@@ -210,7 +210,7 @@
     outputs: &mut Vec<HostOutput>,
 ) {
     let is_lost = ending == RequestEnding::Lost;
-    release(state, now, dispatch, is_lost);
+    release(state, now, dispatch, is_lost || ending == RequestEnding::NotSent);
     let Some(open) = state.sessions.dispatches.get_mut(dispatch) else { return };
     let (session, group, endpoint) = (open.session, open.group, open.endpoint);
     if let Some(tag) = open.commit.take() {
@@ -263,7 +263,7 @@
     }
 }
 
-/// Ends the statement of a request; `started` tells how long it took.
+/// Ends the statement of a request; `is_lost` when its connection failed.
 fn release(state: &mut HostState, now: Instant, dispatch: DispatchKey, is_lost: bool) {
     let Some(open) = state.sessions.dispatches.get_mut(dispatch) else { return };
     if !std::mem::take(&mut open.is_running) {
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -21,9 +21,6 @@
 /// Part of a loan's time that the borrower does not use, because clocks run at different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(100);
 
-/// Steps of the offset with which an endpoint's connections are dealt out.
-const DEAL_STEPS: u64 = 1 << 16;
-
 /// Interval at which holdings are compared with demand. It is far below the time before the end of a
 /// loan at which its connections get no new work.
 const ADOPT_INTERVAL: Duration = Duration::from_millis(100);
@@ -40,8 +37,9 @@
         /// Failure domains times hosts of this host's view.
         pub denominator: u64,
         /// Place of this host among the holders, below `denominator`: the place of its failure
-        /// domain times the hosts of its view, plus its place in the view. In this order the
-        /// connections of a failure domain do not depend on the number of hosts in its view.
+        /// domain, plus failure domains times its place in the view. In this order the connections
+        /// of a failure domain do not depend on the number of hosts in its view. `denominator`
+        /// itself stands for no place: only the connections that every place gets.
         pub rank: u64,
         /// When the share ends unless the lease is renewed.
         pub valid_until: Instant,
@@ -51,7 +49,6 @@
 /// Holdings per resource.
 pub struct ShareTable {
     base: Option<BaseShare>,
-    ceiling: Option<BaseShare>,
     is_lending: bool,
     /// Whether the base share was handed over.
     is_handed_over: bool,
@@ -68,7 +65,6 @@
     fn default() -> Self {
         Self {
             base: None,
-            ceiling: None,
             is_lending: true,
             is_handed_over: false,
             loan_valid: HostTiming::default().loan_valid,
@@ -99,7 +95,7 @@
 
     /// Connections of an endpoint that has `total` of them.
     ///
-    /// Each endpoint is dealt from another offset, so that no host gets the larger part of all.
+    /// Each endpoint is dealt from another place, so that no host gets the larger part of all.
     ///
     /// ```
     /// use std::time::Instant;
@@ -113,14 +109,15 @@
     ///     BaseShare { numerator: 1, denominator: 9, rank, valid_until }.connections(&endpoint, 20)
     /// };
     /// assert_eq!((0..9).map(dealt).sum::<u64>(), 20);
+    /// assert_eq!(dealt(9), 2);
     /// ```
     pub fn connections(&self, endpoint: &EndpointName, total: u32) -> u64 {
         let denominator = self.denominator.max(1);
-        let offset = stable_hash(&[endpoint.as_str()]) % DEAL_STEPS * denominator;
-        let below = |rank: u64| {
-            (u64::from(total) * rank * DEAL_STEPS + offset) / (DEAL_STEPS * denominator)
-        };
-        self.numerator.min(1) * (below(self.rank + 1) - below(self.rank))
+        let (each, rest) = (u64::from(total) / denominator, u64::from(total) % denominator);
+        let first = stable_hash(&[endpoint.as_str()]) % denominator;
+        let place = (self.rank + denominator - first) % denominator;
+        let has_more = self.rank < denominator && place < rest;
+        self.numerator.min(1) * (each + u64::from(has_more))
     }
 }
 
@@ -149,32 +146,6 @@
         self.clamp_all(now);
     }
 
-    /// Sets a second base share that bounds the first one while a share view changes, because the
-    /// connections dealt to a host can shrink for one endpoint and grow for another.
-    ///
-    /// ```
-    /// use std::time::{Duration, Instant};
-    ///
-    /// use tanagerdeal_core::share::{BaseShare, ShareTable};
-    /// use tanagerdeal_wire::CustomerName;
-    /// use tanagerdeal_wire::peer::ShareResource;
-    ///
-    /// let now = Instant::now();
-    /// let valid_until = now + Duration::from_secs(90);
-    /// let mut shares = ShareTable::default();
-    /// let old = BaseShare { numerator: 1, denominator: 4, rank: 0, valid_until };
-    /// shares.set_base(now, old);
-    /// shares.set_ceiling(now, Some(BaseShare { denominator: 5, ..old }));
-    /// let resource = ShareResource::CustomerRate(CustomerName::new("quarry").unwrap());
-    /// assert_eq!(shares.held(now, &resource), 200_000);
-    /// ```
-    pub fn set_ceiling(&mut self, now: Instant, ceiling: Option<BaseShare>) {
-        self.settle_all(now);
-        self.is_changed = true;
-        self.ceiling = ceiling;
-        self.clamp_all(now);
-    }
-
     /// Whether everything lent out, and every connection in use, fits into a base share, so that a
     /// new view may be reported.
     ///
@@ -431,23 +402,18 @@
         self.paces.values_mut().for_each(|pace| pace.prune(now));
     }
 
-    /// Bases that are valid now; none of them when one has ended or was handed over.
-    fn valid_bases(&self, now: Instant) -> Option<(BaseShare, BaseShare)> {
-        let base = self.base.filter(|base| base.valid_until > now && !self.is_handed_over)?;
-        let ceiling = self.ceiling.unwrap_or(base);
-        Some((base, ceiling))
+    /// The base share, unless it has ended or was handed over.
+    fn valid_base(&self, now: Instant) -> Option<BaseShare> {
+        self.base.filter(|base| base.valid_until > now && !self.is_handed_over)
     }
 
     fn rate_base(&self, now: Instant) -> u64 {
-        self.valid_bases(now)
-            .map_or(0, |(base, ceiling)| base.rate_units().min(ceiling.rate_units()))
+        self.valid_base(now).map_or(0, |base| base.rate_units())
     }
 
     fn connection_base(&self, now: Instant, endpoint: &EndpointName) -> u64 {
         let total = self.connections.get(endpoint).map_or(0, |holding| holding.total);
-        self.valid_bases(now).map_or(0, |(base, ceiling)| {
-            base.connections(endpoint, total).min(ceiling.connections(endpoint, total))
-        })
+        self.valid_base(now).map_or(0, |base| base.connections(endpoint, total))
     }
 
     fn settle_all(&mut self, now: Instant) {
--- a/crates/core/src/share/tests.rs
+++ b/crates/core/src/share/tests.rs
@@ -161,7 +161,8 @@
         let mut dealt = 0;
         for (domain, hosts) in (0..3).zip(hosts) {
             for rank in domain * hosts..(domain + 1) * hosts {
-                dealt += base(now, 3 * hosts, rank).connections(&endpoint, total);
+                let place = domain + 3 * (rank - domain * hosts);
+                dealt += base(now, 3 * hosts, place).connections(&endpoint, total);
             }
         }
         expect_that!(dealt, eq(u64::from(total)), "{total} connections, hosts {hosts:?}");
