--- a/crates/ctl/src/context.rs
+++ b/crates/ctl/src/context.rs
@@ -38,7 +38,7 @@
             .unwrap_or_else(|| "unknown".to_owned());
         let wait = matches.get_one::<u64>("wait-ms").copied().unwrap_or(5_000);
         Ok(Self {
-            client: PlatformClient::new(&address, "operator", "operator", CALL_TIMEOUT)?,
+            client: PlatformClient::new(&address, "operator", "operator", CALL_TIMEOUT, None)?,
             actor,
             json: matches.get_flag("json"),
             wait: Duration::from_millis(wait),
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,5 +1,6 @@
 //! Requests to the platform and their errors.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
@@ -43,7 +44,8 @@
 }
 
 impl PlatformClient {
-    /// Client of the platform at `address` (`ip:port`); calls end after `timeout`.
+    /// Client of the platform at `address` (`ip:port`); calls end after `timeout` and come from
+    /// `source` where it is given.
     ///
     /// ```
     /// use std::time::Duration;
@@ -51,7 +53,8 @@
     /// use tanagerdeal_platform::PlatformClient;
     ///
     /// let client =
-    ///     PlatformClient::new("127.0.0.1:1", "operator", "none", Duration::from_secs(1)).unwrap();
+    ///     PlatformClient::new("127.0.0.1:1", "operator", "none", Duration::from_secs(1), None)
+    ///         .unwrap();
     /// assert_eq!(client.address(), "127.0.0.1:1");
     /// ```
     pub fn new(
@@ -59,9 +62,12 @@
         host: &str,
         domain: &str,
         timeout: Duration,
+        source: Option<IpAddr>,
     ) -> Result<Self, PlatformError> {
-        let http = Client::builder().timeout(timeout).no_proxy().build().map_err(|error| {
-            PlatformError::Unavailable { address: address.to_owned(), reason: error.to_string() }
+        let builder = Client::builder().timeout(timeout).no_proxy().local_address(source);
+        let http = builder.build().map_err(|error| PlatformError::Unavailable {
+            address: address.to_owned(),
+            reason: error.to_string(),
         })?;
         let (address, host, domain) = (address.to_owned(), host.to_owned(), domain.to_owned());
         Ok(Self { address, host, domain, http })
--- a/crates/proxy/src/command.rs
+++ b/crates/proxy/src/command.rs
@@ -2,6 +2,7 @@
 
 use std::ffi::OsString;
 use std::io::Write as _;
+use std::net::IpAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -152,22 +153,34 @@
     let started = runtime::start(&settings, peer_address).await;
     let (host, tasks) = started.map_err(|error| text(&error))?;
     let (name, domain) = (settings.host.as_str(), settings.domain.as_str());
-    let client = PlatformClient::new(&settings.platform, name, domain, settings.platform_timeout)
-        .map_err(|error| text(&error))?;
+    let client = PlatformClient::new(
+        &settings.platform,
+        name,
+        domain,
+        settings.platform_timeout,
+        settings.source,
+    )
+    .map_err(|error| text(&error))?;
     log::info!("caller: listening on {}", host.callers);
     log::info!("peer: listening on {peer_address}");
     log::info!("admin: listening on {}", host.admin);
-    connect(host.driver.clone(), tasks, client, node);
+    connect(host.driver.clone(), tasks, client, node, settings.source);
     let mut host = host;
     Ok(signals.attend(&mut host, ReloadState { file, settings, log }).await)
 }
 
 /// Starts the parts that talk to the platform, the members and other hosts.
-fn connect(driver: DriverHandle, tasks: HostTasks, client: PlatformClient, node: PeerNode) {
+fn connect(
+    driver: DriverHandle,
+    tasks: HostTasks,
+    client: PlatformClient,
+    node: PeerNode,
+    source: Option<IpAddr>,
+) {
     tokio::spawn(store::run(driver.clone(), tasks.store, client));
     tokio::spawn(node.run(driver.clone(), tasks.peers));
     tokio::spawn(async move {
-        if let Err(error) = member::run(driver, tasks.members).await {
+        if let Err(error) = member::run(driver, tasks.members, source).await {
             log::error!("endpoint: {error}");
         }
     });
--- a/crates/proxy/src/endpoint/connection.rs
+++ b/crates/proxy/src/endpoint/connection.rs
@@ -1,5 +1,7 @@
 //! One connection to an endpoint.
 
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use pgwire::messages::cancel::CancelRequest;
@@ -9,7 +11,7 @@
 use pgwire::messages::{Message, PgWireBackendMessage};
 use tanagerdeal_wire::member::{LogPosition, POSITION_PARAMETER};
 use tokio::io::AsyncReadExt as _;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 use super::login::log_in;
@@ -40,6 +42,7 @@
 #[derive(Clone)]
 pub struct CancelTarget {
     address: String,
+    source: Option<IpAddr>,
     pid: i32,
     secret: SecretKey,
 }
@@ -80,11 +83,12 @@
         wait: Duration,
     ) -> Result<Self, ConnectionError> {
         let opening = async {
-            let socket = TcpStream::connect(address).await.map_err(CodecError::Io)?;
+            let socket = dial(address, login.source).await.map_err(CodecError::Io)?;
             socket.set_nodelay(true).map_err(CodecError::Io)?;
             let mut stream = FrameStream::new(socket, limit);
             let (pid, secret) = log_in(&mut stream, login).await?;
-            let cancel = CancelTarget { address: address.to_owned(), pid, secret };
+            let (address, source) = (address.to_owned(), login.source);
+            let cancel = CancelTarget { address, source, pid, secret };
             let prepared = PreparedTable::default();
             Ok(Self { stream, cancel, prepared, settings: Vec::new() })
         };
@@ -188,7 +192,7 @@
     /// Fails when the endpoint cannot be reached or does not close the connection in time.
     pub async fn send(&self) -> Result<(), ConnectionError> {
         let sending = async {
-            let socket = TcpStream::connect(&self.address).await.map_err(CodecError::Io)?;
+            let socket = dial(&self.address, self.source).await.map_err(CodecError::Io)?;
             let mut stream = FrameStream::new(socket, 0);
             stream.push(&CancelRequest::new(self.pid, self.secret.clone()));
             stream.flush().await?;
@@ -217,3 +221,15 @@
     let end = usize::try_from(length.unwrap_or(-1)).map_or(4, |length| 4 + length);
     String::from_utf8_lossy(data.get(4..end).unwrap_or_default()).into_owned()
 }
+
+/// Connects to an endpoint, from a given address of this host where it has several.
+async fn dial(address: &str, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(address).await };
+    let target: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let socket = match target {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(target).await
+}
--- a/crates/proxy/src/endpoint/login.rs
+++ b/crates/proxy/src/endpoint/login.rs
@@ -1,6 +1,7 @@
 //! Log-in to an endpoint with the service credentials.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 
 use pgwire::api::auth::md5pass::hash_md5_password;
 use pgwire::messages::PgWireBackendMessage;
@@ -24,6 +25,8 @@
     pub password: String,
     /// Database.
     pub database: String,
+    /// Address of this host from which connections are opened, where it has several.
+    pub source: Option<IpAddr>,
 }
 
 /// Logs in and returns what identifies the connection in a cancel request.
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -1,5 +1,6 @@
 //! Calls of the member API on behalf of the core.
 
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use reqwest::{Client, RequestBuilder};
@@ -22,7 +23,8 @@
 #[error("client of the member API: {0}")]
 pub struct MemberError(#[from] reqwest::Error);
 
-/// Carries out the core's calls of the member API until the driver stops.
+/// Carries out the core's calls of the member API until the driver stops; connections come from
+/// `source` where it is given.
 ///
 /// # Errors
 ///
@@ -30,8 +32,9 @@
 pub async fn run(
     handle: DriverHandle,
     mut tasks: UnboundedReceiver<MemberTask>,
+    source: Option<IpAddr>,
 ) -> Result<(), MemberError> {
-    let http = Client::builder().no_proxy().tcp_nodelay(true).build()?;
+    let http = Client::builder().no_proxy().tcp_nodelay(true).local_address(source).build()?;
     while let Some(task) = tasks.recv().await {
         let (handle, http) = (handle.clone(), http.clone());
         tokio::spawn(async move {
--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -176,6 +176,7 @@
         user: endpoint.user.clone(),
         password: read_secret(&endpoint.password_file)?,
         database: endpoint.database.clone(),
+        source: settings.source,
     };
     Ok(PoolSet::new(login, settings.limits.message_bytes, endpoint.connect_timeout))
 }
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -3,7 +3,7 @@
 mod read;
 mod table;
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -100,6 +100,8 @@
         pub host: HostName,
         /// Its failure domain.
         pub domain: DomainName,
+        /// Address from which the host connects to others, where it has several.
+        pub source: Option<IpAddr>,
         /// Incarnation, when it is fixed.
         pub incarnation: Option<u64>,
         /// Listeners.
--- a/crates/proxy/src/settings/read.rs
+++ b/crates/proxy/src/settings/read.rs
@@ -47,6 +47,7 @@
         Ok(HostSettings {
             host: self.name("host", "name", tanagerdeal_wire::HostName::new)?,
             domain: self.name("host", "domain", tanagerdeal_wire::DomainName::new)?,
+            source: self.optional("host", "source_address")?,
             incarnation: self.optional("host", "incarnation")?,
             listen: ListenAddresses {
                 callers: self.parse("listen", "callers")?,
--- a/crates/proxy/tests/proxy/pool.rs
+++ b/crates/proxy/tests/proxy/pool.rs
@@ -31,6 +31,7 @@
             user: "service".to_owned(),
             password: SERVICE_PASSWORD.to_owned(),
             database: "postgres".to_owned(),
+            source: None,
         };
         let pools = PoolSet::new(login, 1 << 20, WAIT);
         let key = SlotMap::<EndpointKey, ()>::with_key().insert(());
--- a/crates/proxy/tests/proxy/support/mod.rs
+++ b/crates/proxy/tests/proxy/support/mod.rs
@@ -57,7 +57,7 @@
 pub async fn start_with(more: &str) -> TestFleet {
     let platform = tanagerdeal_testbed::platform::start("127.0.0.1:0").await.unwrap();
     let platform = platform.to_string();
-    let client = PlatformClient::new(&platform, "test", "d1", PATIENCE).unwrap();
+    let client = PlatformClient::new(&platform, "test", "d1", PATIENCE, None).unwrap();
     let log = Arc::new(Mutex::new(GroupLog { offset: 10, ..GroupLog::default() }));
     let mut endpoints = Vec::new();
     let mut members = Vec::new();
@@ -146,9 +146,9 @@
 
 fn connect(host: &RunningHost, tasks: HostTasks, settings: &HostSettings) {
     let client =
-        PlatformClient::new(&settings.platform, "h1", "d1", Duration::from_secs(1)).unwrap();
+        PlatformClient::new(&settings.platform, "h1", "d1", Duration::from_secs(1), None).unwrap();
     tokio::spawn(store::run(host.driver.clone(), tasks.store, client));
-    tokio::spawn(member::run(host.driver.clone(), tasks.members));
+    tokio::spawn(member::run(host.driver.clone(), tasks.members, None));
     let mut peers = tasks.peers;
     tokio::spawn(async move { while peers.recv().await.is_some() {} });
 }
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -166,7 +166,7 @@
     /// Fails when the HTTP client cannot be made.
     pub fn operator(&self) -> Result<PlatformClient, DeploymentError> {
         let address = self.platform_control.address().to_string();
-        PlatformClient::new(&address, "operator", "operator", Duration::from_secs(2))
+        PlatformClient::new(&address, "operator", "operator", Duration::from_secs(2), None)
             .map_err(|error| DeploymentError::Records(error.to_string()))
     }
 
