--- a/crates/proxy/src/caller/conclude.rs
+++ b/crates/proxy/src/caller/conclude.rs
@@ -112,6 +112,7 @@
             || reply.is_stale
             || request.settings.iter().any(SessionSetting::is_discard);
         transaction.wrote |= request.writes;
+        transaction.has_portal |= reply.is_suspended;
         transaction.position = reply.position.or(transaction.position);
         transaction.is_flushed = reply.status.is_none();
         transaction.is_batch = transaction.is_flushed && (is_new || transaction.is_batch);
--- a/crates/proxy/src/caller/exchange.rs
+++ b/crates/proxy/src/caller/exchange.rs
@@ -17,9 +17,9 @@
 use crate::driver::DriverHandle;
 use crate::endpoint::{ConnectionError, ConnectionLease, field_of};
 
-/// Command tags of statements without a result, which have no position of their own.
-const WITHOUT_RESULT: [&str; 6] =
-    ["BEGIN", "START TRANSACTION", "COMMIT", "ROLLBACK", "SET", "RESET"];
+/// First words of the command tags of statements that may have an empty result. Other statements with
+/// a result have at least one row.
+const RESULT_TAGS: [&str; 2] = ["SELECT", "FETCH"];
 
 /// Why the reply to a request could not be completed; the endpoint connection must be closed.
 #[derive(Debug, thiserror::Error)]
@@ -46,6 +46,9 @@
     pub(super) dispatch: DispatchKey,
     /// Position from which on no check is needed; nothing when rows need no check.
     pub(super) required: Option<LogPosition>,
+    /// Whether a portal was suspended before. Its further rows come from the snapshot whose position
+    /// was checked then, and the endpoint does not report it again.
+    pub(super) continues_portal: bool,
     /// Whether everything from the first CommandComplete on waits for the confirmation.
     pub(super) holds_completion: bool,
     /// Bytes that may be held back or wait to be written.
@@ -63,6 +66,8 @@
     pub(super) is_error: bool,
     /// Whether the error means that a prepared statement of the connection is gone or out of date.
     pub(super) is_stale: bool,
+    /// Whether rows of a portal are left for a later Execute.
+    pub(super) is_suspended: bool,
     /// Tag of the last CommandComplete.
     pub(super) tag: Option<String>,
     /// Last position reported.
@@ -228,10 +233,11 @@
             }
         }
         let mut has_result = frame.tag() == b's';
+        self.reply.is_suspended |= has_result;
         if let PgWireBackendMessage::CommandComplete(complete) =
             frame.clone().backend().map_err(ConnectionError::Codec)?
         {
-            has_result = !WITHOUT_RESULT.contains(&complete.tag.as_str());
+            has_result = RESULT_TAGS.iter().any(|word| complete.tag.starts_with(word));
             self.reply.tag = Some(complete.tag);
         }
         // An empty result is as old as its snapshot, so it is checked like one with rows.
@@ -320,6 +326,10 @@
         if self.reply.rejected.is_some() {
             return Ok(());
         }
+        if self.reply.position.is_none() && self.rules.continues_portal {
+            self.is_verified = true;
+            return self.release().await;
+        }
         let position = self.reply.position.unwrap_or_default();
         let is_covered = position.term == required.term && position.offset >= required.offset;
         if !is_covered {
--- a/crates/proxy/src/caller/request.rs
+++ b/crates/proxy/src/caller/request.rs
@@ -156,6 +156,7 @@
             deadline: plan.deadline,
             dispatch: plan.dispatch,
             required: Some(plan.required).filter(|_| request.reads && !request.writes),
+            continues_portal: self.transaction.as_ref().is_some_and(|open| open.has_portal),
             holds_completion: commits
                 || mode.is_recorded()
                 || (!in_transaction && request.writes && request.ends_with_sync),
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -53,6 +53,8 @@
     pub(super) is_flushed: bool,
     /// Whether a statement of it may have written.
     pub(super) wrote: bool,
+    /// Whether a portal has been suspended in it.
+    pub(super) has_portal: bool,
     /// Last position reported.
     pub(super) position: Option<LogPosition>,
     /// Settings made in it, which last when it commits.
@@ -85,6 +87,7 @@
             is_batch: false,
             is_flushed: false,
             wrote: false,
+            has_portal: false,
             position: None,
             settings: Vec::new(),
         }
@@ -238,7 +241,7 @@
         let settings = self.settings_of(std::iter::once((&class, sql.as_str())));
         Request {
             writes: class == StatementClass::Write,
-            reads: class == StatementClass::Read,
+            reads: may_read(&class),
             is_block: class == StatementClass::Write && starts_transaction(&sql),
             class: placement_class(class, self.transaction.is_some()),
             body: RequestBody::Query(sql),
@@ -274,7 +277,7 @@
         }
         let settings = self.settings_of(batch.executed().zip(batch.texts()));
         let writes = batch.executed().any(|class| *class == StatementClass::Write);
-        let reads = batch.executed().any(|class| *class == StatementClass::Read);
+        let reads = batch.executed().any(may_read);
         let is_block = !in_transaction
             && batch.executed().any(|class| matches!(class, StatementClass::Begin { .. }))
             && batch.executed().any(|class| *class == StatementClass::Commit);
@@ -361,6 +364,11 @@
     }
 }
 
+/// Whether a statement may have rows that must be checked; FETCH belongs to a transaction.
+fn may_read(class: &StatementClass) -> bool {
+    matches!(class, StatementClass::Read | StatementClass::InTransaction)
+}
+
 /// The class under which a statement is placed: a setting may run anywhere.
 fn placement_class(class: StatementClass, is_open: bool) -> StatementClass {
     match class {
