--- a/crates/core/src/host/fleet/status.rs
+++ b/crates/core/src/host/fleet/status.rs
@@ -19,7 +19,7 @@
         revision: state.catalog.revision(),
         catalog_age_ms: age.map(|ms| u64::try_from(ms).unwrap_or(u64::MAX)),
         serving_keyed: may_serve_keyed(state, now),
-        ready: state.drain.phase == DrainPhase::Serving && confirmed_at.is_some(),
+        ready: is_ready(state, now),
         unknown_records: state.catalog.unknown().map(|(key, _)| key.to_owned()).collect(),
         hosts: hosts(state, now),
         groups: groups::reports(state, now),
@@ -28,6 +28,14 @@
     }
 }
 
+/// Whether new sessions should come here. A host that has just started waits for its base share,
+/// because it would refuse requests for lack of rate; without the store there is none to wait for.
+fn is_ready(state: &HostState, now: Instant) -> bool {
+    state.drain.phase == DrainPhase::Serving
+        && state.catalog.confirmed_at().is_some()
+        && (state.shares.has_base(now) || state.store.is_failing(now))
+}
+
 fn hosts(state: &HostState, now: Instant) -> Vec<HostReport> {
     let reports = state.hosts.hosts().map(|(name, host)| {
         let is_own = *name == state.profile.identity.host;
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -146,6 +146,19 @@
         self.clamp_all(now);
     }
 
+    /// Whether this host owns a base share now.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use tanagerdeal_core::share::ShareTable;
+    ///
+    /// assert!(!ShareTable::default().has_base(Instant::now()));
+    /// ```
+    pub fn has_base(&self, now: Instant) -> bool {
+        self.base.is_some_and(|base| base.numerator > 0 && now < base.valid_until)
+    }
+
     /// Whether everything lent out, and every connection in use, fits into a base share, so that a
     /// new view may be reported.
     ///
--- a/crates/testbed/src/bin/quickstart.rs
+++ b/crates/testbed/src/bin/quickstart.rs
@@ -71,7 +71,7 @@
     drop(writer);
     let options = format!("-c tanagerdeal.session_token={token}");
     let reader = connect(deployment, hosts[1], customer, &options).await?;
-    match first_value(&reader, "SELECT amount FROM items WHERE name = 'sleeper'").await?.as_str() {
+    match first_value(&reader, "SELECT amount FROM items WHERE item = 'sleeper'").await?.as_str() {
         "40" => Ok(format!("token of {} bytes", token.len())),
         other => Err(format!("read {other:?}, expected 40").into()),
     }
@@ -82,11 +82,11 @@
     for host in deployment.hosts().take(2) {
         let client = connect(deployment, host.caller, customer, "").await?;
         client.simple_query("SET tanagerdeal.request_id = 'order-1'").await?;
-        client.simple_query("UPDATE items SET amount = amount + 1 WHERE name = 'sleeper'").await?;
+        client.simple_query("UPDATE items SET amount = amount + 1 WHERE item = 'sleeper'").await?;
     }
     let host = deployment.hosts().next().ok_or("no host")?;
     let client = connect(deployment, host.caller, customer, "").await?;
-    let text = "SELECT amount FROM items WHERE name = 'sleeper'";
+    let text = "SELECT amount FROM items WHERE item = 'sleeper'";
     match first_value(&client, text).await?.as_str() {
         "41" => Ok("the amount rose by 1 for 2 requests".to_owned()),
         other => Err(format!("amount is {other:?}, expected 41").into()),
@@ -98,18 +98,18 @@
     let host = deployment.hosts().next().ok_or("no host")?;
     let kept_client = connect(deployment, host.caller, kept, "").await?;
     let client = connect(deployment, host.caller, revoked, "").await?;
-    client.simple_query("SELECT name FROM items").await?;
+    client.simple_query("SELECT item FROM items").await?;
     let key = deployment.key_name(revoked);
     operate(deployment, &["withdraw", "key", &key]).await?;
     let accepted_at = Instant::now();
-    while client.simple_query("SELECT name FROM items").await.is_ok() {
+    while client.simple_query("SELECT item FROM items").await.is_ok() {
         if accepted_at.elapsed() > REVOCATION_LIMIT {
             return Err("the key still works after 5 s".into());
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let took = accepted_at.elapsed().as_millis();
-    kept_client.simple_query("SELECT name FROM items").await?;
+    kept_client.simple_query("SELECT item FROM items").await?;
     Ok(format!("{took} ms after the change was accepted; another customer goes on"))
 }
 
@@ -132,7 +132,7 @@
         }
     }
     let gap = killed_at.elapsed().as_millis();
-    let text = "SELECT amount FROM items WHERE name = 'ballast'";
+    let text = "SELECT amount FROM items WHERE item = 'ballast'";
     match first_value(&client, text).await?.as_str() {
         "7" => Ok(format!("{gap} ms without a write; the last write before is there")),
         other => Err(format!("read {other:?}, expected 7").into()),
