--- a/crates/proxy/src/caller/exchange.rs
+++ b/crates/proxy/src/caller/exchange.rs
@@ -17,9 +17,9 @@
 use crate::driver::DriverHandle;
 use crate::endpoint::{ConnectionError, ConnectionLease, field_of};
 
-/// Command tags of statements without a result, which have no position of their own.
-const WITHOUT_RESULT: [&str; 6] =
-    ["BEGIN", "START TRANSACTION", "COMMIT", "ROLLBACK", "SET", "RESET"];
+/// First words of the command tags of statements that may have an empty result. Other statements with
+/// a result have at least one row.
+const RESULT_TAGS: [&str; 2] = ["SELECT", "FETCH"];
 
 /// Why the reply to a request could not be completed; the endpoint connection must be closed.
 #[derive(Debug, thiserror::Error)]
@@ -46,6 +46,9 @@
     pub(super) dispatch: DispatchKey,
     /// Position from which on no check is needed; nothing when rows need no check.
     pub(super) required: Option<LogPosition>,
+    /// Whether a portal was suspended before. Its further rows come from the snapshot whose position
+    /// was checked then, and the endpoint does not report it again.
+    pub(super) continues_portal: bool,
     /// Whether everything from the first CommandComplete on waits for the confirmation.
     pub(super) holds_completion: bool,
     /// Bytes that may be held back or wait to be written.
@@ -61,6 +64,10 @@
     pub(super) status: Option<TransactionStatus>,
     /// Whether the endpoint reported an error.
     pub(super) is_error: bool,
+    /// Whether the error means that a prepared statement of the connection is gone or out of date.
+    pub(super) is_stale: bool,
+    /// Whether rows of a portal are left for a later Execute.
+    pub(super) is_suspended: bool,
     /// Tag of the last CommandComplete.
     pub(super) tag: Option<String>,
     /// Last position reported.
@@ -203,10 +210,12 @@
     async fn take_error(&mut self, frame: Frame) -> Result<(), ExchangeFault> {
         if let PgWireBackendMessage::ErrorResponse(error) =
             frame.clone().backend().map_err(ConnectionError::Codec)?
-            && is_fatal(&error)
         {
-            let message = field_of(&error, b'M').unwrap_or("no message").to_owned();
-            return Err(ConnectionError::Refused(message).into());
+            if is_fatal(&error) {
+                let message = field_of(&error, b'M').unwrap_or("no message").to_owned();
+                return Err(ConnectionError::Refused(message).into());
+            }
+            self.reply.is_stale |= field_of(&error, b'C').is_some_and(is_stale_statement);
         }
         self.reply.is_error = true;
         if let Some(expected) = &mut self.expected {
@@ -224,10 +233,11 @@
             }
         }
         let mut has_result = frame.tag() == b's';
+        self.reply.is_suspended |= has_result;
         if let PgWireBackendMessage::CommandComplete(complete) =
             frame.clone().backend().map_err(ConnectionError::Codec)?
         {
-            has_result = !WITHOUT_RESULT.contains(&complete.tag.as_str());
+            has_result = RESULT_TAGS.iter().any(|word| complete.tag.starts_with(word));
             self.reply.tag = Some(complete.tag);
         }
         // An empty result is as old as its snapshot, so it is checked like one with rows.
@@ -316,6 +326,10 @@
         if self.reply.rejected.is_some() {
             return Ok(());
         }
+        if self.reply.position.is_none() && self.rules.continues_portal {
+            self.is_verified = true;
+            return self.release().await;
+        }
         let position = self.reply.position.unwrap_or_default();
         let is_covered = position.term == required.term && position.offset >= required.offset;
         if !is_covered {
@@ -360,8 +374,10 @@
         }
         self.held_bytes += frame.size();
         self.reply.held.push(frame);
-        // More than the buffer cannot be held; the end of the reply is held again from here on.
-        match self.is_holding && self.held_bytes > self.rules.buffer_bytes {
+        // More rows than the buffer takes cannot be held. They belong to a batch of several
+        // statements, of which ReadyForQuery, not CommandComplete, tells that it was committed.
+        let is_row = self.reply.held.last().is_some_and(|frame| frame.tag() == b'D');
+        match is_row && self.is_holding && self.held_bytes > self.rules.buffer_bytes {
             true => self.release().await,
             false => Ok(()),
         }
@@ -390,6 +406,12 @@
     matches!(severity, Some("FATAL" | "PANIC"))
 }
 
+/// Whether an error means that a connection does not hold its prepared statements as noted: the name
+/// is unknown or taken, or the result of a cached plan has changed its columns.
+fn is_stale_statement(sqlstate: &str) -> bool {
+    matches!(sqlstate, "26000" | "42P05" | "0A000")
+}
+
 impl From<CodecError> for ExchangeFault {
     fn from(error: CodecError) -> Self {
         Self::Connection(error.into())
