--- a/crates/core/src/host/fleet/tests/share.rs
+++ b/crates/core/src/host/fleet/tests/share.rs
@@ -138,6 +138,29 @@
     assert_eq!(denominators(&fleet), [6; 6], "failure domain did not get its part back");
 }
 
+/// Guards against a host, or a whole failure domain, that takes its share while a paused process still
+/// holds a larger one under a valid lease and has not heard of the change.
+#[test]
+fn returning_hosts_wait_for_paused_holder() {
+    for (gone, paused) in [(&["akl-b-2"][..], "akl-b-0"), (&["akl-b-0", "akl-b-1"], "ham-c-1")] {
+        let mut fleet = settled(2 + gone.len() % 2);
+        let hosts = fleet.nodes.len();
+        let gone: Vec<usize> = gone.iter().map(|host| fleet.index(host)).collect();
+        let paused = fleet.index(paused);
+        gone.iter().for_each(|index| fleet.nodes[*index].is_up = false);
+        fleet.run_observed(secs(150), check_sums);
+        assert_eq!(denominators(&fleet).len(), hosts - gone.len());
+        fleet.nodes[paused].is_paused = true;
+        gone.iter().for_each(|index| fleet.restart(*index));
+        fleet.run_observed(secs(60), check_sums);
+        assert!(usable(&fleet, paused).is_some(), "lease of the paused host should still be valid");
+        assert!(gone.iter().all(|index| usable(&fleet, *index).is_none()), "did not wait");
+        fleet.nodes[paused].is_paused = false;
+        fleet.run_observed(secs(20), check_sums);
+        assert_eq!(denominators(&fleet), vec![hosts as u64; hosts]);
+    }
+}
+
 /// Guards against any order of deaths, restarts, pauses, partitions, outages and lost answers in which
 /// the base shares of a rate, or the units of a resource, add up to more than there is.
 #[test]
