--- a/crates/proxy/src/caller/exchange.rs
+++ b/crates/proxy/src/caller/exchange.rs
@@ -17,6 +17,10 @@
 use crate::driver::DriverHandle;
 use crate::endpoint::{ConnectionError, ConnectionLease, field_of};
 
+/// First words of the command tags of statements that may have an empty result. Other statements with
+/// a result have at least one row.
+const RESULT_TAGS: [&str; 2] = ["SELECT", "FETCH"];
+
 /// Why the reply to a request could not be completed; the endpoint connection must be closed.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum ExchangeFault {
@@ -42,6 +46,9 @@
     pub(super) dispatch: DispatchKey,
     /// Position from which on no check is needed; nothing when rows need no check.
     pub(super) required: Option<LogPosition>,
+    /// Whether a portal was suspended before. Its further rows come from the snapshot whose position
+    /// was checked then, and the endpoint does not report it again.
+    pub(super) continues_portal: bool,
     /// Whether everything from the first CommandComplete on waits for the confirmation.
     pub(super) holds_completion: bool,
     /// Bytes that may be held back or wait to be written.
@@ -57,10 +64,16 @@
     pub(super) status: Option<TransactionStatus>,
     /// Whether the endpoint reported an error.
     pub(super) is_error: bool,
+    /// Whether the error means that a prepared statement of the connection is gone or out of date.
+    pub(super) is_stale: bool,
+    /// Whether rows of a portal are left for a later Execute.
+    pub(super) is_suspended: bool,
     /// Tag of the last CommandComplete.
     pub(super) tag: Option<String>,
     /// Last position reported.
     pub(super) position: Option<LogPosition>,
+    /// Highest position at which rows were read.
+    pub(super) seen: Option<LogPosition>,
     /// The reason for which rows were rejected; nothing of the reply has reached the client then.
     pub(super) rejected: Option<RequestRefusal>,
 }
@@ -197,10 +210,12 @@
     async fn take_error(&mut self, frame: Frame) -> Result<(), ExchangeFault> {
         if let PgWireBackendMessage::ErrorResponse(error) =
             frame.clone().backend().map_err(ConnectionError::Codec)?
-            && is_fatal(&error)
         {
-            let message = field_of(&error, b'M').unwrap_or("no message").to_owned();
-            return Err(ConnectionError::Refused(message).into());
+            if is_fatal(&error) {
+                let message = field_of(&error, b'M').unwrap_or("no message").to_owned();
+                return Err(ConnectionError::Refused(message).into());
+            }
+            self.reply.is_stale |= field_of(&error, b'C').is_some_and(is_stale_statement);
         }
         self.reply.is_error = true;
         if let Some(expected) = &mut self.expected {
@@ -217,27 +232,31 @@
                 _ => return Err(unexpected("the end of a result that was not asked for")),
             }
         }
-        // An empty result is as old as its snapshot, so it is checked like one with rows.
-        if frame.tag() != b'I' {
-            self.verify().await?;
-        }
+        let mut has_result = frame.tag() == b's';
+        self.reply.is_suspended |= has_result;
         if let PgWireBackendMessage::CommandComplete(complete) =
             frame.clone().backend().map_err(ConnectionError::Codec)?
         {
+            has_result = RESULT_TAGS.iter().any(|word| complete.tag.starts_with(word));
             self.reply.tag = Some(complete.tag);
         }
+        // An empty result is as old as its snapshot, so it is checked like one with rows.
+        if has_result {
+            self.verify().await?;
+        }
         self.is_holding |= self.rules.holds_completion;
         self.pass(frame).await?;
-        self.has_result();
+        self.end_result();
         Ok(())
     }
 
     /// After the end of a result, the next one needs its own position.
-    fn has_result(&mut self) {
+    fn end_result(&mut self) {
         if self.expected.is_none() {
             self.has_ended = true;
         }
         self.is_verified = self.rules.required.is_none();
+        self.reply.position = self.reply.position.filter(|_| self.is_verified);
     }
 
     fn take_ready(&mut self, frame: Frame) -> Result<bool, ExchangeFault> {
@@ -298,7 +317,8 @@
         Ok(())
     }
 
-    /// Checks the reported position before anything of the result leaves.
+    /// Checks the reported position before anything of the result leaves. A result without a position
+    /// is checked as if it were older than everything.
     async fn verify(&mut self) -> Result<(), ExchangeFault> {
         let Some(required) = self.rules.required.filter(|_| !self.is_verified) else {
             return Ok(());
@@ -306,22 +326,21 @@
         if self.reply.rejected.is_some() {
             return Ok(());
         }
-        let is_covered = |position: LogPosition| {
-            position.term == required.term && position.offset >= required.offset
-        };
-        match self.reply.position {
-            Some(position) if is_covered(position) => {}
-            Some(position) => {
-                let call = CallerCall::CheckRead { dispatch: self.rules.dispatch, position };
-                match self.driver.call(call).await {
-                    CallerAnswer::ReadAccepted => {}
-                    CallerAnswer::Refused(refusal) => return self.reject(refusal),
-                    _ => return self.reject(no_position()),
-                }
+        if self.reply.position.is_none() && self.rules.continues_portal {
+            self.is_verified = true;
+            return self.release().await;
+        }
+        let position = self.reply.position.unwrap_or_default();
+        let is_covered = position.term == required.term && position.offset >= required.offset;
+        if !is_covered {
+            let call = CallerCall::CheckRead { dispatch: self.rules.dispatch, position };
+            match self.driver.call(call).await {
+                CallerAnswer::ReadAccepted => {}
+                CallerAnswer::Refused(refusal) => return self.reject(refusal),
+                _ => return Err(unexpected("a result that could not be checked")),
             }
-            None if required == LogPosition::default() => {}
-            None => return self.reject(no_position()),
         }
+        self.reply.seen = self.reply.seen.max(Some(position));
         self.is_verified = true;
         self.release().await
     }
@@ -355,8 +374,10 @@
         }
         self.held_bytes += frame.size();
         self.reply.held.push(frame);
-        // More than the buffer cannot be held; the end of the reply is held again from here on.
-        match self.is_holding && self.held_bytes > self.rules.buffer_bytes {
+        // More rows than the buffer takes cannot be held. They belong to a batch of several
+        // statements, of which ReadyForQuery, not CommandComplete, tells that it was committed.
+        let is_row = self.reply.held.last().is_some_and(|frame| frame.tag() == b'D');
+        match is_row && self.is_holding && self.held_bytes > self.rules.buffer_bytes {
             true => self.release().await,
             false => Ok(()),
         }
@@ -380,15 +401,17 @@
     ConnectionError::Unexpected(what).into()
 }
 
-fn no_position() -> RequestRefusal {
-    RequestRefusal::may_have_run("the endpoint reported no position with its result")
-}
-
 fn is_fatal(error: &ErrorResponse) -> bool {
     let severity = field_of(error, b'V').or_else(|| field_of(error, b'S'));
     matches!(severity, Some("FATAL" | "PANIC"))
 }
 
+/// Whether an error means that a connection does not hold its prepared statements as noted: the name
+/// is unknown or taken, or the result of a cached plan has changed its columns.
+fn is_stale_statement(sqlstate: &str) -> bool {
+    matches!(sqlstate, "26000" | "42P05" | "0A000")
+}
+
 impl From<CodecError> for ExchangeFault {
     fn from(error: CodecError) -> Self {
         Self::Connection(error.into())
--- a/crates/proxy/src/settings/table.rs
+++ b/crates/proxy/src/settings/table.rs
@@ -35,16 +35,18 @@
     [host] fixed {
         name: "name of this host",
         domain: "failure domain of this host",
+        source_address = "": "IP address from which the host connects to others, where it has several",
         incarnation = "": "number of this start; drawn at random when empty",
     }
     [listen] fixed {
         callers: "address for clients, ip:port",
         peers: "address for other hosts, ip:port (UDP)",
+        peers_advertised = "": "address at which other hosts reach it, where it differs",
         admin: "address for health, readiness, metrics and status, ip:port",
     }
     [platform] fixed {
         address: "address of the platform, ip:port",
-        timeout_ms = "1000": "time for a call of the platform",
+        timeout_ms = "3000": "time for a call of the platform",
     }
     [fleet] fixed {
         secret_file: "file with the secret that signs session tokens",
