--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -3,7 +3,7 @@
 mod read;
 mod table;
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -67,7 +67,7 @@
         /// For other hosts.
         pub peers: SocketAddr,
         /// Address at which other hosts reach the listener, where it differs from the bound one.
-        pub advertise_peers: Option<SocketAddr>,
+        pub peers_advertised: Option<SocketAddr>,
         /// For health, metrics and status.
         pub admin: SocketAddr,
     }
@@ -100,6 +100,8 @@
         pub host: HostName,
         /// Its failure domain.
         pub domain: DomainName,
+        /// Address from which the host connects to others, where it has several.
+        pub source: Option<IpAddr>,
         /// Incarnation, when it is fixed.
         pub incarnation: Option<u64>,
         /// Listeners.
--- a/crates/proxy/src/settings/read.rs
+++ b/crates/proxy/src/settings/read.rs
@@ -47,11 +47,12 @@
         Ok(HostSettings {
             host: self.name("host", "name", tanagerdeal_wire::HostName::new)?,
             domain: self.name("host", "domain", tanagerdeal_wire::DomainName::new)?,
+            source: self.optional("host", "source_address")?,
             incarnation: self.optional("host", "incarnation")?,
             listen: ListenAddresses {
                 callers: self.parse("listen", "callers")?,
                 peers: self.parse("listen", "peers")?,
-                advertise_peers: self.optional("listen", "advertise_peers")?,
+                peers_advertised: self.optional("listen", "peers_advertised")?,
                 admin: self.parse("listen", "admin")?,
             },
             platform: self.text("platform", "address")?.to_owned(),
