--- a/crates/proxy/src/caller/request.rs
+++ b/crates/proxy/src/caller/request.rs
@@ -136,7 +136,7 @@
                 self.repeat(request, plan, &outcome, position).await
             }
             Err(fault) => {
-                drop(lease);
+                abandon(lease, &fault);
                 self.fail(request, plan, fault, end.has_delivered)
             }
         }
@@ -229,6 +229,21 @@
     }
 }
 
+/// Closes a connection. A statement that may still run on it is cancelled first, so that it does not
+/// go on using the endpoint for nobody; the connection serves no other session in the meantime.
+fn abandon(mut lease: ConnectionLease, fault: &ExchangeFault) {
+    if !matches!(fault, ExchangeFault::Deadline | ExchangeFault::ClientGone) {
+        return;
+    }
+    let target = lease.connection().cancel_target();
+    tokio::spawn(async move {
+        if let Err(error) = target.send().await {
+            log::debug!("endpoint: an abandoned statement was not cancelled: {error}");
+        }
+        drop(lease);
+    });
+}
+
 /// The refusal whose verdict claims less.
 fn worse(last: RequestRefusal, next: RequestRefusal) -> RequestRefusal {
     match last.verdict {
--- a/crates/proxy/src/logging.rs
+++ b/crates/proxy/src/logging.rs
@@ -5,11 +5,13 @@
 use log4rs::append::Append;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::pattern::PatternEncoder;
 
 use crate::settings::LogSettings;
 
+/// Crates whose log lines have the configured level; those of libraries are limited to warnings.
+const OWN_CRATES: [&str; 3] = ["tanagerdeal", "tanagerdeal_core", "tanagerdeal_platform"];
 /// Name of the only appender.
 const APPENDER: &str = "main";
 
@@ -65,7 +67,10 @@
             Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build())
         }
     };
+    let own = OWN_CRATES.into_iter().map(|name| Logger::builder().build(name, level));
+    let root = Root::builder().appender(APPENDER).build(level.min(LevelFilter::Warn));
     Ok(Config::builder()
         .appender(Appender::builder().build(APPENDER, appender))
-        .build(Root::builder().appender(APPENDER).build(level))?)
+        .loggers(own)
+        .build(root)?)
 }
--- a/crates/proxy/tests/proxy/batches.rs
+++ b/crates/proxy/tests/proxy/batches.rs
@@ -112,6 +112,28 @@
     assert_eq!(client.until_ready().await.last().unwrap(), "ready idle");
 }
 
+/// Guards against portals that lose their rows, or are refused for lack of a position, when they are
+/// read in parts.
+#[tokio::test(flavor = "multi_thread")]
+async fn portals_are_read_in_parts() {
+    let fleet = support::start().await;
+    let mut client = RawClient::connect(&fleet).await;
+    client.push(&query("BEGIN")).flush().await;
+    client.until_ready().await;
+    let portal = || Some("p".to_owned());
+    client.push(&parse("s", "SELECT n FROM numbers WHERE n <= 5"));
+    client.push(&Bind::new(portal(), Some("s".to_owned()), vec![], vec![], vec![]));
+    client.push(&Execute::new(portal(), 2)).push(&Sync::new()).flush().await;
+    let replies = client.until_ready().await;
+    assert_eq!(replies[..4], ["parsed", "bound", "row 1", "row 2"]);
+    assert_that!(replies[4], starts_with("PortalSuspended"));
+    client.push(&Execute::new(portal(), 10)).push(&Sync::new()).flush().await;
+    let expected = ["row 3", "row 4", "row 5", "complete SELECT 3", "ready open"];
+    assert_eq!(client.until_ready().await, expected);
+    client.push(&query("COMMIT")).flush().await;
+    assert_eq!(client.until_ready().await, ["complete COMMIT", "ready idle"]);
+}
+
 /// Guards against proxy settings that reach an endpoint when they come as extended queries.
 #[tokio::test(flavor = "multi_thread")]
 async fn proxy_settings_are_answered_by_the_proxy() {
--- a/crates/proxy/tests/proxy/records.rs
+++ b/crates/proxy/tests/proxy/records.rs
@@ -2,6 +2,7 @@
 
 use googletest::prelude::*;
 
+use crate::support;
 use crate::support::script::Fault;
 
 const ID: &str = "SET tanagerdeal.request_id = 'order-1'";
@@ -10,7 +11,7 @@
 /// against an answer that differs from the first.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeated_write_gets_the_first_outcome() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     client.batch_execute(ID).await.unwrap();
     fleet.primary().fail_next("COMMIT", Fault::CommitAndClose);
@@ -29,7 +30,7 @@
 /// Guards against a request that failed being taken for one that ran.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_failed_write_may_be_repeated() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     client.batch_execute(ID).await.unwrap();
     let error = client.batch_execute("INSERT INTO t VALUES ('fail_here')").await.unwrap_err();
@@ -41,7 +42,7 @@
 /// Guards against a transaction that runs twice under one request id.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeated_transaction_is_told_that_it_ran() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     client.batch_execute(ID).await.unwrap();
     client.batch_execute("BEGIN").await.unwrap();
@@ -59,3 +60,30 @@
     again.batch_execute(block).await.unwrap();
     assert_eq!(fleet.commits_of("explicit"), 1);
 }
+
+/// Guards against a block that runs twice, and against two executions when both attempts come at the
+/// same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_block_runs_once() {
+    let fleet = support::start().await;
+    let block = "BEGIN; INSERT INTO t VALUES ('block1'); INSERT INTO t VALUES ('block2'); COMMIT";
+    for _ in 0..3 {
+        let client = fleet.connect().await;
+        client.batch_execute(ID).await.unwrap();
+        client.batch_execute(block).await.unwrap();
+    }
+    assert_eq!((fleet.commits_of("block1"), fleet.commits_of("block2")), (1, 1));
+}
+
+/// Guards against a recorded batch whose replies do not fit the messages of the client.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_recorded_batch_is_answered_alike_each_time() {
+    let fleet = support::start().await;
+    for _ in 0..2 {
+        let client = fleet.connect().await;
+        client.batch_execute(ID).await.unwrap();
+        let insert = "INSERT INTO t VALUES ('batch', $1)";
+        assert_eq!(client.execute(insert, &[&"v"]).await.unwrap(), 1);
+    }
+    assert_eq!(fleet.commits_of("'batch'"), 1);
+}
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -6,6 +6,7 @@
 use tanagerdeal_wire::member::LogPosition;
 use tokio_postgres::{SimpleQueryMessage, SimpleQueryRow};
 
+use crate::support;
 use crate::support::script::{Fault, TERM};
 
 fn rows(messages: Vec<SimpleQueryMessage>) -> Vec<SimpleQueryRow> {
@@ -23,7 +24,7 @@
 /// Guards against replies that reach the wrong session: every row holds the text of its statement.
 #[tokio::test(flavor = "multi_thread")]
 async fn each_session_gets_its_own_replies() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let mut tasks = Vec::new();
     for session in 0..8 {
         let client = fleet.connect().await;
@@ -48,7 +49,7 @@
 /// than the buffer of a session.
 #[tokio::test(flavor = "multi_thread")]
 async fn long_results_arrive_complete() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     let sql = "SELECT n FROM numbers WHERE n <= 20000";
     let rows = client.query(sql, &[]).await.unwrap();
@@ -61,7 +62,7 @@
 /// two transactions on one.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_transaction_keeps_its_connection() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let mut tasks = Vec::new();
     for session in 0..4 {
         let mut client = fleet.connect().await;
@@ -116,7 +117,7 @@
 /// error that reaches the client without its SQLSTATE.
 #[tokio::test(flavor = "multi_thread")]
 async fn errors_of_the_endpoint_are_passed_on() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     let error = client.simple_query("SELECT fail_here").await.unwrap_err();
     assert_eq!(error.code().map(|code| code.code()), Some("22012"));
@@ -130,7 +131,7 @@
 /// Guards against a truncated result that looks complete, and against the reuse of its connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_truncated_result_is_an_error() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     for endpoint in &fleet.endpoints {
         endpoint.fail_next("n <= 5000", Fault::Truncate);
@@ -144,7 +145,7 @@
 /// Guards against a write that is reported as not run although the endpoint may have run it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_write_may_have_run() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     fleet.primary().fail_next("lost_before", Fault::Close);
     let error = client.batch_execute("INSERT INTO t VALUES ('lost_before')").await.unwrap_err();
@@ -163,7 +164,7 @@
 /// connection was lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_transaction_runs_nothing_more() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     client.batch_execute("BEGIN").await.unwrap();
     client.batch_execute("INSERT INTO t VALUES ('first')").await.unwrap();
@@ -181,7 +182,7 @@
 /// Guards against "not run" for a COMMIT that was sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_commit_may_have_run() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     client.batch_execute("BEGIN").await.unwrap();
     client.batch_execute("INSERT INTO t VALUES ('kept')").await.unwrap();
@@ -195,7 +196,7 @@
 /// but answers at an older position.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_read_at_an_old_position_is_placed_again() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     client.batch_execute("INSERT INTO t VALUES ('mine')").await.unwrap();
     for endpoint in &fleet.endpoints {
@@ -210,7 +211,7 @@
 /// Guards against rows without a position, whose age nobody knows.
 #[tokio::test(flavor = "multi_thread")]
 async fn rows_without_a_position_are_not_passed_on() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     client.batch_execute("INSERT INTO t VALUES ('mine')").await.unwrap();
     for endpoint in &fleet.endpoints {
@@ -226,7 +227,7 @@
 /// taken for the next one.
 #[tokio::test(flavor = "multi_thread")]
 async fn late_replies_are_not_taken_for_the_next_statement() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     for endpoint in &fleet.endpoints {
         endpoint.fail_next("with_extra", Fault::Extra);
@@ -247,7 +248,7 @@
 /// Guards against a request that is held past its deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_passed_deadline_is_an_error() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     client.batch_execute("SET tanagerdeal.deadline_ms = '300'").await.unwrap();
     fleet.primary().fail_next("too_slow", Fault::Delay(Duration::from_secs(20)));
@@ -261,7 +262,7 @@
 /// shared.
 #[tokio::test(flavor = "multi_thread")]
 async fn settings_follow_their_session() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let first = fleet.connect().await;
     let second = fleet.connect().await;
     first.batch_execute("SET statement_timeout = 1234").await.unwrap();
@@ -286,7 +287,7 @@
 /// Guards against the loss of prepared statements between connections, and against their mixing.
 #[tokio::test(flavor = "multi_thread")]
 async fn prepared_statements_work_on_every_connection() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     let other = fleet.connect().await;
     let statement = client.prepare("SELECT $1::text, 'a'").await.unwrap();
@@ -304,7 +305,7 @@
 /// block that loses one of its parts.
 #[tokio::test(flavor = "multi_thread")]
 async fn several_statements_only_as_one_block() {
-    let fleet = crate::support::start().await;
+    let fleet = support::start().await;
     let client = fleet.connect().await;
     let error = client.batch_execute("SELECT 1; SELECT 2").await.unwrap_err();
     assert_eq!(error.code().map(|code| code.code()), Some("0A000"));
--- a/crates/proxy/tests/proxy/sessions.rs
+++ b/crates/proxy/tests/proxy/sessions.rs
@@ -5,10 +5,8 @@
 use googletest::prelude::*;
 use serde_json::json;
 use tanagerdeal_wire::platform::{TableWrite, TxnRequest};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::TcpStream;
 
-use crate::support::{self, TestFleet};
+use crate::support;
 
 /// Guards against reads that miss the session's own writes while the replicas lag, also after the
 /// session has moved to another connection with its token.
@@ -85,32 +83,23 @@
     assert_eq!(fleet.commits_of("'left'"), 0);
 }
 
-async fn page(fleet: &TestFleet, path: &str) -> String {
-    let mut socket = TcpStream::connect(fleet.host.admin).await.unwrap();
-    let request = format!("GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n");
-    socket.write_all(request.as_bytes()).await.unwrap();
-    let mut text = String::new();
-    socket.read_to_string(&mut text).await.unwrap();
-    text
-}
-
 /// Guards against admin pages that do not tell the state of the host.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_admin_pages_show_the_state() {
     let fleet = support::start().await;
     let client = fleet.connect().await;
     client.batch_execute("INSERT INTO t VALUES (1)").await.unwrap();
-    assert_that!(page(&fleet, "/health").await, starts_with("HTTP/1.1 200"));
-    assert_that!(page(&fleet, "/ready").await, starts_with("HTTP/1.1 200"));
-    let metrics = page(&fleet, "/metrics").await;
+    assert_that!(fleet.page("/health").await, starts_with("HTTP/1.1 200"));
+    assert_that!(fleet.page("/ready").await, starts_with("HTTP/1.1 200"));
+    let metrics = fleet.page("/metrics").await;
     assert_that!(metrics, contains_substring("tanagerdeal_commits_acknowledged_total"));
     assert_that!(metrics, contains_substring("tanagerdeal_requests{class=\"write\"}"));
-    let status = page(&fleet, "/status").await;
+    let status = fleet.page("/status").await;
     let body = status.split("\r\n\r\n").nth(1).unwrap();
     let report: serde_json::Value = serde_json::from_str(body).unwrap();
     assert_eq!(report["host"], json!("h1"));
     fleet.host.shut_down();
-    while page(&fleet, "/ready").await.starts_with("HTTP/1.1 200") {
+    while fleet.page("/ready").await.starts_with("HTTP/1.1 200") {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
--- a/crates/proxy/tests/proxy/support/endpoint.rs
+++ b/crates/proxy/tests/proxy/support/endpoint.rs
@@ -10,7 +10,9 @@
 use pgwire::messages::data::{
     DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
 };
-use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
+use pgwire::messages::extendedquery::{
+    BindComplete, CloseComplete, ParseComplete, PortalSuspended,
+};
 use pgwire::messages::response::{
     CommandComplete, ErrorResponse, ReadyForQuery, TransactionStatus,
 };
@@ -138,6 +140,8 @@
     recorded: HashMap<(String, String), String>,
     statements: HashMap<String, String>,
     portals: HashMap<String, (String, Vec<String>)>,
+    /// Rows left of portals that were executed in part.
+    suspended: HashMap<String, Vec<String>>,
     /// Whether messages are ignored up to Sync.
     is_skipping: bool,
 }
@@ -159,6 +163,7 @@
             recorded: HashMap::new(),
             statements: HashMap::new(),
             portals: HashMap::new(),
+            suspended: HashMap::new(),
             is_skipping: false,
         }
     }
@@ -209,7 +214,10 @@
             PgWireFrontendMessage::Execute(execute) => {
                 let portal = execute.name.unwrap_or_default();
                 let (sql, parameters) = self.portals.get(&portal).cloned().ok_or(Ended)?;
-                self.is_skipping = !self.execute(&sql, &parameters, false).await?;
+                match usize::try_from(execute.max_rows) {
+                    Ok(count) if count > 0 => self.fetch(&portal, &sql, &parameters, count),
+                    _ => self.is_skipping = !self.execute(&sql, &parameters, false).await?,
+                }
             }
             PgWireFrontendMessage::Close(_) => self.stream.push(&CloseComplete::new()),
             _ => return Err(Ended),
@@ -217,6 +225,24 @@
         Ok(())
     }
 
+    /// Sends some rows of a portal; its position is reported with the first ones only.
+    fn fetch(&mut self, portal: &str, sql: &str, parameters: &[String], count: usize) {
+        self.script.note_statement(self.pid, sql);
+        if !self.suspended.contains_key(portal) {
+            self.report(None);
+            let rows = self.rows(sql, parameters);
+            self.suspended.insert(portal.to_owned(), rows);
+        }
+        let rest = self.suspended.get_mut(portal).expect("the portal was just added");
+        let now: Vec<String> = rest.drain(..count.min(rest.len())).collect();
+        let is_done = rest.is_empty();
+        now.iter().for_each(|value| self.stream.push(&row(value)));
+        match is_done {
+            true => self.complete(&format!("SELECT {}", now.len())),
+            false => self.stream.push(&PortalSuspended::new()),
+        }
+    }
+
     fn describe(&mut self, describe: pgwire::messages::extendedquery::Describe) {
         let name = describe.name.unwrap_or_default();
         let sql = if describe.target_type == b'S' {
--- a/crates/proxy/tests/proxy/support/mod.rs
+++ b/crates/proxy/tests/proxy/support/mod.rs
@@ -22,7 +22,8 @@
 use tanagerdeal_wire::platform::{TableWrite, TxnRequest};
 use tanagerdeal_wire::{EndpointName, GroupName};
 use tempfile::TempDir;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 use tokio_postgres::{Client, Config, NoTls};
 
@@ -111,6 +112,16 @@
         connect_with(&self.config()).await.unwrap()
     }
 
+    /// A page of the admin listener with its headers.
+    pub async fn page(&self, path: &str) -> String {
+        let mut socket = TcpStream::connect(self.host.admin).await.unwrap();
+        let request = format!("GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n");
+        socket.write_all(request.as_bytes()).await.unwrap();
+        let mut text = String::new();
+        socket.read_to_string(&mut text).await.unwrap();
+        text
+    }
+
     async fn wait_until_serving(&self) {
         let end = Instant::now() + PATIENCE;
         loop {
