--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -158,7 +158,7 @@
         host: settings.host.clone(),
         domain: settings.domain.clone(),
         incarnation: settings.incarnation.unwrap_or_else(rand::random),
-        peer_address: settings.listen.advertise_peers.unwrap_or(peer_address).to_string(),
+        peer_address: settings.listen.peers_advertised.unwrap_or(peer_address).to_string(),
         admin_address: admin_address.to_string(),
     };
     Ok(HostProfile {
@@ -176,6 +176,7 @@
         user: endpoint.user.clone(),
         password: read_secret(&endpoint.password_file)?,
         database: endpoint.database.clone(),
+        source: settings.source,
     };
     Ok(PoolSet::new(login, settings.limits.message_bytes, endpoint.connect_timeout))
 }
--- a/crates/proxy/src/settings/table.rs
+++ b/crates/proxy/src/settings/table.rs
@@ -35,12 +35,13 @@
     [host] fixed {
         name: "name of this host",
         domain: "failure domain of this host",
+        source_address = "": "IP address from which the host connects to others, where it has several",
         incarnation = "": "number of this start; drawn at random when empty",
     }
     [listen] fixed {
         callers: "address for clients, ip:port",
         peers: "address for other hosts, ip:port (UDP)",
-        advertise_peers = "": "address at which other hosts reach it, where it differs",
+        peers_advertised = "": "address at which other hosts reach it, where it differs",
         admin: "address for health, readiness, metrics and status, ip:port",
     }
     [platform] fixed {
