--- a/crates/testbed/src/deployment/hosts.rs
+++ b/crates/testbed/src/deployment/hosts.rs
@@ -70,12 +70,12 @@
             peer,
             advertised_peer,
             admin: free_tcp_port(&place.address)?,
-            platform: self.platform_address,
+            platform: self.platform_for(&place.name).await?,
         };
         let path = self.files.write_host(&settings)?;
         let arguments = ["run", "--config", &path.display().to_string()].map(str::to_owned);
         let process =
-            ChildProcess::start(&program("tanagerdeal")?, &arguments, name, self.directory())?;
+            ChildProcess::start(&program("testbed-host")?, &arguments, name, self.directory())?;
         let node = HostNode {
             name: name.to_owned(),
             domain: place.name.clone(),
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -46,6 +46,9 @@
         pub target: SocketAddr,
         /// Failure domain of the target.
         pub domain: String,
+        /// Failure domain of all callers of the port; empty when their source addresses tell it.
+        #[serde(default)]
+        pub caller_domain: String,
     }
 
     /// Answer to `POST /control/ports`.
@@ -91,9 +94,12 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Failure domain of a source address, empty when it was never named.
-    fn domain_of(&self, address: IpAddr) -> String {
-        self.lock().sources.get(&address).cloned().unwrap_or_default()
+    /// Failure domain of a caller of a port, empty when neither its address nor the port names it.
+    fn domain_of(&self, address: IpAddr, port: &RelayPort) -> String {
+        match port.caller_domain.is_empty() {
+            true => self.lock().sources.get(&address).cloned().unwrap_or_default(),
+            false => port.caller_domain.clone(),
+        }
     }
 
     /// Decides what happens to a packet on its way between two failure domains.
