Observe deployments and judge runs with and without a killed primary

The checker needs what only hosts and members show: revisions in effect, terms, final logs and the search for secrets.

--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -3,6 +3,7 @@
 mod control;
 mod hosts;
 mod members;
+mod observe;
 mod plan;
 mod process;
 mod records;
@@ -22,6 +23,7 @@
 pub use control::ControlClient;
 pub use hosts::HostNode;
 pub use members::MemberNode;
+pub use observe::RunObserver;
 pub use plan::{CustomerPlan, DeploymentPlan, DomainPlan, RoutePlan};
 pub use process::ChildProcess;
 
--- a/crates/testbed/src/deployment/records.rs
+++ b/crates/testbed/src/deployment/records.rs
@@ -12,7 +12,7 @@
 use super::DeploymentPlan;
 
 /// Secret of a customer's first key; the digest is all that the store holds.
-fn secret(customer: &str) -> String {
+pub(super) fn secret(customer: &str) -> String {
     format!("{customer}-secret-0123456789abcdef")
 }
 
--- a/crates/testbed/src/deployment/settings.rs
+++ b/crates/testbed/src/deployment/settings.rs
@@ -29,7 +29,8 @@
         pub(super) domain: String,
         pub(super) caller: SocketAddr,
         pub(super) peer: SocketAddr,
-        /// Address of the relay's port that leads to the peer listener, when links are relayed.
+        /// Address of the relay's port that leads to the peer listener, when links are relayed. The
+        /// host then also connects from the address of its failure domain.
         pub(super) advertised_peer: Option<SocketAddr>,
         pub(super) admin: SocketAddr,
         pub(super) platform: SocketAddr,
@@ -72,11 +73,13 @@
             ("peers", host.peer.to_string()),
             ("admin", host.admin.to_string()),
         ];
+        let mut own = vec![("name", host.name.clone()), ("domain", host.domain.clone())];
         if let Some(advertised) = host.advertised_peer {
-            listen.push(("advertise_peers", advertised.to_string()));
+            listen.push(("peers_advertised", advertised.to_string()));
+            own.push(("source_address", host.peer.ip().to_string()));
         }
         let sections = [
-            ("host", vec![("name", host.name.clone()), ("domain", host.domain.clone())]),
+            ("host", own),
             ("listen", listen),
             ("platform", vec![("address", host.platform.to_string())]),
             (
