--- a/crates/core/src/host/fleet/tests.rs
+++ b/crates/core/src/host/fleet/tests.rs
@@ -21,7 +21,7 @@
     let value = json!({"schema": 1, "customer": "quarry", "salt": "s", "digest": "d"});
     fleet.table.put(KEY, Some(value));
     fleet.run(Duration::from_secs(20));
-    assert!(fleet.nodes.iter().all(|node| has_key(node)), "key not in effect everywhere");
+    assert!(fleet.nodes.iter().all(has_key), "key not in effect everywhere");
     fleet
 }
 
