--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -40,6 +40,9 @@
 /// Name under which the relay knows the platform.
 pub const PLATFORM_DOMAIN: &str = "platform";
 
+/// Name under which the relay knows the clients of the hosts.
+pub const CLIENT_DOMAIN: &str = "clients";
+
 /// Why a deployment could not be started or changed.
 #[derive(Debug, thiserror::Error)]
 pub enum DeploymentError {
@@ -275,6 +278,38 @@
         printed_address(&self.relay_control.post("/control/ports", &body).await?, "address")
     }
 
+    /// Opens a port of the relay for clients at each host, behind the delay of the plan.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the relay refuses.
+    ///
+    /// ```no_run
+    /// use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    ///
+    /// async fn example(deployment: &Deployment) -> Result<(), DeploymentError> {
+    ///     let ports = deployment.open_client_ports().await?;
+    ///     println!("{} hosts", ports.len());
+    ///     Ok(())
+    /// }
+    /// ```
+    pub async fn open_client_ports(&self) -> Result<BTreeMap<String, SocketAddr>, DeploymentError> {
+        let delay = self.plan.client_delay_us;
+        let mut ports = BTreeMap::new();
+        for host in self.hosts.values() {
+            let links = [(CLIENT_DOMAIN, &*host.domain), (&*host.domain, CLIENT_DOMAIN)];
+            let rules = links.map(|(from, to)| json!({"from": from, "to": to, "delay_us": delay}));
+            self.relay_control.post("/control/links", &rules).await?;
+            let body = json!({
+                "protocol": "tcp", "listen": "127.0.0.1:0", "target": host.caller,
+                "domain": host.domain, "caller_domain": CLIENT_DOMAIN,
+            });
+            let opened = self.relay_control.post("/control/ports", &body).await?;
+            ports.insert(host.name.clone(), printed_address(&opened, "address")?);
+        }
+        Ok(ports)
+    }
+
     async fn set_domain_delays(&self) -> Result<(), DeploymentError> {
         let names: Vec<&str> = self.plan.domains.iter().map(|domain| &*domain.name).collect();
         let delay = self.plan.domain_delay_us;
--- a/crates/testbed/src/deployment/hosts.rs
+++ b/crates/testbed/src/deployment/hosts.rs
@@ -71,6 +71,7 @@
             advertised_peer,
             admin: free_tcp_port(&place.address)?,
             platform: self.platform_for(&place.name).await?,
+            policies: self.plan.policies.clone(),
         };
         let path = self.files.write_host(&settings)?;
         let arguments = ["run", "--config", &path.display().to_string()].map(str::to_owned);
--- a/crates/testbed/src/deployment/plan.rs
+++ b/crates/testbed/src/deployment/plan.rs
@@ -64,6 +64,8 @@
         pub routes: Vec<RoutePlan>,
         /// Statements that create the tables.
         pub tables: Vec<String>,
+        /// Keys and values of the section `[policy]` of the hosts' settings.
+        pub policies: Vec<(String, String)>,
     }
 }
 
@@ -94,6 +96,7 @@
             customers: customers("yard"),
             routes: vec![route("orders", 0), route("stock", 2_000), open_route("catalogue")],
             tables: tables(),
+            policies: Vec::new(),
         }
     }
 
@@ -122,6 +125,7 @@
             customers: customers("maker"),
             routes: vec![route("sizing", 0), route("fit", 2_000), open_route("charts")],
             tables: tables(),
+            policies: Vec::new(),
         }
     }
 
--- a/crates/testbed/src/deployment/settings.rs
+++ b/crates/testbed/src/deployment/settings.rs
@@ -34,6 +34,8 @@
         pub(super) advertised_peer: Option<SocketAddr>,
         pub(super) admin: SocketAddr,
         pub(super) platform: SocketAddr,
+        /// Keys and values of the section `[policy]`.
+        pub(super) policies: Vec<(String, String)>,
     }
 }
 
@@ -100,7 +102,8 @@
                 ],
             ),
         ];
-        let mut text = String::new();
+        let policies = host.policies.iter().map(|(name, value)| format!("{name} = {value}\n"));
+        let mut text = format!("[policy]\n{}", policies.collect::<String>());
         for (section, settings) in sections {
             text += &format!("[{section}]\n");
             for (name, value) in settings {
