End a shutdown only when no session is left

Waiting requests hold no endpoint yet, so the count of running requests does not contain them. Traffic closes idle sessions in this phase; those that remain wait or run. The tests also add up what other hosts hold after a handover.

--- a/crates/core/src/host/fleet/drain.rs
+++ b/crates/core/src/host/fleet/drain.rs
@@ -41,7 +41,7 @@
                 enter(state, DrainPhase::Finished, outputs);
             }
         }
-        DrainPhase::Draining if state.sessions.running() == 0 || is_past(state.drain.finish_by) => {
+        DrainPhase::Draining if state.sessions.is_empty() || is_past(state.drain.finish_by) => {
             state.drain.settle_by = Some(now + SETTLE);
             hand_over(state, now, outputs);
         }
--- a/crates/core/src/host/fleet/tests.rs
+++ b/crates/core/src/host/fleet/tests.rs
@@ -20,6 +20,8 @@
     let mut fleet = Fleet::new(&DOMAINS, per_domain);
     let value = json!({"schema": 1, "customer": "quarry", "salt": "s", "digest": "d"});
     fleet.table.put(KEY, Some(value));
+    let value = json!({"schema": 1, "rate_per_s": 90, "burst": 90});
+    fleet.table.put("records/customer/quarry", Some(value));
     fleet.run(Duration::from_secs(20));
     assert!(fleet.nodes.iter().all(|node| has_key(node)), "key not in effect everywhere");
     fleet
--- a/crates/core/src/host/fleet/tests/harness.rs
+++ b/crates/core/src/host/fleet/tests/harness.rs
@@ -11,6 +11,7 @@
 use tanagerdeal_wire::{DomainName, HostName};
 
 use crate::host::HostState;
+use crate::message::caller::CallerAnswer;
 use crate::message::fleet::{PeerEvent, StoreEvent, StoreFault, StoreRequest};
 use crate::message::{CallTag, DrainPhase, HostInput, HostOutput, PeerCallKey};
 use crate::profile::{HostIdentity, HostPolicies, HostProfile, HostTiming};
@@ -28,6 +29,7 @@
     pub(super) is_up: bool,
     pub(super) is_paused: bool,
     pub(super) phases: Vec<DrainPhase>,
+    pub(super) answers: Vec<CallerAnswer>,
 }
 
 enum Delivery {
@@ -73,6 +75,13 @@
     names: HashMap<HostName, usize>,
 }
 
+impl Node {
+    fn new(state: HostState) -> Self {
+        let (phases, answers) = (Vec::new(), Vec::new());
+        Self { state, is_up: true, is_paused: false, phases, answers }
+    }
+}
+
 impl FakeTable {
     pub(super) fn put(&mut self, key: &str, value: Option<Value>) -> u64 {
         self.revision += 1;
@@ -148,8 +157,7 @@
                 let index = fleet.nodes.len();
                 fleet.names.insert(HostName::new(&name).unwrap(), index);
                 let state = HostState::new(profile(domain, &name, index as u64 + 1));
-                let (is_up, is_paused, phases) = (true, false, Vec::new());
-                fleet.nodes.push(Node { state, is_up, is_paused, phases });
+                fleet.nodes.push(Node::new(state));
             }
         }
         fleet
@@ -177,8 +185,7 @@
         let old = self.nodes[index].state.profile.identity.clone();
         let incarnation = 1_000 + self.next_number;
         let profile = profile(old.domain.as_str(), old.host.as_str(), incarnation);
-        let (state, phases) = (HostState::new(profile), Vec::new());
-        self.nodes[index] = Node { state, is_up: true, is_paused: false, phases };
+        self.nodes[index] = Node::new(HostState::new(profile));
     }
 
     pub(super) fn cut_domains(&mut self, one: &str, other: &str) {
@@ -281,6 +288,7 @@
                     self.send_peer(index, call, &host, request, deadline);
                 }
                 HostOutput::AnswerPeer(tag, reply) => self.answer_peer(index, tag, reply),
+                HostOutput::AnswerCaller(_, answer) => self.nodes[index].answers.push(answer),
                 HostOutput::Drain(phase) => self.nodes[index].phases.push(phase),
                 _ => {}
             }
--- a/crates/core/src/host/fleet/tests/member.rs
+++ b/crates/core/src/host/fleet/tests/member.rs
@@ -1,13 +1,17 @@
 //! Relays, news between hosts, and shutdown.
 
-use tanagerdeal_wire::peer::{GroupSuspicion, PeerState};
-use tanagerdeal_wire::{DomainName, GroupName};
+use serde_json::json;
+use tanagerdeal_wire::peer::{GroupSuspicion, PeerState, ShareResource};
+use tanagerdeal_wire::{CustomerName, DomainName, GroupName};
 
 use super::harness::Fleet;
 use super::{DOMAINS, millis, secs, settled};
 use crate::host::fleet::{may_serve_keyed, status};
+use crate::limit::RATE_UNITS;
 use crate::membership::host_rank;
+use crate::message::caller::{CallerAnswer, CallerCall, SessionOpening};
 use crate::message::{CallTag, DrainPhase, HostInput};
+use crate::statement::StatementClass;
 
 /// Host of a failure domain with some rank.
 fn ranked(fleet: &Fleet, domain: &str, rank: usize) -> usize {
@@ -120,6 +124,10 @@
     let phases = [DrainPhase::Announced, DrainPhase::Draining, DrainPhase::Finished];
     assert_eq!(fleet.nodes[index].phases, phases);
     fleet.nodes[index].is_up = false;
+    let others = fleet.nodes.iter().filter(|node| node.is_up);
+    let rate = ShareResource::CustomerRate(CustomerName::new("quarry").unwrap());
+    let held: u64 = others.map(|node| node.state.shares.held(fleet.now, &rate)).sum();
+    assert!((RATE_UNITS - 9..=RATE_UNITS).contains(&held), "{held} held after the handover");
     let domain = DomainName::new("akl-a").unwrap();
     let left = |fleet: &Fleet| {
         let view = fleet.state("akl-b-0").catalog.view(&domain);
@@ -130,6 +138,38 @@
     assert!(took >= secs(8), "share free while loans given by the host may be in use");
 }
 
+/// Guards against a shutdown that ends while a request still waits for its answer.
+#[test]
+fn drain_waits_for_requests() {
+    let mut fleet = settled(2);
+    let member = json!({"endpoint": "e1", "domain": "akl-a", "sql_address": "e1:1",
+        "api_address": "e1:2", "connections": 9, "slots": 3});
+    let groups = json!([{"group": "g1", "members": [member]}]);
+    fleet.table.put("records/service/s1", Some(json!({"schema": 1, "groups": groups})));
+    let route = json!({"schema": 2, "service": "s1", "open": true, "deadline_ms": 9_000});
+    fleet.table.put("records/route/r1", Some(route));
+    fleet.run(secs(3));
+    let index = fleet.index("akl-a-1");
+    let (user, database) = ("quarry".to_owned(), "r1".to_owned());
+    let opening =
+        SessionOpening { user, database, password: None, settings: Vec::new(), wall_ms: 0 };
+    fleet.input(index, HostInput::Caller(CallTag(1), CallerCall::OpenSession(opening)));
+    let answer = fleet.nodes[index].answers.pop();
+    let Some(CallerAnswer::SessionOpened { session }) = answer else { panic!("{answer:?}") };
+    let (class, is_retry) = (StatementClass::Write, false);
+    let call = CallerCall::PlaceRequest { session, class, is_retry };
+    fleet.input(index, HostInput::Caller(CallTag(2), call));
+    fleet.input(index, HostInput::ShutDown);
+    fleet
+        .run_until(secs(20), |fleet| {
+            let node = &fleet.nodes[index];
+            let is_finished = node.phases.contains(&DrainPhase::Finished);
+            assert!(!is_finished || !node.answers.is_empty(), "request has no answer");
+            is_finished
+        })
+        .expect("shutdown does not end");
+}
+
 /// Guards against a status page that shows another state than the one in effect.
 #[test]
 fn status_shows_fleet() {
