--- a/crates/proxy/src/caller/listener.rs
+++ b/crates/proxy/src/caller/listener.rs
@@ -7,7 +7,7 @@
 use tanagerdeal_core::verdict::{RefusalCode, RequestRefusal};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::CallerContext;
 use super::reply::{self, Severity};
@@ -86,7 +86,5 @@
     let refusal = RequestRefusal::not_run(RefusalCode::Overloaded, "too many sessions");
     let mut client = FrameStream::new(socket, 0);
     client.push(&reply::refusal(Severity::Fatal, &refusal));
-    if timeout(REFUSAL_TIMEOUT, client.flush()).await.is_err() {
-        log::debug!("caller: a refused client did not take the error");
-    }
+    client.close(REFUSAL_TIMEOUT).await;
 }
--- a/crates/proxy/src/caller/refuse.rs
+++ b/crates/proxy/src/caller/refuse.rs
@@ -17,6 +17,9 @@
 /// Time that an endpoint has to roll back a transaction before its connection is closed.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time that a client has to take the last error and to close its side.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 impl Session {
     /// Refuses a statement in a transaction that has failed, or ends the transaction.
     pub(super) async fn refuse_failed(
@@ -113,11 +116,8 @@
         self.close_client().await
     }
 
-    /// A client that does not take the error is closed all the same.
     async fn close_client(&mut self) -> SessionEnd {
-        match self.flush().await {
-            Ok(()) => SessionEnd::Closed,
-            Err(end) => end,
-        }
+        self.client.close(CLOSE_TIMEOUT).await;
+        SessionEnd::Closed
     }
 }
--- a/crates/proxy/src/caller/startup.rs
+++ b/crates/proxy/src/caller/startup.rs
@@ -27,8 +27,8 @@
 const MAX_UNAUTHENTICATED_BYTES: usize = 10_000;
 /// Requests for encryption that a client may make before its start-up message.
 const MAX_NEGOTIATIONS: usize = 2;
-/// Time that a refused client has to take the error.
-const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that a refused client has to take the error and to close its side.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Parameters that clients rely on. They hold for every endpoint, because the proxy sets them when
 /// it logs in.
 const PARAMETERS: [(&str, &str); 8] = [
@@ -235,10 +235,10 @@
     client.push(&reply::ready(TransactionStatus::Idle));
 }
 
-/// Sends the error; the client may not take it, which changes nothing.
+/// Sends the error and closes.
 async fn refuse(client: &mut FrameStream<CallerStream>, error: &ErrorResponse) -> StartupError {
     client.push(error);
-    let _ = timeout(REFUSAL_TIMEOUT, client.flush()).await;
+    client.close(REFUSAL_TIMEOUT).await;
     let message = crate::endpoint::field_of(error, b'M').unwrap_or("refused");
     StartupError::Refused(message.to_owned())
 }
--- a/crates/proxy/src/codec.rs
+++ b/crates/proxy/src/codec.rs
@@ -1,6 +1,7 @@
 //! Frames of the PostgreSQL protocol over a byte stream, decoded by the codecs of pgwire.
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::time::Duration;
 
 use bytes::{Buf as _, BytesMut};
 use pgwire::error::PgWireError;
@@ -8,6 +9,7 @@
     DecodeContext, Message, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion,
 };
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
+use tokio::time::timeout;
 
 /// Bytes of a frame before its body: the type and the length.
 const HEADER_BYTES: usize = 5;
@@ -52,6 +54,19 @@
 }
 
 /// A byte stream that is read and written in frames.
+///
+/// ```
+/// use pgwire::messages::simplequery::Query;
+/// use tanagerdeal::codec::FrameStream;
+///
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let (one, other) = tokio::io::duplex(1024);
+/// let (mut client, mut server) = (FrameStream::new(one, 1024), FrameStream::new(other, 1024));
+/// client.push(&Query::new("SELECT 1".to_owned()));
+/// client.flush().await.unwrap();
+/// assert_eq!(server.read().await.unwrap().tag(), b'Q');
+/// # });
+/// ```
 pub struct FrameStream<S> {
     io: S,
     input: BytesMut,
@@ -81,7 +96,7 @@
     }
 
     /// Length in bytes, with type and length field.
-    pub fn size(&self) -> usize {
+    pub(crate) fn size(&self) -> usize {
         self.bytes.len()
     }
 
@@ -118,23 +133,23 @@
     }
 
     /// Sets the length in bytes above which a frame is an error.
-    pub fn set_limit(&mut self, limit: usize) {
+    pub(crate) fn set_limit(&mut self, limit: usize) {
         self.limit = limit;
     }
 
     /// The stream.
-    pub fn io(&self) -> &S {
+    pub(crate) fn io(&self) -> &S {
         &self.io
     }
 
     /// The stream and whether bytes were read that belong to no frame taken so far.
-    pub fn into_io(self) -> (S, bool) {
+    pub(crate) fn into_io(self) -> (S, bool) {
         let has_rest = !self.input.is_empty();
         (self.io, has_rest)
     }
 
     /// Whether bytes were read that belong to no frame taken so far.
-    pub fn has_input(&self) -> bool {
+    pub(crate) fn has_input(&self) -> bool {
         !self.input.is_empty()
     }
 
@@ -169,7 +184,7 @@
     /// Reads bytes without taking a frame, and ends only when the stream ends or fails. Stops
     /// reading when a frame of the greatest length would fit. A stream that ended after further
     /// bytes does not count as ended, because a client may send its last messages and close.
-    pub async fn watch(&mut self) -> CodecError {
+    pub(crate) async fn watch(&mut self) -> CodecError {
         loop {
             if self.input.len() >= self.limit {
                 std::future::pending::<()>().await;
@@ -188,25 +203,20 @@
     }
 
     /// Adds a frame to the output.
-    pub fn push_frame(&mut self, frame: &Frame) {
+    pub(crate) fn push_frame(&mut self, frame: &Frame) {
         self.output.extend_from_slice(&frame.bytes);
     }
 
     /// Adds encoded messages to the output.
-    pub fn push_bytes(&mut self, bytes: &[u8]) {
+    pub(crate) fn push_bytes(&mut self, bytes: &[u8]) {
         self.output.extend_from_slice(bytes);
     }
 
     /// Bytes of output that have not been written yet.
-    pub fn unsent(&self) -> usize {
+    pub(crate) fn unsent(&self) -> usize {
         self.output.len()
     }
 
-    /// Drops output that has not been written yet.
-    pub fn discard_output(&mut self) {
-        self.output.clear();
-    }
-
     /// Writes the output.
     ///
     /// # Errors
@@ -218,6 +228,21 @@
         Ok(())
     }
 
+    /// Writes the output and ends the stream in this direction, then reads what the other side still
+    /// sends for up to `wait`. Closing with unread bytes would make the other side's system drop
+    /// output that has not been read yet.
+    pub(crate) async fn close(&mut self, wait: Duration) {
+        let closing = async {
+            self.flush().await?;
+            self.io.shutdown().await?;
+            loop {
+                self.input.clear();
+                self.receive().await?;
+            }
+        };
+        let _: Result<Result<(), CodecError>, _> = timeout(wait, closing).await;
+    }
+
     async fn receive(&mut self) -> Result<(), CodecError> {
         self.input.reserve(READ_BYTES);
         match self.io.read_buf(&mut self.input).await? {
@@ -260,7 +285,7 @@
 ///
 /// pgwire limits some outgoing messages to sizes that the proxy's own messages stay below, so a
 /// failure leaves nothing behind but a shorter output, which the receiver notices.
-pub fn put(output: &mut BytesMut, message: &impl Message) {
+pub(crate) fn put(output: &mut BytesMut, message: &impl Message) {
     let start = output.len();
     if let Err(error) = message.encode(output) {
         log::error!("caller: a message could not be encoded: {error}");
--- a/crates/proxy/src/endpoint.rs
+++ b/crates/proxy/src/endpoint.rs
@@ -5,8 +5,9 @@
 mod pool;
 mod prepared;
 
+pub(crate) use connection::CancelTarget;
 pub(crate) use connection::field_of;
-pub use connection::{CancelTarget, ConnectionError, EndpointConnection, HiddenReply};
+pub use connection::{ConnectionError, EndpointConnection, HiddenReply};
 pub use login::EndpointLogin;
 pub use pool::{ConnectionLease, PoolError, PoolSet};
 pub use prepared::{PreparedStatement, PreparedTable};
--- a/crates/proxy/src/endpoint/connection.rs
+++ b/crates/proxy/src/endpoint/connection.rs
@@ -65,9 +65,9 @@
     stream: FrameStream<TcpStream>,
     cancel: CancelTarget,
     /// Statements that it holds.
-    pub prepared: PreparedTable,
+    pub(crate) prepared: PreparedTable,
     /// Session settings in effect on it, in the order in which they were made.
-    pub settings: Vec<String>,
+    pub(crate) settings: Vec<String>,
 }
 
 impl EndpointConnection {
@@ -76,7 +76,7 @@
     /// # Errors
     ///
     /// Fails when the endpoint cannot be reached, refuses, or takes longer than `wait`.
-    pub async fn open(
+    pub(crate) async fn open(
         address: &str,
         login: &EndpointLogin,
         limit: usize,
@@ -96,18 +96,18 @@
     }
 
     /// Address of the endpoint.
-    pub fn address(&self) -> &str {
+    pub(crate) fn address(&self) -> &str {
         &self.cancel.address
     }
 
     /// Where a cancel request for this connection goes.
-    pub fn cancel_target(&self) -> CancelTarget {
+    pub(crate) fn cancel_target(&self) -> CancelTarget {
         self.cancel.clone()
     }
 
     /// Whether nothing has arrived since the last reply, not even the end of the stream. Bytes
     /// between two requests belong to no request, so such a connection must not be used.
-    pub fn is_quiet(&self) -> bool {
+    pub(crate) fn is_quiet(&self) -> bool {
         let mut byte = [0; 1];
         let read = self.stream.io().try_read(&mut byte);
         let is_empty = matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
@@ -115,12 +115,12 @@
     }
 
     /// Adds a message to the output.
-    pub fn push(&mut self, message: &impl Message) {
+    pub(crate) fn push(&mut self, message: &impl Message) {
         self.stream.push(message);
     }
 
     /// Adds encoded messages to the output.
-    pub fn push_bytes(&mut self, bytes: &[u8]) {
+    pub(crate) fn push_bytes(&mut self, bytes: &[u8]) {
         self.stream.push_bytes(bytes);
     }
 
@@ -129,7 +129,7 @@
     /// # Errors
     ///
     /// Fails when the connection fails.
-    pub async fn flush(&mut self) -> Result<(), ConnectionError> {
+    pub(crate) async fn flush(&mut self) -> Result<(), ConnectionError> {
         Ok(self.stream.flush().await?)
     }
 
@@ -138,7 +138,7 @@
     /// # Errors
     ///
     /// Fails when the connection fails or the message is invalid.
-    pub async fn read(&mut self) -> Result<Frame, ConnectionError> {
+    pub(crate) async fn read(&mut self) -> Result<Frame, ConnectionError> {
         Ok(self.stream.read().await?)
     }
 
@@ -158,7 +158,7 @@
     /// # Errors
     ///
     /// Fails when the connection fails.
-    pub async fn read_hidden(&mut self) -> Result<HiddenReply, ConnectionError> {
+    pub(crate) async fn read_hidden(&mut self) -> Result<HiddenReply, ConnectionError> {
         let mut reply = HiddenReply::default();
         loop {
             match self.read().await?.backend()? {
@@ -190,7 +190,7 @@
     /// # Errors
     ///
     /// Fails when the endpoint cannot be reached or does not close the connection in time.
-    pub async fn send(&self) -> Result<(), ConnectionError> {
+    pub(crate) async fn send(&self) -> Result<(), ConnectionError> {
         let sending = async {
             let socket = dial(&self.address, self.source).await.map_err(CodecError::Io)?;
             let mut stream = FrameStream::new(socket, 0);
--- a/crates/proxy/src/endpoint/pool.rs
+++ b/crates/proxy/src/endpoint/pool.rs
@@ -69,6 +69,17 @@
 
 impl PoolSet {
     /// Pools without connections; they open none before a cap is known.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use tanagerdeal::endpoint::{EndpointLogin, PoolSet};
+    ///
+    /// let (user, password) = ("service".to_owned(), "secret".to_owned());
+    /// let login = EndpointLogin { user, password, database: "postgres".to_owned() };
+    /// let pools = PoolSet::new(login, 1 << 20, Duration::from_secs(2));
+    /// assert_eq!(pools.counts(), (0, 0));
+    /// ```
     pub fn new(login: EndpointLogin, message_limit: usize, connect_timeout: Duration) -> Self {
         let pools = Mutex::new(HashMap::new());
         Self { shared: Arc::new(PoolShared { login, message_limit, connect_timeout, pools }) }
