--- a/crates/proxy/src/endpoint/pool.rs
+++ b/crates/proxy/src/endpoint/pool.rs
@@ -76,7 +76,8 @@
     /// use tanagerdeal::endpoint::{EndpointLogin, PoolSet};
     ///
     /// let (user, password) = ("service".to_owned(), "secret".to_owned());
-    /// let login = EndpointLogin { user, password, database: "postgres".to_owned() };
+    /// let database = "postgres".to_owned();
+    /// let login = EndpointLogin { user, password, database, source: None };
     /// let pools = PoolSet::new(login, 1 << 20, Duration::from_secs(2));
     /// assert_eq!(pools.counts(), (0, 0));
     /// ```
