--- a/crates/proxy/src/caller/batch.rs
+++ b/crates/proxy/src/caller/batch.rs
@@ -132,6 +132,11 @@
         self.statements.len()
     }
 
+    /// Bytes of the texts held.
+    pub(super) fn size(&self) -> usize {
+        self.statements.values().map(|statement| statement.prepared.text.len()).sum()
+    }
+
     fn statement(&self, name: &Option<String>) -> Option<Arc<SessionStatement>> {
         self.statements.get(name.as_deref().unwrap_or_default()).cloned()
     }
--- a/crates/proxy/src/caller/conclude.rs
+++ b/crates/proxy/src/caller/conclude.rs
@@ -156,7 +156,8 @@
         let lost = RequestRefusal::may_have_run(&fault.to_string());
         let commits = request.commits(self.transaction.as_ref());
         if let Some(transaction) = &mut self.transaction {
-            if commits {
+            // A batch that is its own transaction may be committed by the endpoint before Sync.
+            if commits || transaction.is_batch {
                 let wrote = transaction.wrote || request.writes;
                 self.transaction = None;
                 return Ok(AttemptEnd::Refused(if wrote { lost } else { rolled_back(&fault) }));
--- a/crates/proxy/src/caller/place.rs
+++ b/crates/proxy/src/caller/place.rs
@@ -88,10 +88,8 @@
         &mut self,
         plan: &DispatchPlan,
     ) -> Result<ConnectionLease, PoolError> {
-        if let Some(transaction) = &mut self.transaction
-            && let Some(lease) = transaction.lease.take()
-        {
-            return Ok(lease);
+        if let Some(transaction) = &mut self.transaction {
+            return transaction.lease.take().ok_or(PoolError::Exhausted);
         }
         let pools = &self.context.pools;
         let mut lease = pools.take(plan.endpoint, &plan.sql_address, plan.deadline).await?;
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -27,6 +27,8 @@
 const MAX_STATEMENTS: usize = 1_000;
 /// Settings that a session may have made.
 const MAX_SETTINGS: usize = 100;
+/// Longest text of a setting, in bytes.
+const MAX_SETTING_BYTES: usize = 4 * 1024;
 /// Least wait for the end of an unlimited idle time.
 const FOREVER: Duration = Duration::from_secs(365 * 24 * 3600);
 
@@ -174,10 +176,10 @@
         };
         match message {
             PgWireFrontendMessage::Terminate(_) => Err(SessionEnd::ClientGone),
-            PgWireFrontendMessage::Query(query) => self.query(query.query).await,
             PgWireFrontendMessage::Sync(_) => self.end_batch(true).await,
-            PgWireFrontendMessage::Flush(_) => self.end_batch(false).await,
             _ if self.is_skipping => Ok(()),
+            PgWireFrontendMessage::Flush(_) => self.end_batch(false).await,
+            PgWireFrontendMessage::Query(query) => self.query(query.query).await,
             message => self.collect(message, size).await,
         }
     }
@@ -189,8 +191,10 @@
         size: usize,
     ) -> Result<(), SessionEnd> {
         self.batch.size += size;
-        let is_over = self.batch.size > self.context.limits.message_bytes
-            || self.statements.len() > MAX_STATEMENTS;
+        let limit = self.context.limits.message_bytes;
+        let is_over = self.batch.size > limit
+            || (matches!(message, PgWireFrontendMessage::Parse(_))
+                && (self.statements.len() >= MAX_STATEMENTS || self.statements.size() > limit));
         if is_over {
             let message = "the batch or the number of prepared statements exceeds the limit";
             let refusal = RequestRefusal::not_run(RefusalCode::LimitExceeded, message);
@@ -217,7 +221,7 @@
         let is_failed = self.transaction.as_ref().is_some_and(|open| open.is_failed);
         let is_open = self.transaction.is_some();
         match class {
-            class if is_failed && !is_partial_rollback(&class, &sql) => {
+            class if is_failed && !self.can_roll_back_to(&class, &sql) => {
                 self.refuse_failed(&class, RequestBody::Query(sql), true).await
             }
             StatementClass::Rejected { reason } => self.refuse(&unsupported(&reason), true).await,
@@ -232,7 +236,7 @@
             }
             class => {
                 let request = self.simple_request(sql, class);
-                self.run(request).await
+                self.run_checked(request).await
             }
         }
     }
@@ -254,13 +258,9 @@
     async fn end_batch(&mut self, is_sync: bool) -> Result<(), SessionEnd> {
         let batch = std::mem::take(&mut self.batch);
         let awaits_sync = self.transaction.as_ref().is_some_and(Transaction::awaits_sync);
-        match std::mem::replace(&mut self.is_skipping, false) {
-            true if !is_sync => {
-                self.is_skipping = true;
-                return Ok(());
-            }
-            true if !awaits_sync => return self.synchronize().await,
-            _ => {}
+        let was_skipping = std::mem::replace(&mut self.is_skipping, false);
+        if was_skipping && !awaits_sync {
+            return self.synchronize().await;
         }
         let class = self.batch_class(&batch, is_sync);
         let is_failed = self.transaction.as_ref().is_some_and(|open| open.is_failed);
@@ -290,9 +290,37 @@
             ends_with_sync: is_sync,
             settings,
         };
+        self.run_checked(request).await
+    }
+
+    /// Runs a request unless its settings could not be replayed later.
+    async fn run_checked(&mut self, request: Request) -> Result<(), SessionEnd> {
+        let made = &request.settings;
+        let is_over = self.settings.len() + made.len() > MAX_SETTINGS
+            || made.iter().any(|setting| setting.text.len() > MAX_SETTING_BYTES);
+        if !made.is_empty() && is_over {
+            let message = "too many session settings, or one that is too long";
+            let refusal = RequestRefusal::not_run(RefusalCode::LimitExceeded, message);
+            return self.refuse(&refusal, request.ends_with_sync).await;
+        }
         self.run(request).await
     }
 
+    /// Whether a statement rolls back to a savepoint of a transaction that the proxy has failed but
+    /// the endpoint has not; it ends the failure.
+    fn can_roll_back_to(&mut self, class: &StatementClass, sql: &str) -> bool {
+        let start = sql.trim_start().get(..8).unwrap_or_default();
+        let is_partial =
+            *class == StatementClass::InTransaction && start.eq_ignore_ascii_case("ROLLBACK");
+        match &mut self.transaction {
+            Some(open) if is_partial && open.lease.is_some() => {
+                open.is_failed = false;
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Answers Sync after an error in the batch.
     pub(super) async fn synchronize(&mut self) -> Result<(), SessionEnd> {
         if let Some(transaction) = self.transaction.take_if(|open| open.is_batch) {
@@ -347,7 +375,7 @@
                 continue;
             }
             self.settings.retain(|kept| kept.name != setting.name);
-            if self.settings.len() < MAX_SETTINGS && !is_reset(&setting.text) {
+            if !is_reset(&setting.text) {
                 self.settings.push(setting.clone());
             }
         }
@@ -388,12 +416,6 @@
     start.eq_ignore_ascii_case("BEGIN") || start.eq_ignore_ascii_case("START")
 }
 
-/// Whether a statement rolls back to a savepoint, which ends the failure of a transaction.
-fn is_partial_rollback(class: &StatementClass, sql: &str) -> bool {
-    let start = sql.trim_start().get(..8).unwrap_or_default();
-    *class == StatementClass::InTransaction && start.eq_ignore_ascii_case("ROLLBACK")
-}
-
 fn is_reset(text: &str) -> bool {
     text.trim_start().get(..5).unwrap_or_default().eq_ignore_ascii_case("RESET")
 }
--- a/crates/proxy/tests/proxy/batches.rs
+++ b/crates/proxy/tests/proxy/batches.rs
@@ -173,3 +173,45 @@
     assert_eq!(replies, expected);
     assert_that!(fleet.commits_of("INSERT"), eq(0));
 }
+
+/// Guards against a session that can neither prepare nor close statements once it holds too many.
+#[tokio::test(flavor = "multi_thread")]
+async fn prepared_statements_are_limited() {
+    let fleet = support::start().await;
+    let mut client = RawClient::connect(&fleet).await;
+    for number in 0..1_000 {
+        client.push(&parse(&format!("s{number}"), &format!("SELECT {number}")));
+    }
+    client.push(&Sync::new()).flush().await;
+    assert_eq!(client.until_ready().await.len(), 1_001);
+    client.push(&parse("more", "SELECT 'more'")).push(&Sync::new()).flush().await;
+    assert_eq!(client.until_ready().await, ["error 54000", "ready idle"]);
+    client.push(&Close::new(b'S', Some("s7".to_owned()))).push(&Sync::new()).flush().await;
+    assert_eq!(client.until_ready().await, ["closed", "ready idle"]);
+    client.push(&parse("more", "SELECT 'more'")).push(&bind("more")).push(&execute());
+    client.push(&Sync::new()).flush().await;
+    assert_eq!(client.until_ready().await[2], "row SELECT 'more'");
+}
+
+/// Guards against a transaction that commits the rest after the proxy refused one of its
+/// statements, and against a savepoint that cannot undo the refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_statement_fails_its_transaction() {
+    let fleet = support::start().await;
+    let mut client = RawClient::connect(&fleet).await;
+    for sql in ["BEGIN", "INSERT INTO t VALUES ('r1')", "SAVEPOINT s"] {
+        client.push(&query(sql)).flush().await;
+        assert_eq!(client.until_ready().await.last().unwrap(), "ready open");
+    }
+    client.push(&query("LISTEN x")).flush().await;
+    assert_eq!(client.until_ready().await, ["error 0A000", "ready failed"]);
+    client.push(&query("INSERT INTO t VALUES ('r2')")).flush().await;
+    assert_eq!(client.until_ready().await, ["error 25P02", "ready failed"]);
+    client.push(&query("ROLLBACK TO SAVEPOINT s")).flush().await;
+    assert_eq!(client.until_ready().await.last().unwrap(), "ready open");
+    client.push(&query("LISTEN x")).flush().await;
+    assert_eq!(client.until_ready().await, ["error 0A000", "ready failed"]);
+    client.push(&query("COMMIT")).flush().await;
+    assert_eq!(client.until_ready().await, ["complete ROLLBACK", "ready idle"]);
+    assert_that!(fleet.commits_of("'r1'"), eq(0));
+}
--- a/crates/proxy/tests/proxy/support/endpoint.rs
+++ b/crates/proxy/tests/proxy/support/endpoint.rs
@@ -314,6 +314,7 @@
                 self.complete("BEGIN");
             }
             "COMMIT" | "END" => return self.commit(fault),
+            "ROLLBACK" if upper.contains(" TO ") => self.complete("ROLLBACK"),
             "ROLLBACK" => {
                 self.end_transaction();
                 self.complete("ROLLBACK");
