--- a/crates/core/src/host/fleet/tests.rs
+++ b/crates/core/src/host/fleet/tests.rs
@@ -23,7 +23,7 @@
     let value = json!({"schema": 1, "rate_per_s": 90, "burst": 90});
     fleet.table.put("records/customer/quarry", Some(value));
     fleet.run(Duration::from_secs(20));
-    assert!(fleet.nodes.iter().all(|node| has_key(node)), "key not in effect everywhere");
+    assert!(fleet.nodes.iter().all(has_key), "key not in effect everywhere");
     fleet
 }
 
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -3,6 +3,7 @@
 mod control;
 mod hosts;
 mod members;
+mod observe;
 mod plan;
 mod process;
 mod records;
@@ -22,6 +23,7 @@
 pub use control::ControlClient;
 pub use hosts::HostNode;
 pub use members::MemberNode;
+pub use observe::RunObserver;
 pub use plan::{CustomerPlan, DeploymentPlan, DomainPlan, RoutePlan};
 pub use process::ChildProcess;
 
@@ -81,7 +83,6 @@
     plan: DeploymentPlan,
     platform: ChildProcess,
     platform_control: ControlClient,
-    platform_address: SocketAddr,
     relay: ChildProcess,
     relay_control: ControlClient,
     members: BTreeMap<String, MemberNode>,
@@ -117,7 +118,6 @@
             start_listener("link-relay", "control", directory.path()).await?;
         relay_control.post("/control/sources", &relay_sources(&plan.domains)).await?;
         let mut deployment = Self {
-            platform_address: platform_control.address(),
             plan,
             platform,
             platform_control,
@@ -129,9 +129,6 @@
             directory,
         };
         if deployment.plan.relayed {
-            let target = deployment.platform_address;
-            deployment.platform_address =
-                deployment.open_relayed("tcp", target, PLATFORM_DOMAIN).await?;
             deployment.set_domain_delays().await?;
         }
         deployment.start_members().await?;
@@ -265,6 +262,19 @@
         printed_address(&self.relay_control.post("/control/ports", &body).await?, "address")
     }
 
+    /// Address at which processes of a failure domain reach the platform.
+    async fn platform_for(&self, domain: &str) -> Result<SocketAddr, DeploymentError> {
+        let target = self.platform_control.address();
+        if !self.plan.relayed {
+            return Ok(target);
+        }
+        let body = json!({
+            "protocol": "tcp", "listen": "127.0.0.1:0", "target": target,
+            "domain": PLATFORM_DOMAIN, "caller_domain": domain,
+        });
+        printed_address(&self.relay_control.post("/control/ports", &body).await?, "address")
+    }
+
     async fn set_domain_delays(&self) -> Result<(), DeploymentError> {
         let names: Vec<&str> = self.plan.domains.iter().map(|domain| &*domain.name).collect();
         let delay = self.plan.domain_delay_us;
--- a/crates/testbed/src/relay/stream.rs
+++ b/crates/testbed/src/relay/stream.rs
@@ -22,7 +22,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, source)) => {
-                let domain = handle.domain_of(source.ip());
+                let domain = handle.domain_of(source.ip(), &port);
                 tokio::spawn(relay_stream(handle.clone(), stream, domain, port.clone()));
             }
             Err(error) => {
