--- a/crates/core/src/host/fleet/peer.rs
+++ b/crates/core/src/host/fleet/peer.rs
@@ -33,7 +33,9 @@
     let reply = match request {
         PeerRequest::Pull(request) => return pull_asked(state, now, tag, from, request, outputs),
         PeerRequest::Borrow(request) if request.borrower == *from => {
-            PeerReply::Loan(state.shares.lend(now, &request))
+            let loan = state.shares.lend(now, &request);
+            state.counters.loans_given += u64::from(loan.units > 0);
+            PeerReply::Loan(loan)
         }
         PeerRequest::Handover(handover) if handover.host == *from => {
             accept_handover(state, now, &handover);
@@ -65,6 +67,7 @@
         }
         Some(PeerReply::Loan(loan)) => {
             let valid_until = asked_at + state.profile.timing.loan_valid;
+            state.counters.loans_taken += u64::from(loan.units > 0);
             state.shares.accept(now, &loan, valid_until);
         }
         _ if ended.is_pull => pull_failed(state, now, call, &ended),
