--- a/crates/core/src/share/holding.rs
+++ b/crates/core/src/share/holding.rs
@@ -9,9 +9,13 @@
 /// Part of the use of what is held, in percent, above which more is borrowed.
 const BORROW_PERCENT: u64 = 70;
 
-/// Held units for each unit of recent demand, in percent, that borrower and lender aim at.
+/// Held units for each unit of recent demand, in percent, that a borrower aims at.
 const DEMAND_PERCENT: u64 = 150;
 
+/// The same that a lender keeps. With the borrower's figure nothing could be lent once a customer
+/// uses more than two thirds of its rate.
+const KEEP_PERCENT: u64 = 110;
+
 /// Part of the base share, as a divisor, that is never lent.
 const FLOOR_DIVISOR: u64 = 8;
 
@@ -95,7 +99,7 @@
         until: Instant,
     ) -> (u64, u64) {
         let held = self.settle(now, base);
-        let needed = self.needed(now).max(base / FLOOR_DIVISOR);
+        let needed = self.needed(now, KEEP_PERCENT).max(base / FLOOR_DIVISOR);
         let own = base.saturating_sub(self.ledger.given(now));
         let units = wanted.min(held.saturating_sub(needed)).min(own);
         if units == 0 {
@@ -119,14 +123,14 @@
         (units, self.bucket.withdraw(tokens / MILLITOKEN))
     }
 
-    /// Units for the recent demand with a margin; none without demand.
-    fn needed(&self, now: Instant) -> u64 {
+    /// Units for a percentage of the recent demand; none without demand.
+    fn needed(&self, now: Instant, percent: u64) -> u64 {
         let rate = u64::from(self.bucket.rate().rate_per_s).max(1);
         let demand = self.demand.rate(now);
         if demand < 0.01 {
             return 0;
         }
-        let units = (demand * RATE_UNITS as f64) as u64 / rate * DEMAND_PERCENT / 100;
+        let units = (demand * RATE_UNITS as f64) as u64 / rate * percent / 100;
         units.max(self.least_units()).min(RATE_UNITS)
     }
 
@@ -148,8 +152,8 @@
         let is_low =
             self.bucket.tokens() < self.bucket.capacity(held_now) * (100 - BORROW_PERCENT) / 100;
         let wanted = match () {
-            _ if used > held * BORROW_PERCENT / 100 => self.needed(now),
-            _ if is_low => self.needed(now).max(held + held / 2),
+            _ if used > held * BORROW_PERCENT / 100 => self.needed(now, DEMAND_PERCENT),
+            _ if is_low => self.needed(now, DEMAND_PERCENT).max(held + held / 2),
             _ => self.least_units(),
         };
         wanted.min(RATE_UNITS).saturating_sub(held)
