--- a/crates/core/src/host/fleet/peer.rs
+++ b/crates/core/src/host/fleet/peer.rs
@@ -66,7 +66,8 @@
             pull_answered(state, now, call, &ended, asked_at, reply);
         }
         Some(PeerReply::Loan(loan)) => {
-            let valid_until = asked_at + state.profile.timing.loan_valid;
+            let valid = Duration::from_millis(loan.valid_ms);
+            let valid_until = asked_at + valid.min(state.profile.timing.loan_valid);
             state.counters.loans_taken += u64::from(loan.units > 0);
             state.shares.accept(now, &loan, valid_until);
         }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -191,7 +191,7 @@
     /// The units are deducted at once and come back after the loan's time, whether or not the
     /// borrower learns of the loan.
     pub fn lend(&mut self, now: Instant, request: &BorrowRequest) -> ShareLoan {
-        let until = now + self.loan_valid;
+        let mut valid = self.loan_valid;
         let is_lending = self.is_lending && !self.is_handed_over;
         self.is_changed = true;
         let resource = request.resource.clone();
@@ -199,16 +199,26 @@
             _ if !is_lending => (0, 0),
             ShareResource::CustomerRate(customer) => {
                 let base = self.rate_base(now);
-                let holding = self.rates.get_mut(customer);
-                holding.map_or((0, 0), |holding| holding.lend(now, base, request.units, until))
+                match self.rates.get_mut(customer) {
+                    Some(holding) => {
+                        valid = holding.loan_time(base, valid);
+                        holding.lend(now, base, request.units, now + valid)
+                    }
+                    None => (0, 0),
+                }
             }
             ShareResource::EndpointConnections(endpoint) => {
                 let base = self.connection_base(now, endpoint);
                 let holding = self.connections.get_mut(endpoint);
-                (holding.map_or(0, |holding| holding.lend(now, base, request.units, until)), 0)
+                (
+                    holding
+                        .map_or(0, |holding| holding.lend(now, base, request.units, now + valid)),
+                    0,
+                )
             }
         };
-        ShareLoan { resource, units, millitokens }
+        let valid_ms = u64::try_from(valid.as_millis()).unwrap_or(u64::MAX);
+        ShareLoan { resource, units, millitokens, valid_ms }
     }
 
     /// Takes a loan into use until `valid_until`, counted from when the request was sent; an empty
@@ -246,13 +256,13 @@
         for (customer, holding) in &mut self.rates {
             let (units, millitokens) = holding.hand_over(now, base);
             let resource = ShareResource::CustomerRate(customer.clone());
-            loans.push(ShareLoan { resource, units, millitokens });
+            loans.push(ShareLoan { resource, units, millitokens, valid_ms: 0 });
         }
         for (endpoint, holding) in &self.connections {
             let base = self.connection_base(now, endpoint);
             let units = base.saturating_sub(holding.ledger.given(now));
             let resource = ShareResource::EndpointConnections(endpoint.clone());
-            loans.push(ShareLoan { resource, units, millitokens: 0 });
+            loans.push(ShareLoan { resource, units, millitokens: 0, valid_ms: 0 });
         }
         self.is_handed_over = true;
         self.is_changed = true;
@@ -399,7 +409,11 @@
         match resource {
             ShareResource::CustomerRate(customer) => {
                 let holding = self.rates.get_mut(customer)?;
-                Some(holding.shortage(now, now + ahead, base)).filter(|missing| *missing > 0)
+                let missing = match holding.is_small(base) {
+                    true => holding.token_shortage(now, base),
+                    false => holding.shortage(now, now + ahead, base),
+                };
+                Some(missing).filter(|missing| *missing > 0)
             }
             ShareResource::EndpointConnections(_) => None,
         }
--- a/crates/core/src/share/holding.rs
+++ b/crates/core/src/share/holding.rs
@@ -1,6 +1,6 @@
 //! What this host holds of one customer's rate, and of one endpoint's connections.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::demand::{DemandMeter, PeakMeter};
 use super::escrow::EscrowLedger;
@@ -22,6 +22,18 @@
 /// Requests that a share in use should be able to hold the tokens of.
 const LEAST_REQUESTS: u64 = 2;
 
+/// Requests whose tokens a base share must be able to hold to be kept by its owner. The tokens of a
+/// smaller one are lent to whoever has a request waiting, because shares that each hold one or two
+/// tokens refuse many requests while others of the fleet are idle.
+const SMALL_REQUESTS: u64 = 4;
+
+/// Time of a loan from a small share. The borrower uses the tokens at once, and the lender needs the
+/// units back to collect new ones.
+const SMALL_LOAN: Duration = Duration::from_secs(1);
+
+/// What a borrower asks for, in percent of what it lacks, because hosts that are asked have little.
+const SMALL_ASK_PERCENT: u64 = 200;
+
 /// Share of a customer's rate.
 pub(super) struct RateHolding {
     pub(super) ledger: EscrowLedger,
@@ -99,6 +111,9 @@
         until: Instant,
     ) -> (u64, u64) {
         let held = self.settle(now, base);
+        if self.is_small(base) {
+            return self.lend_tokens(now, base, wanted, until);
+        }
         let needed = self.needed(now, KEEP_PERCENT).max(base / FLOOR_DIVISOR);
         let own = base.saturating_sub(self.ledger.given(now));
         let units = wanted.min(held.saturating_sub(needed)).min(own);
@@ -116,6 +131,39 @@
         (units, millitokens)
     }
 
+    /// Whether a base share holds the tokens of only a few requests.
+    pub(super) fn is_small(&self, base: u64) -> bool {
+        self.bucket.capacity(base) < SMALL_REQUESTS * REQUEST_TOKENS
+    }
+
+    /// Time for which units are lent.
+    pub(super) fn loan_time(&self, base: u64, usual: Duration) -> Duration {
+        if self.is_small(base) { usual.min(SMALL_LOAN) } else { usual }
+    }
+
+    /// Lends tokens of a small share with the units that hold them; called on a settled holding.
+    fn lend_tokens(&mut self, now: Instant, base: u64, wanted: u64, until: Instant) -> (u64, u64) {
+        let own = base.saturating_sub(self.ledger.given(now) + base / FLOOR_DIVISOR);
+        let burst = u64::from(self.bucket.rate().burst).max(1);
+        let units = wanted.min(own).min(self.bucket.tokens() / burst);
+        let millitokens = self.bucket.withdraw(self.bucket.capacity(units) / MILLITOKEN);
+        if millitokens == 0 {
+            return (0, 0);
+        }
+        self.ledger.give(units, until);
+        self.clamp(now, base);
+        (units, millitokens)
+    }
+
+    /// Units whose tokens a waiting request lacks, with a margin for hosts that have few.
+    pub(super) fn token_shortage(&mut self, now: Instant, base: u64) -> u64 {
+        let held = self.settle(now, base);
+        let burst = u64::from(self.bucket.rate().burst).max(1);
+        let missing = REQUEST_TOKENS.saturating_sub(self.bucket.tokens()).div_ceil(burst);
+        let unheld = REQUEST_TOKENS.div_ceil(burst).saturating_sub(held);
+        missing.max(unheld) * SMALL_ASK_PERCENT / 100
+    }
+
     /// Units and millitokens of the whole base share; called on a settled holding.
     pub(super) fn hand_over(&mut self, now: Instant, base: u64) -> (u64, u64) {
         let units = base.saturating_sub(self.ledger.given(now));
@@ -142,7 +190,7 @@
 
     /// Units missing for the recent demand by an instant.
     pub(super) fn shortage(&mut self, now: Instant, then: Instant, base: u64) -> u64 {
-        if self.demand.rate(now) < 0.01 {
+        if self.demand.rate(now) < 0.01 || self.is_small(base) {
             return 0;
         }
         let held_now = self.settle(now, base);
--- a/crates/core/src/share/tests.rs
+++ b/crates/core/src/share/tests.rs
@@ -93,7 +93,8 @@
 fn a_paused_holder_has_neither_tokens_nor_fill_of_an_ended_share() {
     let start = Instant::now();
     let mut shares = table(start, 2, 1);
-    let loan = ShareLoan { resource: rate(), units: 300_000, millitokens: 15_000 };
+    let loan =
+        ShareLoan { resource: rate(), units: 300_000, millitokens: 15_000, valid_ms: 10_000 };
     shares.accept(start, &loan, after(start, 10_000));
     expect_that!(take_all(&mut shares, after(start, 20_000)), eq(25));
     expect_that!(take_all(&mut shares, after(start, 90_000)), eq(0));
@@ -107,7 +108,8 @@
 fn a_late_loan_is_not_used() {
     let start = Instant::now();
     let mut shares = table(start, 2, 1);
-    let loan = ShareLoan { resource: rate(), units: 300_000, millitokens: 15_000 };
+    let loan =
+        ShareLoan { resource: rate(), units: 300_000, millitokens: 15_000, valid_ms: 10_000 };
     shares.accept(after(start, 9_950), &loan, after(start, 10_000));
     expect_that!(shares.held(after(start, 9_950), &rate()), eq(500_000));
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -139,7 +139,7 @@
         pub incarnation: u64,
     }
 
-    /// A loan, valid for the fixed loan time from when the borrower sent its request.
+    /// A loan, valid for the lender's time from when the borrower sent its request.
     pub struct ShareLoan {
         /// The resource.
         pub resource: ShareResource,
@@ -147,6 +147,8 @@
         pub units: u64,
         /// Tokens that come with it, in thousandths of a request.
         pub millitokens: u64,
+        /// Milliseconds for which it is valid; in a handover, those of the handover count.
+        pub valid_ms: u64,
     }
 
     /// The whole share of a host that leaves.
