--- a/crates/core/src/host/fleet/drain.rs
+++ b/crates/core/src/host/fleet/drain.rs
@@ -86,7 +86,7 @@
         amount / parts + u64::from(place < amount % parts)
     };
     let (units, millitokens) = (split(loan.units), split(loan.millitokens));
-    ShareLoan { resource: loan.resource.clone(), units, millitokens }
+    ShareLoan { resource: loan.resource.clone(), units, millitokens, valid_ms: loan.valid_ms }
 }
 
 fn send(
--- a/crates/core/src/host/fleet/peer.rs
+++ b/crates/core/src/host/fleet/peer.rs
@@ -64,8 +64,9 @@
             pull_answered(state, now, call, &ended, asked_at, reply);
         }
         Some(PeerReply::Loan(loan)) => {
-            let valid_until = asked_at + state.profile.timing.loan_valid;
-            state.shares.accept(now, &loan, valid_until);
+            let granted = Duration::from_millis(loan.valid_ms);
+            let valid_until = asked_at + granted.min(state.profile.timing.loan_valid);
+            state.shares.accept(now, &ended.host, &loan, valid_until);
         }
         _ if ended.is_pull => pull_failed(state, now, call, &ended),
         _ => {}
@@ -77,7 +78,7 @@
 fn accept_handover(state: &mut HostState, now: Instant, handover: &ShareHandover) {
     let valid = Duration::from_millis(handover.valid_ms).saturating_sub(WIRE_MARGIN);
     for loan in &handover.loans {
-        state.shares.accept(now, loan, now + valid);
+        state.shares.accept(now, &handover.host, loan, now + valid);
     }
 }
 
--- a/crates/core/src/host/traffic/admit.rs
+++ b/crates/core/src/host/traffic/admit.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use tanagerdeal_wire::peer::ShareResource;
 use tanagerdeal_wire::record::CustomerRecord;
 use tanagerdeal_wire::{CustomerName, value_type};
 
@@ -94,8 +93,7 @@
     let patience = request.arrived + TOKEN_PATIENCE;
     let deadline = request.attempt.deadline - LEAST_REMAINING;
     let until = if request.in_transaction { deadline } else { patience.min(deadline) };
-    let resource = ShareResource::CustomerRate(customer.clone());
-    let may_come = now < until && loans::ask_now(state, now, &resource, outputs);
+    let may_come = now < until && loans::ask_now(state, now, customer, outputs);
     match ready_at {
         Some(at) if at <= until => TokenOutcome::Waits,
         _ if may_come => TokenOutcome::Waits,
--- a/crates/core/src/host/traffic/loans.rs
+++ b/crates/core/src/host/traffic/loans.rs
@@ -3,13 +3,14 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng as _;
-use tanagerdeal_wire::HostName;
 use tanagerdeal_wire::peer::{BorrowRequest, PeerRequest, ShareResource};
+use tanagerdeal_wire::{CustomerName, HostName};
 
 use crate::host::HostState;
 use crate::message::HostOutput;
 use crate::profile::LimitPolicy;
 use crate::share::demand::BORROW_TIMEOUT;
+use crate::share::{LoanKind, ShareNeed};
 
 /// Hosts that are asked at once for one resource.
 const ASKED_AT_ONCE: usize = 4;
@@ -23,36 +24,33 @@
     if state.profile.policies.limits == LimitPolicy::EqualSplit {
         return;
     }
-    for (resource, missing) in state.shares.shortages(now, RENEW_AHEAD) {
-        ask(state, now, &resource, missing, outputs);
+    for need in state.shares.shortages(now, RENEW_AHEAD) {
+        ask(state, now, &need, outputs);
     }
 }
 
-/// Borrows a resource at once because a request waits for it; tells whether an answer is expected.
+/// Borrows of a customer's rate at once because a request waits for it; tells whether an answer is
+/// expected.
 pub(super) fn ask_now(
     state: &mut HostState,
     now: Instant,
-    resource: &ShareResource,
+    customer: &CustomerName,
     outputs: &mut Vec<HostOutput>,
 ) -> bool {
     if state.profile.policies.limits == LimitPolicy::EqualSplit {
         return false;
     }
-    if let Some(missing) = state.shares.shortage(now, RENEW_AHEAD, resource) {
-        ask(state, now, resource, missing, outputs);
+    if let Some(need) = state.shares.rate_shortage(now, RENEW_AHEAD, customer) {
+        ask(state, now, &need, outputs);
     }
-    state.shares.pace(resource).is_open(now)
+    state.shares.pace(&ShareResource::CustomerRate(customer.clone())).is_open(now)
 }
 
-/// Asks some hosts for equal parts of what is missing. The first host is random, so that borrowers
-/// spread over lenders.
-fn ask(
-    state: &mut HostState,
-    now: Instant,
-    resource: &ShareResource,
-    missing: u64,
-    outputs: &mut Vec<HostOutput>,
-) {
+/// Asks some hosts for what is missing, in parts that reach if half of them lend it for long, or if
+/// one of them does not lend it for a moment. The first host is random, so that borrowers spread
+/// over lenders.
+fn ask(state: &mut HostState, now: Instant, need: &ShareNeed, outputs: &mut Vec<HostOutput>) {
+    let resource = &need.resource;
     if !state.shares.pace(resource).may_ask(now) {
         return;
     }
@@ -65,12 +63,25 @@
     let first = state.random.random_range(0..peers.len());
     peers.rotate_left(first);
     peers.truncate(ASKED_AT_ONCE);
-    let units = missing.div_ceil(peers.len() as u64);
+    let parts = match need.kind {
+        LoanKind::Lasting => peers.len().div_ceil(2),
+        LoanKind::Brief => peers.len().max(2) - 1,
+    };
+    let units = need.units.div_ceil(parts as u64);
+    let valid_ms = state.shares.loan_time(need.kind).as_millis();
     state.shares.pace(resource).begin_round(now);
+    // Units that last longer than the need are asked for again, because loans of one lender do not
+    // add up.
+    let lasts_until = match need.kind {
+        LoanKind::Lasting => now + RENEW_AHEAD,
+        LoanKind::Brief => now,
+    };
     for host in peers {
+        let kept = state.shares.taken_from(lasts_until, &host, resource);
         let request = PeerRequest::Borrow(BorrowRequest {
             resource: resource.clone(),
-            units,
+            units: kept + units,
+            valid_ms: u64::try_from(valid_ms).unwrap_or(u64::MAX),
             borrower: state.profile.identity.host.clone(),
             incarnation: state.profile.identity.incarnation,
         });
--- a/crates/core/src/host/traffic/tests.rs
+++ b/crates/core/src/host/traffic/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of sessions and requests on one host, with hand-ordered messages and instants.
 
+mod borrowing;
 mod commits;
 mod desk;
 mod fairness;
--- /dev/null
+++ b/crates/core/src/host/traffic/tests/borrowing.rs
@@ -0,0 +1,229 @@
+//! Nine hosts that share a customer's rate by loans.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use serde_json::json;
+use tanagerdeal_wire::HostName;
+use tanagerdeal_wire::peer::{PeerReply, PeerRequest};
+
+use super::desk::Desk;
+use crate::message::caller::{CallerAnswer, RequestEnding};
+use crate::message::fleet::PeerEvent;
+use crate::message::{CallTag, HostInput, HostOutput, PeerCallKey, SessionKey};
+use crate::profile::{HostPolicies, LimitPolicy};
+use crate::share::BaseShare;
+use crate::statement::StatementClass;
+
+const HOSTS: usize = 9;
+
+/// One-way latency between hosts, in steps of a millisecond.
+const LATENCY: Duration = Duration::from_millis(2);
+
+enum Parcel {
+    Request { from: usize, to: usize, call: PeerCallKey, sent: Instant, request: PeerRequest },
+    Reply { to: usize, call: PeerCallKey, sent: Instant, reply: PeerReply },
+}
+
+struct LoanFleet {
+    desks: Vec<Desk>,
+    sessions: Vec<Vec<SessionKey>>,
+    waiting: Vec<(usize, CallTag, SessionKey)>,
+    parcels: Vec<(Instant, Parcel)>,
+    asked: Vec<(usize, CallTag, usize, PeerCallKey, Instant)>,
+    is_cut: bool,
+    served: u64,
+    refused: u64,
+    /// Requests for loans.
+    asks: u64,
+}
+
+impl LoanFleet {
+    fn new(rate: u32, burst: u32, limits: LimitPolicy) -> Self {
+        let start = Instant::now();
+        let policies = HostPolicies { limits, ..HostPolicies::default() };
+        let mut desks: Vec<Desk> = (0..HOSTS)
+            .map(|index| Desk::start(start, &format!("h{index}"), policies.clone()))
+            .collect();
+        for (index, desk) in desks.iter_mut().enumerate() {
+            let record = json!({"schema": 1, "rate_per_s": rate, "burst": burst});
+            desk.put("records/customer/quarry", Some(record));
+            desk.hold_connections(900);
+            let valid_until = desk.now + Duration::from_secs(3_600);
+            let (denominator, rank) = (HOSTS as u64, index as u64);
+            let base = BaseShare { numerator: 1, denominator, rank, valid_until };
+            desk.state.shares.set_base(desk.now, base);
+        }
+        let mut fleet = Self {
+            desks,
+            sessions: vec![Vec::new(); HOSTS],
+            waiting: Vec::new(),
+            parcels: Vec::new(),
+            asked: Vec::new(),
+            is_cut: false,
+            served: 0,
+            refused: 0,
+            asks: 0,
+        };
+        fleet.run(20_000, |_| Vec::new());
+        fleet
+    }
+
+    /// Lets time pass; `arrivals` gives the hosts at which a request arrives in a millisecond.
+    fn run(&mut self, millis: u64, arrivals: impl Fn(u64) -> Vec<usize>) {
+        for step in 0..millis {
+            if step % 10_000 == 0 {
+                self.list_hosts();
+            }
+            for index in 0..HOSTS {
+                self.desks[index].run(1);
+                self.post(index);
+            }
+            self.deliver();
+            arrivals(step).into_iter().for_each(|index| self.send(index));
+            self.take_answers();
+        }
+    }
+
+    fn list_hosts(&mut self) {
+        let names: Vec<String> = (0..HOSTS).map(|index| format!("h{index}")).collect();
+        self.desks.iter_mut().for_each(|desk| desk.list_hosts(&names));
+    }
+
+    fn post(&mut self, from: usize) {
+        let now = self.desks[from].now;
+        for notice in std::mem::take(&mut self.desks[from].notices) {
+            match notice {
+                HostOutput::SendPeer {
+                    call,
+                    host,
+                    request: request @ PeerRequest::Borrow(_),
+                    ..
+                } => {
+                    let to = host.as_str()[1..].parse().unwrap();
+                    self.asks += 1;
+                    let parcel = Parcel::Request { from, to, call, sent: now, request };
+                    self.parcels.push((now + LATENCY, parcel));
+                }
+                HostOutput::AnswerPeer(tag, reply) => {
+                    let place = self
+                        .asked
+                        .iter()
+                        .position(|(host, asked, ..)| *host == from && *asked == tag);
+                    let (_, _, to, call, sent) = self.asked.remove(place.unwrap());
+                    self.parcels.push((now + LATENCY, Parcel::Reply { to, call, sent, reply }));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.desks[0].now;
+        let (due, later) = self.parcels.drain(..).partition(|(at, _)| *at <= now);
+        self.parcels = later;
+        let due: Vec<(Instant, Parcel)> = due;
+        let is_cut = self.is_cut;
+        for (_, parcel) in due.into_iter().filter(|_| !is_cut) {
+            match parcel {
+                Parcel::Request { from, to, call, sent, request } => {
+                    let tag = self.desks[to].next_tag();
+                    self.asked.push((to, tag, from, call, sent));
+                    let from = HostName::new(&format!("h{from}")).unwrap();
+                    let event = PeerEvent::Asked { tag, from, request };
+                    self.desks[to].input(HostInput::Peer(event));
+                    self.post(to);
+                }
+                Parcel::Reply { to, call, sent, reply } => {
+                    let event = PeerEvent::Answered { call, asked_at: sent, reply: Some(reply) };
+                    self.desks[to].input(HostInput::Peer(event));
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, index: usize) {
+        let session = self.sessions[index].pop().unwrap_or_else(|| {
+            self.desks[index].open_with(("quarry", "stale", Some("k1.x")), &[]).unwrap()
+        });
+        let tag = self.desks[index].place_tag(session, StatementClass::Read);
+        self.waiting.push((index, tag, session));
+    }
+
+    fn take_answers(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for (index, tag, session) in waiting {
+            match self.desks[index].answer(tag) {
+                Some(CallerAnswer::RequestPlaced(plan)) => {
+                    self.desks[index].end(plan.dispatch, RequestEnding::Answered, false);
+                    self.served += 1;
+                }
+                Some(_) => self.refused += 1,
+                None => {
+                    self.waiting.push((index, tag, session));
+                    continue;
+                }
+            }
+            self.sessions[index].push(session);
+        }
+    }
+}
+
+/// Nine of ten requests arrive at the first host, the others in turn at all hosts.
+fn skewed(rate: u64) -> impl Fn(u64) -> Vec<usize> {
+    move |step| {
+        let (before, after) = (step * rate / 1_000, (step + 1) * rate / 1_000);
+        (before..after)
+            .map(|number| if number % 10 == 0 { (number / 10) as usize % HOSTS } else { 0 })
+            .collect()
+    }
+}
+
+/// Guards against rejections within a customer's rate when its requests arrive at one host, as an
+/// equal split gives them.
+#[gtest]
+fn skewed_arrival_within_the_rate_is_served() {
+    let mut fleet = LoanFleet::new(200, 100, LimitPolicy::Escrow);
+    fleet.run(30_000, skewed(180));
+    expect_that!(fleet.refused * 1_000, le(fleet.served));
+    expect_that!(fleet.served, ge(5_390));
+    let mut split = LoanFleet::new(200, 100, LimitPolicy::EqualSplit);
+    split.run(30_000, skewed(180));
+    expect_that!(split.refused, gt(1_000));
+    expect_that!(split.asks, eq(0));
+}
+
+/// Guards against a fleet that serves more than the rate and the burst while hosts lend to each
+/// other, and against one that asks without end for loans that nobody can give.
+#[gtest]
+fn a_customer_over_its_rate_gets_no_more_and_little_is_asked() {
+    let mut fleet = LoanFleet::new(200, 100, LimitPolicy::Escrow);
+    fleet.run(10_000, skewed(1_000));
+    expect_that!(fleet.served, all!(ge(200 * 10 * 9 / 10), le(200 * 10 + 100)));
+    expect_that!(fleet.asks, le(HOSTS as u64 * 10 * 12));
+}
+
+/// Guards against a share that is too small for a single request and is never enlarged.
+#[gtest]
+fn little_traffic_at_changing_hosts_is_served() {
+    let mut fleet = LoanFleet::new(10, 4, LimitPolicy::Escrow);
+    fleet.run(30_000, |step| match step % 500 {
+        0 => vec![(step / 500) as usize * 4 % HOSTS],
+        _ => Vec::new(),
+    });
+    expect_that!(fleet.refused, le(1));
+    expect_that!(fleet.served, ge(58));
+}
+
+/// Guards against rights that outlast a loan when the borrower hears no more of its lenders.
+#[gtest]
+fn a_cut_off_borrower_returns_to_its_base_share() {
+    let mut fleet = LoanFleet::new(200, 100, LimitPolicy::Escrow);
+    fleet.run(5_000, skewed(180));
+    fleet.is_cut = true;
+    fleet.run(11_000, |_| Vec::new());
+    let before = fleet.served;
+    fleet.run(5_000, |_| vec![0]);
+    let share = 5 * 200 / HOSTS as u64 + 100 / HOSTS as u64;
+    expect_that!(fleet.served - before, le(share + 1));
+}
--- a/crates/core/src/host/traffic/tests/desk.rs
+++ b/crates/core/src/host/traffic/tests/desk.rs
@@ -52,9 +52,9 @@
     LogPosition { term, offset }
 }
 
-fn profile(policies: HostPolicies) -> HostProfile {
+fn profile(name: &str, policies: HostPolicies) -> HostProfile {
     let identity = HostIdentity {
-        host: HostName::new("h1").unwrap(),
+        host: HostName::new(name).unwrap(),
         domain: DomainName::new("d0").unwrap(),
         incarnation: 1,
         peer_address: "127.0.0.1:1".to_owned(),
@@ -64,20 +64,26 @@
     HostProfile { identity, timing, policies, fleet_secret, seed: 1 }
 }
 
-fn records() -> Vec<(&'static str, Value)> {
+fn service(connections: u32) -> Value {
     let member = |index: usize| {
-        json!({"endpoint": format!("e{index}"), "domain": format!("d{index}"),
+        json!({
+            "endpoint": format!("e{index}"),
+            "domain": format!("d{index}"),
             "sql_address": format!("127.0.0.1:{}", 100 + index),
-            "api_address": format!("127.0.0.1:{}", 200 + index), "connections": 4, "slots": 3})
+            "api_address": format!("127.0.0.1:{}", 200 + index),
+            "connections": connections,
+            "slots": 3,
+        })
     };
     let members: Vec<Value> = (0..3).map(member).collect();
+    json!({"schema": 1, "groups": [{"group": "g", "members": members}]})
+}
+
+fn records() -> Vec<(&'static str, Value)> {
     let key = |customer: &str| json!({"schema": 1, "customer": customer, "salt": "s", "digest": digest_secret("s", "x")});
     let customer = json!({"schema": 2, "rate_per_s": 100, "burst": 200, "max_sessions": 3});
     vec![
-        (
-            "records/service/orders",
-            json!({"schema": 1, "groups": [{"group": "g", "members": members}]}),
-        ),
+        ("records/service/orders", service(4)),
         ("records/customer/quarry", customer.clone()),
         ("records/customer/mill", customer),
         ("records/key/k1", key("quarry")),
@@ -99,6 +105,16 @@
     }
 
     pub(super) fn with_policies(policies: HostPolicies) -> Self {
+        let mut desk = Self::start(Instant::now(), "h1", policies);
+        let valid_until = desk.now + Duration::from_secs(3_600);
+        let base = BaseShare { numerator: 1, denominator: 1, rank: 0, valid_until };
+        desk.state.shares.set_base(desk.now, base);
+        desk.run(5_000);
+        desk
+    }
+
+    /// A host that has just got its records, and holds no share yet.
+    pub(super) fn start(now: Instant, name: &str, policies: HostPolicies) -> Self {
         let member = |index| DeskMember {
             role: if index == 0 { MemberRole::Primary } else { MemberRole::Replica },
             promised: 1,
@@ -107,8 +123,8 @@
             is_reachable: true,
         };
         let mut desk = Self {
-            now: Instant::now(),
-            state: HostState::new(profile(policies)),
+            now,
+            state: HostState::new(profile(name, policies)),
             members: (0..3).map(member).collect(),
             has_store: true,
             notices: Vec::new(),
@@ -119,10 +135,6 @@
         for (key, value) in records() {
             desk.put(key, Some(value));
         }
-        let valid_until = desk.now + Duration::from_secs(3_600);
-        let base = BaseShare { numerator: 1, denominator: 1, rank: 0, valid_until };
-        desk.state.shares.set_base(desk.now, base);
-        desk.run(5_000);
         desk
     }
 
@@ -199,8 +211,7 @@
 
     /// Makes a call and returns its tag.
     pub(super) fn call(&mut self, call: CallerCall) -> CallTag {
-        self.tags += 1;
-        let tag = CallTag(self.tags);
+        let tag = self.next_tag();
         self.input(HostInput::Caller(tag, call));
         tag
     }
@@ -362,17 +373,31 @@
 
     /// Makes another host known.
     pub(super) fn join_peer(&mut self) {
-        let entry = HostEntry {
-            host: HostName::new("h2").unwrap(),
+        self.list_hosts(&["h2".to_owned()]);
+        self.notices.clear();
+    }
+
+    pub(super) fn list_hosts(&mut self, names: &[String]) {
+        let entry = |name: &String| HostEntry {
+            host: HostName::new(name).unwrap(),
             domain: DomainName::new("d1").unwrap(),
             incarnation: 1,
             peer_address: "127.0.0.1:3".to_owned(),
             admin_address: "127.0.0.1:4".to_owned(),
             phase: HostPhase::Live,
         };
-        let result = Ok(HostList { hosts: vec![entry] });
+        let result = Ok(HostList { hosts: names.iter().map(entry).collect() });
         self.input(HostInput::Store(StoreEvent::HostsListed { result }));
-        self.notices.clear();
+    }
+
+    /// Changes how many connections all hosts may open to each member.
+    pub(super) fn hold_connections(&mut self, count: u32) {
+        self.put("records/service/orders", Some(service(count)));
+    }
+
+    pub(super) fn next_tag(&mut self) -> CallTag {
+        self.tags += 1;
+        CallTag(self.tags)
     }
 
     /// Leaves the host a ninth of all shares, with a connection to the primary.
--- a/crates/core/src/host/traffic/tests/limits.rs
+++ b/crates/core/src/host/traffic/tests/limits.rs
@@ -140,7 +140,7 @@
     let mut desk = Desk::new();
     let resource = ShareResource::EndpointConnections(EndpointName::new("e0").unwrap());
     let borrower = HostName::new("h2").unwrap();
-    let request = BorrowRequest { resource, units: 4, borrower, incarnation: 1 };
+    let request = BorrowRequest { resource, units: 4, valid_ms: 10_000, borrower, incarnation: 1 };
     desk.notices.clear();
     let loan = desk.state.shares.lend(desk.now, &request);
     expect_that!(loan.units, eq(2));
@@ -190,7 +190,8 @@
     expect_that!(desk.answer(tag), none());
     let (call, asked) = desk.borrow_asked().expect("a loan is asked for");
     expect_that!(asked.resource, eq(&rate()));
-    let loan = ShareLoan { resource: rate(), units: asked.units, millitokens: 1_000 };
+    let loan =
+        ShareLoan { resource: rate(), units: asked.units, millitokens: 1_000, valid_ms: 10_000 };
     desk.lend(call, loan);
     expect_that!(desk.answer(tag), some(matches_pattern!(CallerAnswer::RequestPlaced(_))));
 }
@@ -205,7 +206,7 @@
     let session = desk.open();
     let tag = desk.place_tag(session, WRITE);
     let (call, _) = desk.borrow_asked().expect("a loan is asked for");
-    desk.lend(call, ShareLoan { resource: rate(), units: 0, millitokens: 0 });
+    desk.lend(call, ShareLoan { resource: rate(), units: 0, millitokens: 0, valid_ms: 0 });
     let refusal = desk.result(tag).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::RateExceeded));
     expect_that!(refusal.retry_at, some(gt(desk.now)));
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -10,17 +10,22 @@
 use std::time::{Duration, Instant};
 
 use tanagerdeal_wire::peer::{BorrowRequest, ShareLoan, ShareResource};
-use tanagerdeal_wire::{CustomerName, EndpointName, value_type};
+use tanagerdeal_wire::{CustomerName, EndpointName, HostName, value_type};
 
 use crate::limit::{CustomerRate, RATE_UNITS};
 use crate::profile::HostTiming;
 use crate::session::placement::stable_hash;
 use demand::BorrowPace;
+use escrow::{LoanParty, LoanTerm};
+pub(crate) use holding::LoanKind;
 use holding::{ConnectionHolding, RateHolding};
 
 /// Part of a loan's time that the borrower does not use, because clocks run at different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time of a loan for one request: it covers the way of the loan and the margin for clocks.
+const BRIEF_LOAN: Duration = Duration::from_millis(500);
+
 /// Interval at which holdings are compared with demand. It is far below the time before the end of a
 /// loan at which its connections get no new work.
 const ADOPT_INTERVAL: Duration = Duration::from_millis(100);
@@ -46,6 +51,15 @@
     }
 }
 
+value_type! {
+    /// Units that this host lacks.
+    pub(crate) struct ShareNeed {
+        pub(crate) resource: ShareResource,
+        pub(crate) units: u64,
+        pub(crate) kind: LoanKind,
+    }
+}
+
 /// Holdings per resource.
 pub struct ShareTable {
     base: Option<BaseShare>,
@@ -186,73 +200,104 @@
         self.is_lending = is_lending;
     }
 
-    /// Grants a loan to another host; the loan has no units when nothing can be lent.
+    /// Grants a loan to another host; the loan has no units when nothing can be lent. It replaces
+    /// earlier loans to the same host that are neither larger nor longer, and does not add to them.
     ///
     /// The units are deducted at once and come back after the loan's time, whether or not the
     /// borrower learns of the loan.
     pub fn lend(&mut self, now: Instant, request: &BorrowRequest) -> ShareLoan {
-        let until = now + self.loan_valid;
+        let wanted_for = Duration::from_millis(request.valid_ms);
+        let until = now + self.loan_valid.min(wanted_for);
         let is_lending = self.is_lending && !self.is_handed_over;
         self.is_changed = true;
         let resource = request.resource.clone();
+        let (host, incarnation) = (request.borrower.clone(), request.incarnation);
+        let party = LoanParty { host, incarnation };
+        let wanted = LoanTerm { party, units: request.units, until };
         let (units, millitokens) = match &resource {
             _ if !is_lending => (0, 0),
             ShareResource::CustomerRate(customer) => {
                 let base = self.rate_base(now);
                 let holding = self.rates.get_mut(customer);
-                holding.map_or((0, 0), |holding| holding.lend(now, base, request.units, until))
+                holding.map_or((0, 0), |holding| holding.lend(now, base, wanted))
             }
             ShareResource::EndpointConnections(endpoint) => {
                 let base = self.connection_base(now, endpoint);
                 let holding = self.connections.get_mut(endpoint);
-                (holding.map_or(0, |holding| holding.lend(now, base, request.units, until)), 0)
+                (holding.map_or(0, |holding| holding.lend(now, base, wanted)), 0)
             }
         };
-        ShareLoan { resource, units, millitokens }
+        ShareLoan { resource, units, millitokens, valid_ms: millis_between(now, until) }
     }
 
     /// Takes a loan into use until `valid_until`, counted from when the request was sent; an empty
     /// loan tells that the peer has nothing to lend.
     ///
     /// The last part of the time is not used, because clocks run at different rates.
-    pub fn accept(&mut self, now: Instant, loan: &ShareLoan, valid_until: Instant) {
+    pub fn accept(
+        &mut self,
+        now: Instant,
+        lender: &HostName,
+        loan: &ShareLoan,
+        valid_until: Instant,
+    ) {
         self.paces.entry(loan.resource.clone()).or_default().answer(now, loan.units);
         self.is_changed = true;
         let until = valid_until.checked_sub(CLOCK_MARGIN).unwrap_or(now);
         if loan.units == 0 || until <= now {
             return;
         }
+        let term = LoanTerm { party: lender_party(lender), units: loan.units, until };
         match &loan.resource {
             ShareResource::CustomerRate(customer) => {
                 let base = self.rate_base(now);
                 if let Some(holding) = self.rates.get_mut(customer) {
-                    holding.accept(now, base, (loan.units, loan.millitokens), until);
+                    holding.accept(now, base, (term, loan.millitokens));
                 }
             }
             ShareResource::EndpointConnections(endpoint) => {
                 if let Some(holding) = self.connections.get_mut(endpoint) {
-                    holding.ledger.take(loan.units, until);
+                    holding.ledger.take(term);
                 }
             }
         }
     }
 
+    /// Units of a loan by one lender that has not ended at an instant.
+    pub(crate) fn taken_from(
+        &self,
+        at: Instant,
+        lender: &HostName,
+        resource: &ShareResource,
+    ) -> u64 {
+        let ledger = match resource {
+            ShareResource::CustomerRate(customer) => {
+                self.rates.get(customer).map(|holding| &holding.ledger)
+            }
+            ShareResource::EndpointConnections(endpoint) => {
+                self.connections.get(endpoint).map(|holding| &holding.ledger)
+            }
+        };
+        ledger.map_or(0, |ledger| ledger.taken_from(at, &lender_party(lender)))
+    }
+
     /// Everything that can be handed over when the host leaves: the whole base share less loans
     /// given. The host has no base share from then on. Loans taken stay until they end.
     pub fn hand_over(&mut self, now: Instant) -> Vec<ShareLoan> {
         self.settle_all(now);
         let mut loans = Vec::new();
+        let valid_ms = millis_between(now, now + self.loan_valid);
         let base = self.rate_base(now);
         for (customer, holding) in &mut self.rates {
             let (units, millitokens) = holding.hand_over(now, base);
             let resource = ShareResource::CustomerRate(customer.clone());
-            loans.push(ShareLoan { resource, units, millitokens });
+            loans.push(ShareLoan { resource, units, millitokens, valid_ms });
         }
         for (endpoint, holding) in &self.connections {
             let base = self.connection_base(now, endpoint);
             let units = base.saturating_sub(holding.ledger.given(now));
             let resource = ShareResource::EndpointConnections(endpoint.clone());
-            loans.push(ShareLoan { resource, units, millitokens: 0 });
+            loans.push(ShareLoan { resource, units, millitokens: 0, valid_ms });
         }
         self.is_handed_over = true;
         self.is_changed = true;
@@ -367,41 +412,45 @@
         loan.into_iter().chain(base).min()
     }
 
-    /// Units to be borrowed of each resource whose use comes near to what is held, judged ahead of
+    /// What is to be borrowed of each resource whose use comes near to what is held, judged ahead of
     /// the end of loans.
-    pub(crate) fn shortages(&mut self, now: Instant, ahead: Duration) -> Vec<(ShareResource, u64)> {
+    pub(crate) fn shortages(&mut self, now: Instant, ahead: Duration) -> Vec<ShareNeed> {
         let then = now + ahead;
         let base = self.rate_base(now);
         let rates = self.rates.iter_mut().map(|(customer, holding)| {
-            let missing = holding.shortage(now, then, base);
-            (ShareResource::CustomerRate(customer.clone()), missing)
+            let (units, kind) = holding.shortage(now, then, (base, false));
+            ShareNeed { resource: ShareResource::CustomerRate(customer.clone()), units, kind }
         });
-        let mut shortages: Vec<_> = rates.filter(|(_, missing)| *missing > 0).collect();
+        let mut needs: Vec<ShareNeed> = rates.filter(|need| need.units > 0).collect();
         for (endpoint, holding) in &self.connections {
             let base = self.connection_base(now, endpoint);
-            let missing = holding.peak.peak().saturating_sub(holding.ledger.held(then, base));
-            if missing > 0 {
-                let resource = ShareResource::EndpointConnections(endpoint.clone());
-                shortages.push((resource, missing));
-            }
+            let units = holding.peak.peak().saturating_sub(holding.ledger.held(then, base));
+            let resource = ShareResource::EndpointConnections(endpoint.clone());
+            let kind = LoanKind::Lasting;
+            needs.extend((units > 0).then_some(ShareNeed { resource, units, kind }));
         }
-        shortages
+        needs
     }
 
-    /// Units of one resource to be borrowed because a request waits for it.
-    pub(crate) fn shortage(
+    /// What is to be borrowed of a customer's rate because a request waits for it.
+    pub(crate) fn rate_shortage(
         &mut self,
         now: Instant,
         ahead: Duration,
-        resource: &ShareResource,
-    ) -> Option<u64> {
+        customer: &CustomerName,
+    ) -> Option<ShareNeed> {
         let base = self.rate_base(now);
-        match resource {
-            ShareResource::CustomerRate(customer) => {
-                let holding = self.rates.get_mut(customer)?;
-                Some(holding.shortage(now, now + ahead, base)).filter(|missing| *missing > 0)
-            }
-            ShareResource::EndpointConnections(_) => None,
+        let holding = self.rates.get_mut(customer)?;
+        let (units, kind) = holding.shortage(now, now + ahead, (base, true));
+        let resource = ShareResource::CustomerRate(customer.clone());
+        (units > 0).then_some(ShareNeed { resource, units, kind })
+    }
+
+    /// Time for which a loan is asked for.
+    pub(crate) fn loan_time(&self, kind: LoanKind) -> Duration {
+        match kind {
+            LoanKind::Lasting => self.loan_valid,
+            LoanKind::Brief => BRIEF_LOAN.min(self.loan_valid),
         }
     }
 
@@ -441,3 +490,11 @@
         self.rates.values_mut().for_each(|holding| holding.clamp(now, base));
     }
 }
+
+fn lender_party(lender: &HostName) -> LoanParty {
+    LoanParty { host: lender.clone(), incarnation: 0 }
+}
+
+fn millis_between(now: Instant, until: Instant) -> u64 {
+    u64::try_from(until.saturating_duration_since(now).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/core/src/share/demand.rs
+++ b/crates/core/src/share/demand.rs
@@ -8,6 +8,9 @@
 /// Time constant of the average demand.
 const DEMAND_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time constant of the average demand that shows a sudden rise.
+const RISE_WINDOW: Duration = Duration::from_millis(100);
+
 /// Time for which a peak of connections counts as demand.
 const PEAK_KEPT: Duration = Duration::from_secs(2);
 
@@ -23,10 +26,11 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(20);
 const MOST_PAUSE: Duration = Duration::from_secs(1);
 
-/// Average of requests a second, decaying exponentially.
+/// Averages of requests a second, decaying exponentially.
 #[derive(Default)]
 pub(crate) struct DemandMeter {
     per_s: f64,
+    rising_per_s: f64,
     noted_at: Option<Instant>,
 }
 
@@ -51,15 +55,31 @@
     /// Counts one request.
     pub(crate) fn note(&mut self, now: Instant) {
         self.per_s = self.rate(now) + 1.0 / DEMAND_WINDOW.as_secs_f64();
+        self.rising_per_s =
+            self.rising_per_s * self.decay(now, RISE_WINDOW) + 1.0 / RISE_WINDOW.as_secs_f64();
         self.noted_at = Some(now);
     }
 
     /// Requests a second.
     pub(crate) fn rate(&self, now: Instant) -> f64 {
-        let passed = self.noted_at.map_or(0.0, |at| {
-            now.saturating_duration_since(at).as_secs_f64() / DEMAND_WINDOW.as_secs_f64()
-        });
-        self.per_s * (-passed).exp()
+        self.per_s * self.decay(now, DEMAND_WINDOW)
+    }
+
+    /// Requests a second without the latest one: a single request is no lasting demand.
+    pub(crate) fn lasting_rate(&self, now: Instant) -> f64 {
+        let decay = self.decay(now, DEMAND_WINDOW);
+        (self.per_s - 1.0 / DEMAND_WINDOW.as_secs_f64()).max(0.0) * decay
+    }
+
+    /// Requests a second in the last moments, without the latest one.
+    pub(crate) fn rising_rate(&self, now: Instant) -> f64 {
+        let decay = self.decay(now, RISE_WINDOW);
+        (self.rising_per_s - 1.0 / RISE_WINDOW.as_secs_f64()).max(0.0) * decay
+    }
+
+    fn decay(&self, now: Instant, window: Duration) -> f64 {
+        let passed = self.noted_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        (-passed.as_secs_f64() / window.as_secs_f64()).exp()
     }
 }
 
--- a/crates/core/src/share/escrow.rs
+++ b/crates/core/src/share/escrow.rs
@@ -2,17 +2,29 @@
 
 use std::time::Instant;
 
-use tanagerdeal_wire::value_type;
+use tanagerdeal_wire::{HostName, value_type};
 
 value_type! {
+    /// The other side of a loan.
+    pub(crate) struct LoanParty {
+        pub(crate) host: HostName,
+        /// Incarnation of a borrower: an earlier one may still run and use its loans. Loans taken
+        /// from all incarnations of a lender count as one party's, which is the smaller sum.
+        pub(crate) incarnation: u64,
+    }
+
     /// Units lent until an instant.
-    #[derive(Copy)]
     pub(crate) struct LoanTerm {
+        pub(crate) party: LoanParty,
         pub(crate) units: u64,
         pub(crate) until: Instant,
     }
 
     /// Loans of one resource.
+    ///
+    /// The loans between the same two parties do not add up: the largest one that has not ended
+    /// counts, on both sides. A loan can thereby be renewed before its end although its lender has
+    /// nothing else to give, and a repeated message changes nothing.
     #[derive(Default)]
     pub(crate) struct EscrowLedger {
         given: Vec<LoanTerm>,
@@ -23,12 +35,22 @@
 impl EscrowLedger {
     /// Units given that have not come back.
     pub(crate) fn given(&self, now: Instant) -> u64 {
-        self.given.iter().filter(|loan| loan.until > now).map(|loan| loan.units).sum()
+        sum(&self.given, now)
+    }
+
+    /// Units given to one party.
+    pub(crate) fn given_to(&self, now: Instant, party: &LoanParty) -> u64 {
+        largest(&self.given, now, party)
     }
 
     /// Units taken that have not ended.
     pub(crate) fn taken(&self, now: Instant) -> u64 {
-        self.taken.iter().filter(|loan| loan.until > now).map(|loan| loan.units).sum()
+        sum(&self.taken, now)
+    }
+
+    /// Units taken from one party.
+    pub(crate) fn taken_from(&self, now: Instant, party: &LoanParty) -> u64 {
+        largest(&self.taken, now, party)
     }
 
     /// Units held with a base share.
@@ -47,14 +69,14 @@
         self.taken.iter().map(|loan| loan.until).filter(|until| *until > now).min()
     }
 
-    /// Gives units until an instant.
-    pub(crate) fn give(&mut self, units: u64, until: Instant) {
-        self.given.push(LoanTerm { units, until });
+    /// Notes a loan given.
+    pub(crate) fn give(&mut self, loan: LoanTerm) {
+        insert(&mut self.given, loan);
     }
 
-    /// Takes units until an instant.
-    pub(crate) fn take(&mut self, units: u64, until: Instant) {
-        self.taken.push(LoanTerm { units, until });
+    /// Notes a loan taken.
+    pub(crate) fn take(&mut self, loan: LoanTerm) {
+        insert(&mut self.taken, loan);
     }
 
     /// Forgets loans that ended by an instant up to which everything is settled.
@@ -68,3 +90,30 @@
         self.given.is_empty() && self.taken.is_empty()
     }
 }
+
+/// Adds a loan, and drops those of the same party that are neither larger nor longer.
+fn insert(loans: &mut Vec<LoanTerm>, loan: LoanTerm) {
+    let covers = |known: &LoanTerm| {
+        known.party == loan.party && known.units <= loan.units && known.until <= loan.until
+    };
+    loans.retain(|known| !covers(known));
+    loans.push(loan);
+}
+
+fn largest(loans: &[LoanTerm], now: Instant, party: &LoanParty) -> u64 {
+    let valid = loans.iter().filter(|loan| loan.until > now && loan.party == *party);
+    valid.map(|loan| loan.units).max().unwrap_or(0)
+}
+
+fn sum(loans: &[LoanTerm], now: Instant) -> u64 {
+    // Each party is counted at its largest loan, the first one of equal size.
+    let counts = |(place, loan): &(usize, &LoanTerm)| {
+        let is_larger = |(other, known): (usize, &LoanTerm)| {
+            known.until > now
+                && known.party == loan.party
+                && (known.units > loan.units || (known.units == loan.units && other < *place))
+        };
+        loan.until > now && !loans.iter().enumerate().any(is_larger)
+    };
+    loans.iter().enumerate().filter(counts).map(|(_, loan)| loan.units).sum()
+}
--- a/crates/core/src/share/holding.rs
+++ b/crates/core/src/share/holding.rs
@@ -2,8 +2,10 @@
 
 use std::time::Instant;
 
+use tanagerdeal_wire::value_type;
+
 use super::demand::{DemandMeter, PeakMeter};
-use super::escrow::EscrowLedger;
+use super::escrow::{EscrowLedger, LoanTerm};
 use crate::limit::{CustomerRate, MILLITOKEN, RATE_UNITS, REQUEST_TOKENS, TokenBucket};
 
 /// Part of the use of what is held, in percent, above which more is borrowed.
@@ -15,8 +17,23 @@
 /// Part of the base share, as a divisor, that is never lent.
 const FLOOR_DIVISOR: u64 = 8;
 
-/// Requests that a share in use should be able to hold the tokens of.
-const LEAST_REQUESTS: u64 = 2;
+/// Part of a request's tokens, in percent, that a share should be able to hold for a request that
+/// waits. Loans come from several hosts and are rounded, so that some more than one is needed.
+const LEAST_PERCENT: u64 = 125;
+
+/// Requests a second below which a host counts as idle.
+const LEAST_DEMAND: f64 = 0.01;
+
+value_type! {
+    /// Time for which units are borrowed.
+    #[derive(Copy)]
+    pub(crate) enum LoanKind {
+        /// For as long as the demand lasts; renewed before its end.
+        Lasting,
+        /// For one request.
+        Brief,
+    }
+}
 
 /// Share of a customer's rate.
 pub(super) struct RateHolding {
@@ -74,44 +91,42 @@
         }
     }
 
-    pub(super) fn accept(
-        &mut self,
-        now: Instant,
-        base: u64,
-        (units, millitokens): (u64, u64),
-        until: Instant,
-    ) {
+    pub(super) fn accept(&mut self, now: Instant, base: u64, (loan, millitokens): (LoanTerm, u64)) {
         self.settle(now, base);
-        self.ledger.take(units, until);
+        self.ledger.take(loan);
         self.bucket.deposit(millitokens, self.ledger.held(now, base));
     }
 
-    /// Units and millitokens lent; a loan carries no more tokens than its units can hold.
-    pub(super) fn lend(
-        &mut self,
-        now: Instant,
-        base: u64,
-        wanted: u64,
-        until: Instant,
-    ) -> (u64, u64) {
+    /// Units and millitokens lent from the base share, what the borrower has already included. A loan
+    /// carries no more tokens than its additional units can hold.
+    pub(super) fn lend(&mut self, now: Instant, base: u64, wanted: LoanTerm) -> (u64, u64) {
         let held = self.settle(now, base);
-        let needed = self.needed(now).max(base / FLOOR_DIVISOR);
-        let own = base.saturating_sub(self.ledger.given(now));
-        let units = wanted.min(held.saturating_sub(needed)).min(own);
+        let needed = self.units_for(self.demand.lasting_rate(now)).max(self.floor(base));
+        let units = lendable(&self.ledger, now, (base, needed), &wanted);
         if units == 0 {
             return (0, 0);
         }
-        let capacity = self.bucket.capacity(units);
+        let added = units.saturating_sub(self.ledger.given_to(now, &wanted.party));
+        let capacity = self.bucket.capacity(added);
         let tokens = match self.demand.rate(now) < 1.0 {
             true => capacity.min(self.bucket.tokens()),
-            false => proportion(self.bucket.tokens(), units, held).min(capacity),
+            false => proportion(self.bucket.tokens(), added, held).min(capacity),
         };
         let millitokens = self.bucket.withdraw(tokens / MILLITOKEN);
-        self.ledger.give(units, until);
+        self.ledger.give(LoanTerm { units, ..wanted });
         self.clamp(now, base);
         (units, millitokens)
     }
 
+    /// Units that are never lent. A base share that cannot hold the tokens of one request serves
+    /// nobody and is lent whole.
+    fn floor(&self, base: u64) -> u64 {
+        match self.bucket.capacity(base) < REQUEST_TOKENS {
+            true => 0,
+            false => base / FLOOR_DIVISOR,
+        }
+    }
+
     /// Units and millitokens of the whole base share; called on a settled holding.
     pub(super) fn hand_over(&mut self, now: Instant, base: u64) -> (u64, u64) {
         let units = base.saturating_sub(self.ledger.given(now));
@@ -119,58 +134,81 @@
         (units, self.bucket.withdraw(tokens / MILLITOKEN))
     }
 
-    /// Units for the recent demand with a margin; none without demand.
-    fn needed(&self, now: Instant) -> u64 {
-        let rate = u64::from(self.bucket.rate().rate_per_s).max(1);
-        let demand = self.demand.rate(now);
-        if demand < 0.01 {
-            return 0;
-        }
-        let units = (demand * RATE_UNITS as f64) as u64 / rate * DEMAND_PERCENT / 100;
-        units.max(self.least_units()).min(RATE_UNITS)
+    /// Units for a demand with a margin.
+    fn units_for(&self, per_s: f64) -> u64 {
+        let rate = f64::from(self.bucket.rate().rate_per_s.max(1));
+        let units = per_s / rate * RATE_UNITS as f64 * DEMAND_PERCENT as f64 / 100.0;
+        (units as u64).min(RATE_UNITS)
     }
 
-    /// Units whose capacity holds the tokens of a few requests.
+    /// Units whose capacity holds the tokens of a request.
     fn least_units(&self) -> u64 {
         let burst = u64::from(self.bucket.rate().burst).max(1);
-        (LEAST_REQUESTS * REQUEST_TOKENS).div_ceil(burst).min(RATE_UNITS)
+        (REQUEST_TOKENS * LEAST_PERCENT / 100).div_ceil(burst).min(RATE_UNITS)
     }
 
-    /// Units missing for the recent demand by an instant.
-    pub(super) fn shortage(&mut self, now: Instant, then: Instant, base: u64) -> u64 {
-        if self.demand.rate(now) < 0.01 {
-            return 0;
+    /// Units missing by an instant for the recent demand, and the time for which they are needed.
+    ///
+    /// A request that waits although the share covers the demand needs units only to hold its tokens.
+    /// They are borrowed for a moment, so that other hosts can use them for their next request.
+    pub(super) fn shortage(
+        &mut self,
+        now: Instant,
+        then: Instant,
+        (base, is_waiting): (u64, bool),
+    ) -> (u64, LoanKind) {
+        let demand = self.demand.lasting_rate(now);
+        if demand < LEAST_DEMAND && !is_waiting {
+            return (0, LoanKind::Lasting);
         }
         let held_now = self.settle(now, base);
         let held = self.ledger.held(then, base).min(held_now);
-        let used = (self.demand.rate(now) * RATE_UNITS as f64) as u64
-            / u64::from(self.bucket.rate().rate_per_s).max(1);
-        let is_low =
-            self.bucket.tokens() < self.bucket.capacity(held_now) * (100 - BORROW_PERCENT) / 100;
-        let wanted = match () {
-            _ if used > held * BORROW_PERCENT / 100 => self.needed(now),
-            _ if is_low => self.needed(now).max(held + held / 2),
-            _ => self.least_units(),
+        let used = self.units_for(demand) * 100 / DEMAND_PERCENT;
+        let full = self.bucket.capacity(held_now);
+        let is_low = self.bucket.tokens() < full * (100 - BORROW_PERCENT) / 100;
+        let rising = self.units_for(demand.max(self.demand.rising_rate(now)));
+        let lasting = match () {
+            _ if is_waiting => rising,
+            _ if is_low && used > held / 2 => rising.max(held + held / 2),
+            _ if used > held * BORROW_PERCENT / 100 => self.units_for(demand),
+            _ => 0,
         };
-        wanted.min(RATE_UNITS).saturating_sub(held)
+        let brief = self.least_units().max(held_now + held_now / 2).min(RATE_UNITS);
+        match is_waiting && lasting < brief {
+            true => (brief - held_now, LoanKind::Brief),
+            false => (lasting.min(RATE_UNITS).saturating_sub(held), LoanKind::Lasting),
+        }
     }
 }
 
 impl ConnectionHolding {
     /// Connections lent: those of the base share that were not wanted lately, less a part that is
     /// kept. A single connection is lent whole, or hosts without one would never get any.
-    pub(super) fn lend(&mut self, now: Instant, base: u64, wanted: u64, until: Instant) -> u64 {
+    pub(super) fn lend(&mut self, now: Instant, base: u64, wanted: LoanTerm) -> u64 {
         self.ledger.prune(now);
         let needed = self.peak.peak().max(self.in_use).max(base / 2);
-        let own = base.saturating_sub(self.ledger.given(now));
-        let units = wanted.min(self.ledger.held(now, base).saturating_sub(needed)).min(own);
+        let units = lendable(&self.ledger, now, (base, needed), &wanted);
         if units > 0 {
-            self.ledger.give(units, until);
+            self.ledger.give(LoanTerm { units, ..wanted });
         }
         units
     }
 }
 
+/// Units that can be lent to a party in all: what it has already, and what is neither needed here
+/// nor lent to others. A loan is not renewed in full when its lender needs the units itself.
+fn lendable(
+    ledger: &EscrowLedger,
+    now: Instant,
+    (base, needed): (u64, u64),
+    wanted: &LoanTerm,
+) -> u64 {
+    let current = ledger.given_to(now, &wanted.party);
+    let others = ledger.given(now) - current;
+    let total = (base + ledger.taken(now)).saturating_sub(others + needed);
+    wanted.units.min(total).min(base.saturating_sub(others))
+}
+
 fn proportion(amount: u64, part: u64, whole: u64) -> u64 {
     let share = u128::from(amount) * u128::from(part) / u128::from(whole.max(1));
     u64::try_from(share).unwrap_or(u64::MAX)
--- a/crates/core/src/share/tests.rs
+++ b/crates/core/src/share/tests.rs
@@ -9,12 +9,16 @@
 use tanagerdeal_wire::peer::{BorrowRequest, ShareLoan, ShareResource};
 use tanagerdeal_wire::{CustomerName, EndpointName, HostName};
 
-use super::{BaseShare, ShareTable};
+use super::{BaseShare, LoanKind, ShareTable};
 use crate::limit::CustomerRate;
 use fleet::{FleetModel, FleetStep};
 
 const RATE: CustomerRate = CustomerRate { rate_per_s: 100, burst: 50 };
 
+fn lender_name() -> HostName {
+    HostName::new("h1").unwrap()
+}
+
 fn customer() -> CustomerName {
     CustomerName::new("quarry").unwrap()
 }
@@ -35,7 +39,13 @@
 }
 
 fn request(resource: ShareResource, units: u64) -> BorrowRequest {
-    BorrowRequest { resource, units, borrower: HostName::new("h2").unwrap(), incarnation: 1 }
+    BorrowRequest {
+        resource,
+        units,
+        valid_ms: 10_000,
+        borrower: HostName::new("h2").unwrap(),
+        incarnation: 1,
+    }
 }
 
 fn take_all(shares: &mut ShareTable, now: Instant) -> usize {
@@ -65,7 +75,7 @@
     let sent = after(start, 10_000);
     let loan = lender.lend(sent, &request(rate(), 200_000));
     expect_that!((loan.units, loan.millitokens), eq((200_000, 10_000)));
-    borrower.accept(after(sent, 5), &loan, after(sent, 10_000));
+    borrower.accept(after(sent, 5), &lender_name(), &loan, after(sent, 10_000));
     expect_that!(lender.held(sent, &rate()), eq(300_000));
     expect_that!(borrower.held(after(sent, 5), &rate()), eq(700_000));
     expect_that!(take_all(&mut lender, sent) + take_all(&mut borrower, sent), le(50));
@@ -93,8 +103,9 @@
 fn a_paused_holder_has_neither_tokens_nor_fill_of_an_ended_share() {
     let start = Instant::now();
     let mut shares = table(start, 2, 1);
-    let loan = ShareLoan { resource: rate(), units: 300_000, millitokens: 15_000 };
-    shares.accept(start, &loan, after(start, 10_000));
+    let loan =
+        ShareLoan { resource: rate(), units: 300_000, millitokens: 15_000, valid_ms: 10_000 };
+    shares.accept(start, &lender_name(), &loan, after(start, 10_000));
     expect_that!(take_all(&mut shares, after(start, 20_000)), eq(25));
     expect_that!(take_all(&mut shares, after(start, 90_000)), eq(0));
     let renewed = after(start, 95_000);
@@ -107,8 +118,9 @@
 fn a_late_loan_is_not_used() {
     let start = Instant::now();
     let mut shares = table(start, 2, 1);
-    let loan = ShareLoan { resource: rate(), units: 300_000, millitokens: 15_000 };
-    shares.accept(after(start, 9_950), &loan, after(start, 10_000));
+    let loan =
+        ShareLoan { resource: rate(), units: 300_000, millitokens: 15_000, valid_ms: 10_000 };
+    shares.accept(after(start, 9_950), &lender_name(), &loan, after(start, 10_000));
     expect_that!(shares.held(after(start, 9_950), &rate()), eq(500_000));
 }
 
@@ -130,18 +142,39 @@
 }
 
 /// Guards against a share that is too small for one request and never grows, because a host with
-/// little traffic shows too little demand to borrow.
+/// little traffic shows too little demand to borrow, and against loans for long that keep the units
+/// from the hosts at which the next requests arrive.
 #[gtest]
-fn little_traffic_borrows_enough_for_a_request() {
+fn little_traffic_borrows_for_a_moment() {
     let now = Instant::now();
     let mut shares = ShareTable::default();
     shares.set_rate(now, &customer(), CustomerRate { rate_per_s: 10, burst: 4 });
     shares.set_base(now, base(now, 9, 0));
-    let quiet = shares.shortages(now, Duration::from_secs(3));
-    expect_that!(quiet, is_empty());
     shares.note_demand(now, &customer());
-    let missing = shares.shortages(now, Duration::from_secs(3));
-    expect_that!(missing, elements_are![eq(&(rate(), 500_000 - 111_111))]);
+    let need = shares.rate_shortage(now, Duration::from_secs(3), &customer()).unwrap();
+    let enough = 312_500 - 111_111;
+    expect_that!((need.units, need.kind), eq((enough, LoanKind::Brief)));
+    let mut lender = table(now, 9, 1);
+    lender.set_rate(now, &customer(), CustomerRate { rate_per_s: 10, burst: 4 });
+    let brief = BorrowRequest { valid_ms: 500, ..request(rate(), enough) };
+    let loan = lender.lend(now, &brief);
+    expect_that!((loan.units, loan.valid_ms), eq((111_111, 500)));
+    expect_that!(lender.held(after(now, 500), &rate()), eq(111_111));
+}
+
+/// Guards against a demand that is noticed only after the share is used up.
+#[gtest]
+fn demand_near_the_share_is_borrowed_for_long() {
+    let now = Instant::now();
+    let mut shares = table(now, 9, 0);
+    expect_that!(shares.shortages(now, Duration::from_secs(3)), is_empty());
+    for millis in (0..2_000).step_by(80) {
+        shares.note_demand(after(now, millis), &customer());
+    }
+    let needs = shares.shortages(after(now, 2_000), Duration::from_secs(3));
+    expect_that!(needs.len(), eq(1));
+    expect_that!(needs[0].kind, eq(LoanKind::Lasting));
+    expect_that!(needs[0].units, all!(ge(10_000), le(100_000)));
 }
 
 /// Guards against loans that hide a host's inability to join a new share view.
@@ -249,7 +282,7 @@
 fn the_model_lends_and_serves() {
     let mut fleet = FleetModel::new(4, CustomerRate { rate_per_s: 20, burst: 40 });
     fleet.run(&FleetStep::Advance(10_000));
-    fleet.run(&FleetStep::Ask { from: 1, to: 0, units: 200_000, is_rate: true });
+    fleet.run(&FleetStep::Ask { from: 1, to: 0, units: 200_000, valid_ms: 10_000, is_rate: true });
     fleet.run(&FleetStep::Deliver(0));
     fleet.run(&FleetStep::Deliver(0));
     fleet.run(&FleetStep::Take { host: 1, requests: 100 });
--- a/crates/core/src/share/tests/fleet.rs
+++ b/crates/core/src/share/tests/fleet.rs
@@ -31,6 +31,7 @@
         from: usize,
         to: usize,
         units: u64,
+        valid_ms: u64,
         is_rate: bool,
     },
     /// A message arrives.
@@ -50,7 +51,7 @@
 
 enum Message {
     Request { to: usize, from: usize, sent: Instant, request: BorrowRequest },
-    Loan { to: usize, incarnation: u64, sent: Instant, loan: ShareLoan },
+    Loan { to: usize, lender: HostName, incarnation: u64, sent: Instant, loan: ShareLoan },
 }
 
 struct HostModel {
@@ -82,21 +83,26 @@
 pub(super) fn any_step() -> impl Strategy<Value = FleetStep> {
     let host = 0..4usize;
     prop_oneof![
-        6 => prop_oneof![0..50u64, 0..3_000u64, 9_000..12_000u64].prop_map(FleetStep::Advance),
-        6 => (host.clone(), 1..60u32)
-            .prop_map(|(host, requests)| FleetStep::Take { host, requests }),
-        3 => Just(FleetStep::TakeAll),
-        6 => (host.clone(), host.clone(), 1..700_000u64, any::<bool>()).prop_map(
-            |(from, to, units, is_rate)| FleetStep::Ask { from, to, units, is_rate }
-        ),
-        8 => (0..20usize).prop_map(FleetStep::Deliver),
-        1 => (0..20usize).prop_map(FleetStep::Repeat),
-        1 => (0..20usize).prop_map(FleetStep::Lose),
-        1 => host.clone().prop_map(FleetStep::Pause),
-        2 => host.clone().prop_map(FleetStep::Resume),
-        1 => host.prop_map(FleetStep::Restart),
-        1 => (1..16u8).prop_map(FleetStep::ChangeView),
-    ]
+           6 => prop_oneof![0..50u64, 0..3_000u64, 9_000..12_000u64].prop_map(FleetStep::Advance),
+           6 => (host.clone(), 1..60u32)
+               .prop_map(|(host, requests)| FleetStep::Take { host, requests }),
+           3 => Just(FleetStep::TakeAll),
+           6 => (host.clone(), host.clone(), 1..700_000u64, 400..12_000u64, any::<bool>()).prop_map(
+               |(from, to, units, valid_ms, is_rate)| {
+    FleetStep::Ask { from, to, units, valid_ms, is_rate } }
+           ),
+           8 => (0..20usize).prop_map(FleetStep::Deliver),
+           1 => (0..20usize).prop_map(FleetStep::Repeat),
+           1 => (0..20usize).prop_map(FleetStep::Lose),
+           1 => host.clone().prop_map(FleetStep::Pause),
+           2 => host.clone().prop_map(FleetStep::Resume),
+           1 => host.prop_map(FleetStep::Restart),
+           1 => (1..16u8).prop_map(FleetStep::ChangeView),
+       ]
+}
+
+fn name(host: usize) -> HostName {
+    HostName::new(&format!("h{host}")).unwrap()
 }
 
 fn rate() -> ShareResource {
@@ -165,8 +171,8 @@
             FleetStep::TakeAll => {
                 (0..self.hosts.len()).for_each(|host| while self.serve(host) {});
             }
-            FleetStep::Ask { from, to, units, is_rate } if from != to => {
-                self.ask(*from, *to, *units, *is_rate);
+            FleetStep::Ask { from, to, units, valid_ms, is_rate } if from != to => {
+                self.ask((*from, *to), *units, *valid_ms, *is_rate);
             }
             FleetStep::Ask { .. } => {}
             FleetStep::Deliver(index) => self.deliver(*index, false),
@@ -309,15 +315,15 @@
         true
     }
 
-    fn ask(&mut self, from: usize, to: usize, units: u64, is_rate: bool) {
+    fn ask(&mut self, (from, to): (usize, usize), units: u64, valid_ms: u64, is_rate: bool) {
         let resource = match is_rate {
             true => rate(),
             false => ShareResource::EndpointConnections(endpoint()),
         };
         let units = if is_rate { units } else { units % 5 + 1 };
-        let borrower = HostName::new(&format!("h{from}")).unwrap();
+        let borrower = name(from);
         let incarnation = self.hosts[from].incarnation;
-        let request = BorrowRequest { resource, units, borrower, incarnation };
+        let request = BorrowRequest { resource, units, valid_ms, borrower, incarnation };
         self.messages.push(Message::Request { to, from, sent: self.now, request });
     }
 
@@ -336,12 +342,19 @@
                 if is_repeated {
                     self.messages.push(Message::Request { to, from, sent, request });
                 }
-                self.messages.push(Message::Loan { to: from, incarnation, sent, loan });
+                self.messages.push(Message::Loan {
+                    to: from,
+                    lender: name(to),
+                    incarnation,
+                    sent,
+                    loan,
+                });
             }
-            Message::Loan { to, incarnation, sent, loan } => {
+            Message::Loan { to, lender, incarnation, sent, loan } => {
                 let host = &mut self.hosts[to];
                 if host.incarnation == incarnation {
-                    host.shares.accept(self.now, &loan, sent + LOAN);
+                    let valid = Duration::from_millis(loan.valid_ms).min(LOAN);
+                    host.shares.accept(self.now, &lender, &loan, sent + valid);
                 }
             }
         }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -133,13 +133,15 @@
         pub resource: ShareResource,
         /// Units wanted.
         pub units: u64,
+        /// Milliseconds for which they are wanted; a lender may give them for a shorter time.
+        pub valid_ms: u64,
         /// The borrower.
         pub borrower: HostName,
         /// Incarnation of the borrower.
         pub incarnation: u64,
     }
 
-    /// A loan, valid for the fixed loan time from when the borrower sent its request.
+    /// A loan, valid from when the borrower sent its request.
     pub struct ShareLoan {
         /// The resource.
         pub resource: ShareResource,
@@ -147,6 +149,8 @@
         pub units: u64,
         /// Tokens that come with it, in thousandths of a request.
         pub millitokens: u64,
+        /// Milliseconds for which it is valid.
+        pub valid_ms: u64,
     }
 
     /// The whole share of a host that leaves.
