--- a/crates/testbed/src/relay/datagram.rs
+++ b/crates/testbed/src/relay/datagram.rs
@@ -19,7 +19,7 @@
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
         let Ok((length, source)) = socket.recv_from(&mut buffer).await else { continue };
-        let domain = handle.domain_of(source.ip());
+        let domain = handle.domain_of(source.ip(), &port);
         let upstream = match callers.get(&source) {
             Some(upstream) => upstream.clone(),
             None => match open_upstream(&handle, &socket, source, &domain, &port).await {
