--- a/crates/proxy/src/peer/tests.rs
+++ b/crates/proxy/src/peer/tests.rs
@@ -86,6 +86,7 @@
     let request = BorrowRequest {
         resource: ShareResource::CustomerRate(CustomerName::new("quarry").unwrap()),
         units: 10,
+        valid_ms: 10_000,
         borrower: HostName::new("h2").unwrap(),
         incarnation: 1,
     };
