--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -1,5 +1,6 @@
 //! Escrow of shared resources: base shares, loans given and loans taken.
 
+mod adopt;
 pub(crate) mod demand;
 pub(crate) mod escrow;
 mod holding;
@@ -12,7 +13,7 @@
 use tanagerdeal_wire::peer::{BorrowRequest, ShareLoan, ShareResource};
 use tanagerdeal_wire::{CustomerName, EndpointName, HostName, value_type};
 
-use crate::limit::{CustomerRate, RATE_UNITS};
+use crate::limit::RATE_UNITS;
 use crate::profile::HostTiming;
 use crate::session::placement::stable_hash;
 use demand::BorrowPace;
@@ -196,6 +197,10 @@
     }
 
     /// Stops or resumes lending, while a share view changes.
+    ///
+    /// ```
+    /// tanagerdeal_core::share::ShareTable::default().set_lending(false);
+    /// ```
     pub fn set_lending(&mut self, is_lending: bool) {
         self.is_lending = is_lending;
     }
@@ -205,6 +210,23 @@
     ///
     /// The units are deducted at once and come back after the loan's time, whether or not the
     /// borrower learns of the loan.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use tanagerdeal_core::share::ShareTable;
+    /// use tanagerdeal_wire::peer::{BorrowRequest, ShareResource};
+    /// use tanagerdeal_wire::{EndpointName, HostName};
+    ///
+    /// let request = BorrowRequest {
+    ///     resource: ShareResource::EndpointConnections(EndpointName::new("e1").unwrap()),
+    ///     units: 1,
+    ///     valid_ms: 10_000,
+    ///     borrower: HostName::new("h2").unwrap(),
+    ///     incarnation: 1,
+    /// };
+    /// assert_eq!(ShareTable::default().lend(Instant::now(), &request).units, 0);
+    /// ```
     pub fn lend(&mut self, now: Instant, request: &BorrowRequest) -> ShareLoan {
         let wanted_for = Duration::from_millis(request.valid_ms);
         let until = now + self.loan_valid.min(wanted_for);
@@ -234,6 +256,22 @@
     /// loan tells that the peer has nothing to lend.
     ///
     /// The last part of the time is not used, because clocks run at different rates.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use tanagerdeal_core::share::ShareTable;
+    /// use tanagerdeal_wire::peer::{ShareLoan, ShareResource};
+    /// use tanagerdeal_wire::{CustomerName, HostName};
+    ///
+    /// let now = Instant::now();
+    /// let resource = ShareResource::CustomerRate(CustomerName::new("quarry").unwrap());
+    /// let loan = ShareLoan { resource, units: 10, millitokens: 0, valid_ms: 10_000 };
+    /// let mut shares = ShareTable::default();
+    /// shares.accept(now, &HostName::new("h1").unwrap(), &loan, now + Duration::from_secs(10));
+    /// // A customer without a record has no use for a loan.
+    /// assert_eq!(shares.held(now, &loan.resource), 0);
+    /// ```
     pub fn accept(
         &mut self,
         now: Instant,
@@ -263,26 +301,14 @@
         }
     }
 
-    /// Units of a loan by one lender that has not ended at an instant.
-    pub(crate) fn taken_from(
-        &self,
-        at: Instant,
-        lender: &HostName,
-        resource: &ShareResource,
-    ) -> u64 {
-        let ledger = match resource {
-            ShareResource::CustomerRate(customer) => {
-                self.rates.get(customer).map(|holding| &holding.ledger)
-            }
-            ShareResource::EndpointConnections(endpoint) => {
-                self.connections.get(endpoint).map(|holding| &holding.ledger)
-            }
-        };
-        ledger.map_or(0, |ledger| ledger.taken_from(at, &lender_party(lender)))
-    }
-
     /// Everything that can be handed over when the host leaves: the whole base share less loans
     /// given. The host has no base share from then on. Loans taken stay until they end.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// assert!(tanagerdeal_core::share::ShareTable::default().hand_over(Instant::now()).is_empty());
+    /// ```
     pub fn hand_over(&mut self, now: Instant) -> Vec<ShareLoan> {
         self.settle_all(now);
         let mut loans = Vec::new();
@@ -307,6 +333,17 @@
     }
 
     /// Units held of a resource: base share less loans given plus loans taken.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use tanagerdeal_core::share::ShareTable;
+    /// use tanagerdeal_wire::EndpointName;
+    /// use tanagerdeal_wire::peer::ShareResource;
+    ///
+    /// let resource = ShareResource::EndpointConnections(EndpointName::new("e1").unwrap());
+    /// assert_eq!(ShareTable::default().held(Instant::now(), &resource), 0);
+    /// ```
     pub fn held(&self, now: Instant, resource: &ShareResource) -> u64 {
         match resource {
             ShareResource::CustomerRate(customer) => {
@@ -322,148 +359,6 @@
         }
     }
 
-    /// Sets how long loans are valid.
-    pub(crate) fn set_loan_valid(&mut self, loan_valid: Duration) {
-        self.loan_valid = loan_valid;
-    }
-
-    /// Takes over a customer's rate and burst. A lower rate is in effect at once; a customer seen
-    /// for the first time has no tokens.
-    pub(crate) fn set_rate(&mut self, now: Instant, customer: &CustomerName, rate: CustomerRate) {
-        let base = self.rate_base(now);
-        match self.rates.get_mut(customer) {
-            Some(holding) => holding.change_rate(now, base, rate),
-            None => {
-                self.rates.insert(customer.clone(), RateHolding::new(now, rate));
-            }
-        }
-    }
-
-    /// Forgets customers that no longer exist, other than those with loans.
-    pub(crate) fn retain_customers(
-        &mut self,
-        now: Instant,
-        is_known: impl Fn(&CustomerName) -> bool,
-    ) {
-        self.settle_all(now);
-        self.rates.retain(|customer, holding| is_known(customer) || !holding.ledger.is_empty());
-    }
-
-    /// Takes the token of one request; fails with the time at which the one after `ahead` others
-    /// has come, or nothing when the share is too small for any.
-    pub(crate) fn take_token(
-        &mut self,
-        now: Instant,
-        customer: &CustomerName,
-        ahead: u64,
-    ) -> Result<(), Option<Instant>> {
-        let base = self.rate_base(now);
-        match self.rates.get_mut(customer) {
-            Some(holding) => holding.take_token(now, base, ahead),
-            None => Err(None),
-        }
-    }
-
-    /// Counts a request of a customer as demand.
-    pub(crate) fn note_demand(&mut self, now: Instant, customer: &CustomerName) {
-        if let Some(holding) = self.rates.get_mut(customer) {
-            holding.demand.note(now);
-        }
-    }
-
-    /// Whether holdings are to be adopted now: when they have changed, and at intervals.
-    pub(crate) fn take_due(&mut self, now: Instant) -> bool {
-        let is_due = self.adopted_at.is_none_or(|at| now >= at + ADOPT_INTERVAL);
-        if is_due {
-            self.adopted_at = Some(now);
-        }
-        is_due | std::mem::take(&mut self.is_changed)
-    }
-
-    /// Notes how many connections all hosts may open to an endpoint, and how many are in use and
-    /// wanted here.
-    pub(crate) fn note_connections(
-        &mut self,
-        now: Instant,
-        endpoint: &EndpointName,
-        total: u32,
-        (in_use, wanted): (u64, u64),
-    ) {
-        let holding = self.connections.entry(endpoint.clone()).or_default();
-        holding.total = total;
-        holding.in_use = in_use;
-        holding.ledger.prune(now);
-        holding.peak.note(now, wanted);
-    }
-
-    /// Forgets endpoints that no longer exist.
-    pub(crate) fn retain_endpoints(&mut self, is_known: impl Fn(&EndpointName) -> bool) {
-        self.connections.retain(|endpoint, _| is_known(endpoint));
-    }
-
-    /// When the next loan taken of an endpoint's connections, or the base share, ends.
-    pub(crate) fn next_connection_end(
-        &self,
-        now: Instant,
-        endpoint: &EndpointName,
-    ) -> Option<Instant> {
-        let loan = self.connections.get(endpoint).and_then(|holding| holding.ledger.next_end(now));
-        let base = self.base.map(|base| base.valid_until).filter(|until| *until > now);
-        loan.into_iter().chain(base).min()
-    }
-
-    /// What is to be borrowed of each resource whose use comes near to what is held, judged ahead of
-    /// the end of loans.
-    pub(crate) fn shortages(&mut self, now: Instant, ahead: Duration) -> Vec<ShareNeed> {
-        let then = now + ahead;
-        let base = self.rate_base(now);
-        let rates = self.rates.iter_mut().map(|(customer, holding)| {
-            let (units, kind) = holding.shortage(now, then, (base, false));
-            ShareNeed { resource: ShareResource::CustomerRate(customer.clone()), units, kind }
-        });
-        let mut needs: Vec<ShareNeed> = rates.filter(|need| need.units > 0).collect();
-        for (endpoint, holding) in &self.connections {
-            let base = self.connection_base(now, endpoint);
-            let units = holding.peak.peak().saturating_sub(holding.ledger.held(then, base));
-            let resource = ShareResource::EndpointConnections(endpoint.clone());
-            let kind = LoanKind::Lasting;
-            needs.extend((units > 0).then_some(ShareNeed { resource, units, kind }));
-        }
-        needs
-    }
-
-    /// What is to be borrowed of a customer's rate because a request waits for it.
-    pub(crate) fn rate_shortage(
-        &mut self,
-        now: Instant,
-        ahead: Duration,
-        customer: &CustomerName,
-    ) -> Option<ShareNeed> {
-        let base = self.rate_base(now);
-        let holding = self.rates.get_mut(customer)?;
-        let (units, kind) = holding.shortage(now, now + ahead, (base, true));
-        let resource = ShareResource::CustomerRate(customer.clone());
-        (units > 0).then_some(ShareNeed { resource, units, kind })
-    }
-
-    /// Time for which a loan is asked for.
-    pub(crate) fn loan_time(&self, kind: LoanKind) -> Duration {
-        match kind {
-            LoanKind::Lasting => self.loan_valid,
-            LoanKind::Brief => BRIEF_LOAN.min(self.loan_valid),
-        }
-    }
-
-    /// Requests for loans of a resource.
-    pub(crate) fn pace(&mut self, resource: &ShareResource) -> &mut BorrowPace {
-        self.paces.entry(resource.clone()).or_default()
-    }
-
-    /// Forgets requests for loans without an answer.
-    pub(crate) fn prune_paces(&mut self, now: Instant) {
-        self.paces.values_mut().for_each(|pace| pace.prune(now));
-    }
-
     /// The base share, unless it has ended or was handed over.
     fn valid_base(&self, now: Instant) -> Option<BaseShare> {
         self.base.filter(|base| base.valid_until > now && !self.is_handed_over)
