--- a/crates/core/src/host/traffic/tests/limits.rs
+++ b/crates/core/src/host/traffic/tests/limits.rs
@@ -162,6 +162,40 @@
     }
 }
 
+/// Guards against a host that has too few connections for its requests and does not borrow any, and
+/// against borrowed ones that are used until the very end of the loan.
+#[gtest]
+fn connections_are_borrowed_and_given_up_in_time() {
+    let mut desk = Desk::new();
+    desk.join_peer();
+    desk.hold_ninth();
+    desk.run(40);
+    let sessions = [desk.open(), desk.open()];
+    let tags = sessions.map(|session| desk.place_tag(session, WRITE));
+    let Some(CallerAnswer::RequestPlaced(first)) = desk.answer(tags[0]) else { panic!("waits") };
+    desk.run(200);
+    expect_that!(desk.answer(tags[1]), none());
+    let (call, asked) = desk.borrow_asked().expect("a loan is asked for");
+    let resource = ShareResource::EndpointConnections(EndpointName::new("e0").unwrap());
+    expect_that!((&asked.resource, asked.units), eq((&resource, 1)));
+    desk.notices.clear();
+    desk.lend(call, ShareLoan { resource, units: 1, millitokens: 0, valid_ms: 10_000 });
+    let Some(CallerAnswer::RequestPlaced(second)) = desk.answer(tags[1]) else { panic!("waits") };
+    let lent_at = desk.now;
+    desk.answered(first.dispatch);
+    desk.answered(second.dispatch);
+    desk.run(9_000);
+    let last = desk.notices.iter().rev().find_map(|notice| match notice {
+        HostOutput::LimitConnections { name, limit, close_by, .. } if name.as_str() == "e0" => {
+            Some((*limit, *close_by))
+        }
+        _ => None,
+    });
+    let (limit, close_by) = last.expect("the limit was lowered");
+    expect_that!(limit, eq(1));
+    expect_that!(close_by, lt(lent_at + Duration::from_secs(10)));
+}
+
 /// Guards against a holder that was paused and places work on connections whose loan has ended.
 #[gtest]
 fn a_paused_host_does_not_use_ended_connections() {
