--- a/crates/testbed/src/deployment/observe.rs
+++ b/crates/testbed/src/deployment/observe.rs
@@ -106,6 +106,10 @@
             };
             let reply: SearchReply = serde_json::from_value(reply)
                 .map_err(|error| DeploymentError::Condition(error.to_string()))?;
+            if reply.bytes == 0 {
+                // A member that nobody connected to has received nothing to be searched.
+                continue;
+            }
             let control_found = reply.counts.last().copied().unwrap_or(0);
             let found = reply.counts.iter().sum::<u64>() - control_found;
             observations.push(Observation::Searched(SearchSample {
--- a/crates/testbed/src/load/caller.rs
+++ b/crates/testbed/src/load/caller.rs
@@ -161,8 +161,10 @@
 
     /// Opens a connection, on another host when the chosen one refuses.
     async fn ensure_connection(&mut self) -> Result<(), CallFailure> {
-        if self.connection.is_some() {
-            return Ok(());
+        match &self.connection {
+            Some(connection) if connection.is_closed() => self.disconnect().await,
+            Some(_) => return Ok(()),
+            None => {}
         }
         let mut last = CallFailure::new(OutcomeVerdict::NotRun, "no host");
         for _ in 0..self.plan.hosts.len() {
@@ -302,17 +304,30 @@
             result
         }
         ArrivalKind::Transaction => {
-            connection.simple("BEGIN").await?;
-            for item in items {
-                if let Err(failure) = connection.simple(&update(item)).await {
-                    // The block has failed or the connection is lost; the first failure counts.
-                    let _ = connection.simple("ROLLBACK").await;
-                    return Err(failure);
-                }
+            let updates = items.iter().map(|item| update(item));
+            let texts = ["BEGIN".to_owned()].into_iter().chain(updates);
+            run_block(connection, texts.chain(["COMMIT".to_owned()])).await
+        }
+    }
+}
+
+/// Runs the statements of a transaction block; after a failure the block is rolled back. A refused
+/// BEGIN opens no block, so clients send no ROLLBACK after it.
+async fn run_block(
+    connection: &CallerConnection,
+    texts: impl Iterator<Item = String>,
+) -> Result<TextRows, CallFailure> {
+    for (index, text) in texts.enumerate() {
+        if let Err(mut failure) = connection.simple(&text).await {
+            if index > 0 {
+                // The connection may be lost; the first failure counts.
+                let _ = connection.simple("ROLLBACK").await;
             }
-            connection.simple("COMMIT").await
+            failure.message += &format!(" (statement {} of a transaction)", index + 1);
+            return Err(failure);
         }
     }
+    Ok(Vec::new())
 }
 
 impl ArrivalKind {
--- a/crates/testbed/src/load/connection.rs
+++ b/crates/testbed/src/load/connection.rs
@@ -1,6 +1,7 @@
 //! Connections of callers and the verdicts of their requests.
 
 use std::future::poll_fn;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tanagerdeal_wire::value_type;
@@ -39,9 +40,13 @@
     client: Client,
     /// Drives the connection and returns the last session token at its end.
     driver: JoinHandle<Option<String>>,
+    farewell: Farewell,
     limit: Duration,
 }
 
+/// Error with which the host closed the connection between two requests, if it did.
+type Farewell = Arc<Mutex<Option<CallFailure>>>;
+
 impl CallFailure {
     pub(super) fn new(verdict: OutcomeVerdict, message: &str) -> Self {
         let message = message.to_owned();
@@ -93,9 +98,10 @@
             |failure: CallFailure| CallFailure { verdict: OutcomeVerdict::NotRun, ..failure };
         match timeout(CONNECT_LIMIT, config.connect(NoTls)).await {
             Ok(Ok((client, connection))) => {
-                let driver = tokio::spawn(drive(connection));
+                let farewell = Farewell::default();
+                let driver = tokio::spawn(drive(connection, farewell.clone()));
                 let limit = Duration::from_millis(deadline_ms.into()) + ANSWER_MARGIN;
-                Ok(Self { client, driver, limit })
+                Ok(Self { client, driver, farewell, limit })
             }
             Ok(Err(error)) => Err(refused(CallFailure::from_error(&error))),
             Err(_) => Err(CallFailure::new(OutcomeVerdict::NotRun, "no connection in time")),
@@ -128,6 +134,11 @@
         Ok(rows.iter().map(|row| (0..row.len()).map(|index| value(row, index)).collect()).collect())
     }
 
+    /// Whether the connection has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.client.is_closed()
+    }
+
     /// Closes the connection and returns the last session token.
     pub(super) async fn close(self) -> Option<String> {
         drop(self.client);
@@ -135,12 +146,22 @@
         token.ok().and_then(Result::ok).flatten()
     }
 
+    /// Gives a lost request the verdict of the error with which the host closed the connection. That
+    /// error may have been on its way when the request was sent, and then is the answer to it.
+    fn explain(&self, failure: CallFailure) -> CallFailure {
+        let farewell = self.farewell.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        match (failure.verdict, farewell) {
+            (OutcomeVerdict::Lost, Some(farewell)) => farewell,
+            _ => failure,
+        }
+    }
+
     async fn limited<T>(
         &self,
         call: impl Future<Output = Result<T, Error>>,
     ) -> Result<T, CallFailure> {
         match timeout(self.limit, call).await {
-            Ok(result) => result.map_err(|error| CallFailure::from_error(&error)),
+            Ok(result) => result.map_err(|error| self.explain(CallFailure::from_error(&error))),
             Err(_) => Err(CallFailure::new(OutcomeVerdict::TimedOut, "no answer in time")),
         }
     }
@@ -149,10 +170,12 @@
 /// Drives a connection to its end and returns the session token last reported.
 async fn drive(
     mut connection: Connection<Socket, tokio_postgres::tls::NoTlsStream>,
+    farewell: Farewell,
 ) -> Option<String> {
     while let Some(message) = poll_fn(|context| connection.poll_message(context)).await {
         if let Err(error) = message {
-            log::debug!("load: connection ended: {error}");
+            let failure = error.as_db_error().map(|_| CallFailure::from_error(&error));
+            *farewell.lock().unwrap_or_else(PoisonError::into_inner) = failure;
             break;
         }
     }
