--- a/crates/core/src/host/fleet/tests/harness.rs
+++ b/crates/core/src/host/fleet/tests/harness.rs
@@ -11,6 +11,7 @@
 use tanagerdeal_wire::{DomainName, HostName};
 
 use crate::host::HostState;
+use crate::message::caller::CallerAnswer;
 use crate::message::fleet::{PeerEvent, StoreEvent, StoreFault, StoreRequest};
 use crate::message::{CallTag, DrainPhase, HostInput, HostOutput, PeerCallKey};
 use crate::profile::{HostIdentity, HostPolicies, HostProfile, HostTiming};
@@ -28,6 +29,7 @@
     pub(super) is_up: bool,
     pub(super) is_paused: bool,
     pub(super) phases: Vec<DrainPhase>,
+    pub(super) answers: Vec<CallerAnswer>,
 }
 
 enum Delivery {
@@ -63,8 +65,8 @@
     /// Number of answers to transactions that get lost after the change took effect.
     pub(super) lost_answers: usize,
     pub(super) store_calls: Vec<(Instant, usize, &'static str)>,
-    /// Sizes of encoded pulls and of their answers.
-    pub(super) pull_bytes: Vec<(usize, usize)>,
+    /// Pulls answered: who asked, who answered, and the encoded sizes of request and reply.
+    pub(super) pulls: Vec<(usize, usize, usize, usize)>,
     parcels: BTreeMap<(Instant, u64), Parcel>,
     /// What came for hosts while they were paused.
     backlog: Vec<Parcel>,
@@ -73,6 +75,13 @@
     names: HashMap<HostName, usize>,
 }
 
+impl Node {
+    fn new(state: HostState) -> Self {
+        let (phases, answers) = (Vec::new(), Vec::new());
+        Self { state, is_up: true, is_paused: false, phases, answers }
+    }
+}
+
 impl FakeTable {
     pub(super) fn put(&mut self, key: &str, value: Option<Value>) -> u64 {
         self.revision += 1;
@@ -135,7 +144,7 @@
             store_delay: Duration::ZERO,
             lost_answers: 0,
             store_calls: Vec::new(),
-            pull_bytes: Vec::new(),
+            pulls: Vec::new(),
             parcels: BTreeMap::new(),
             backlog: Vec::new(),
             open: HashMap::new(),
@@ -148,8 +157,7 @@
                 let index = fleet.nodes.len();
                 fleet.names.insert(HostName::new(&name).unwrap(), index);
                 let state = HostState::new(profile(domain, &name, index as u64 + 1));
-                let (is_up, is_paused, phases) = (true, false, Vec::new());
-                fleet.nodes.push(Node { state, is_up, is_paused, phases });
+                fleet.nodes.push(Node::new(state));
             }
         }
         fleet
@@ -177,8 +185,7 @@
         let old = self.nodes[index].state.profile.identity.clone();
         let incarnation = 1_000 + self.next_number;
         let profile = profile(old.domain.as_str(), old.host.as_str(), incarnation);
-        let (state, phases) = (HostState::new(profile), Vec::new());
-        self.nodes[index] = Node { state, is_up: true, is_paused: false, phases };
+        self.nodes[index] = Node::new(HostState::new(profile));
     }
 
     pub(super) fn cut_domains(&mut self, one: &str, other: &str) {
@@ -281,6 +288,7 @@
                     self.send_peer(index, call, &host, request, deadline);
                 }
                 HostOutput::AnswerPeer(tag, reply) => self.answer_peer(index, tag, reply),
+                HostOutput::AnswerCaller(_, answer) => self.nodes[index].answers.push(answer),
                 HostOutput::Drain(phase) => self.nodes[index].phases.push(phase),
                 _ => {}
             }
@@ -312,7 +320,7 @@
             return;
         };
         if matches!(reply, PeerReply::Pull(_)) {
-            self.pull_bytes.push((size, encoded_size(&reply)));
+            self.pulls.push((to, from, size, encoded_size(&reply)));
         }
         if self.can_reach(from, to) && self.incarnation(to) == incarnation {
             let event = PeerEvent::Answered { call, asked_at, reply: Some(reply) };
--- a/crates/proxy/tests/proxy/batches.rs
+++ b/crates/proxy/tests/proxy/batches.rs
@@ -112,6 +112,28 @@
     assert_eq!(client.until_ready().await.last().unwrap(), "ready idle");
 }
 
+/// Guards against portals that lose their rows, or are refused for lack of a position, when they are
+/// read in parts.
+#[tokio::test(flavor = "multi_thread")]
+async fn portals_are_read_in_parts() {
+    let fleet = support::start().await;
+    let mut client = RawClient::connect(&fleet).await;
+    client.push(&query("BEGIN")).flush().await;
+    client.until_ready().await;
+    let portal = || Some("p".to_owned());
+    client.push(&parse("s", "SELECT n FROM numbers WHERE n <= 5"));
+    client.push(&Bind::new(portal(), Some("s".to_owned()), vec![], vec![], vec![]));
+    client.push(&Execute::new(portal(), 2)).push(&Sync::new()).flush().await;
+    let replies = client.until_ready().await;
+    assert_eq!(replies[..4], ["parsed", "bound", "row 1", "row 2"]);
+    assert_that!(replies[4], starts_with("PortalSuspended"));
+    client.push(&Execute::new(portal(), 10)).push(&Sync::new()).flush().await;
+    let expected = ["row 3", "row 4", "row 5", "complete SELECT 3", "ready open"];
+    assert_eq!(client.until_ready().await, expected);
+    client.push(&query("COMMIT")).flush().await;
+    assert_eq!(client.until_ready().await, ["complete COMMIT", "ready idle"]);
+}
+
 /// Guards against proxy settings that reach an endpoint when they come as extended queries.
 #[tokio::test(flavor = "multi_thread")]
 async fn proxy_settings_are_answered_by_the_proxy() {
@@ -151,3 +173,45 @@
     assert_eq!(replies, expected);
     assert_that!(fleet.commits_of("INSERT"), eq(0));
 }
+
+/// Guards against a session that can neither prepare nor close statements once it holds too many.
+#[tokio::test(flavor = "multi_thread")]
+async fn prepared_statements_are_limited() {
+    let fleet = support::start().await;
+    let mut client = RawClient::connect(&fleet).await;
+    for number in 0..1_000 {
+        client.push(&parse(&format!("s{number}"), &format!("SELECT {number}")));
+    }
+    client.push(&Sync::new()).flush().await;
+    assert_eq!(client.until_ready().await.len(), 1_001);
+    client.push(&parse("more", "SELECT 'more'")).push(&Sync::new()).flush().await;
+    assert_eq!(client.until_ready().await, ["error 54000", "ready idle"]);
+    client.push(&Close::new(b'S', Some("s7".to_owned()))).push(&Sync::new()).flush().await;
+    assert_eq!(client.until_ready().await, ["closed", "ready idle"]);
+    client.push(&parse("more", "SELECT 'more'")).push(&bind("more")).push(&execute());
+    client.push(&Sync::new()).flush().await;
+    assert_eq!(client.until_ready().await[2], "row SELECT 'more'");
+}
+
+/// Guards against a transaction that commits the rest after the proxy refused one of its
+/// statements, and against a savepoint that cannot undo the refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_statement_fails_its_transaction() {
+    let fleet = support::start().await;
+    let mut client = RawClient::connect(&fleet).await;
+    for sql in ["BEGIN", "INSERT INTO t VALUES ('r1')", "SAVEPOINT s"] {
+        client.push(&query(sql)).flush().await;
+        assert_eq!(client.until_ready().await.last().unwrap(), "ready open");
+    }
+    client.push(&query("LISTEN x")).flush().await;
+    assert_eq!(client.until_ready().await, ["error 0A000", "ready failed"]);
+    client.push(&query("INSERT INTO t VALUES ('r2')")).flush().await;
+    assert_eq!(client.until_ready().await, ["error 25P02", "ready failed"]);
+    client.push(&query("ROLLBACK TO SAVEPOINT s")).flush().await;
+    assert_eq!(client.until_ready().await.last().unwrap(), "ready open");
+    client.push(&query("LISTEN x")).flush().await;
+    assert_eq!(client.until_ready().await, ["error 0A000", "ready failed"]);
+    client.push(&query("COMMIT")).flush().await;
+    assert_eq!(client.until_ready().await, ["complete ROLLBACK", "ready idle"]);
+    assert_that!(fleet.commits_of("'r1'"), eq(0));
+}
