--- a/crates/testbed/src/check.rs
+++ b/crates/testbed/src/check.rs
@@ -157,6 +157,12 @@
     }
 
     /// Number of attempts in the history.
+    ///
+    /// ```
+    /// use tanagerdeal_testbed::check::{RunFiles, RunRecord};
+    ///
+    /// assert_eq!(RunRecord::new(&RunFiles::default()).attempts(), 0);
+    /// ```
     pub fn attempts(&self) -> usize {
         self.attempts.len()
     }
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -25,10 +25,9 @@
 pub use members::MemberNode;
 pub use observe::RunObserver;
 pub use plan::{CustomerPlan, DeploymentPlan, DomainPlan, RoutePlan};
-pub use process::ChildProcess;
 
 use control::{printed_address, relay_sources};
-use process::program;
+use process::{ChildProcess, program};
 use settings::FleetFiles;
 
 /// Longest wait for a condition of a deployment.
@@ -137,21 +136,53 @@
     }
 
     /// The plan.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::Deployment;
+    /// # fn example(deployment: &mut Deployment) {
+    /// assert_eq!(deployment.plan().domains.len(), 3);
+    /// # }
+    /// ```
     pub fn plan(&self) -> &DeploymentPlan {
         &self.plan
     }
 
     /// Directory of the logs and settings.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::Deployment;
+    /// # fn example(deployment: &mut Deployment) {
+    /// println!("logs are in {}", deployment.directory().display());
+    /// # }
+    /// ```
     pub fn directory(&self) -> &Path {
         self.directory.path()
     }
 
     /// Control API of the platform.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// let outage = serde_json::json!({"refuse_all": true});
+    /// deployment.platform().post("/control/faults", &outage).await?;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub fn platform(&self) -> &ControlClient {
         &self.platform_control
     }
 
     /// Control API of the relay.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// let state: serde_json::Value = deployment.relay().get("/control/state").await?;
+    /// println!("{}", state["bytes"]);
+    /// # Ok(())
+    /// # }
+    /// ```
     pub fn relay(&self) -> &ControlClient {
         &self.relay_control
     }
@@ -161,6 +192,15 @@
     /// # Errors
     ///
     /// Fails when the HTTP client cannot be made.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// let page = deployment.operator()?.scan("records/").await;
+    /// assert!(page.is_ok());
+    /// # Ok(())
+    /// # }
+    /// ```
     pub fn operator(&self) -> Result<PlatformClient, DeploymentError> {
         let address = self.platform_control.address().to_string();
         PlatformClient::new(&address, "operator", "operator", Duration::from_secs(2), None)
@@ -168,11 +208,25 @@
     }
 
     /// Password with which a customer connects to a host.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::Deployment;
+    /// # fn example(deployment: &mut Deployment) {
+    /// assert!(deployment.password("yard-1").starts_with("yard-1-key."));
+    /// # }
+    /// ```
     pub fn password(&self, customer: &str) -> String {
         records::password(customer)
     }
 
     /// Name of the key record of a customer.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::Deployment;
+    /// # fn example(deployment: &mut Deployment) {
+    /// assert_eq!(deployment.key_name("yard-1"), "yard-1-key");
+    /// # }
+    /// ```
     pub fn key_name(&self, customer: &str) -> String {
         records::key_name(customer)
     }
@@ -182,6 +236,14 @@
     /// # Errors
     ///
     /// Fails when there is no such process.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// deployment.kill("orders-1-a").await?;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn kill(&mut self, name: &str) -> Result<(), DeploymentError> {
         self.process_mut(name)?.kill().await
     }
@@ -191,6 +253,14 @@
     /// # Errors
     ///
     /// Fails when there is no such process or it has ended.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// deployment.pause("akl-a-1")?;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub fn pause(&self, name: &str) -> Result<(), DeploymentError> {
         self.process(name)?.signal(Signal::STOP)
     }
@@ -200,6 +270,15 @@
     /// # Errors
     ///
     /// Fails when there is no such process or it has ended.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// deployment.pause("akl-a-1")?;
+    /// deployment.resume("akl-a-1")?;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub fn resume(&self, name: &str) -> Result<(), DeploymentError> {
         self.process(name)?.signal(Signal::CONT)
     }
@@ -209,6 +288,14 @@
     /// # Errors
     ///
     /// Fails when there is no such process or it has ended.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// deployment.terminate("akl-a-1")?;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub fn terminate(&self, name: &str) -> Result<(), DeploymentError> {
         self.process(name)?.signal(Signal::TERM)
     }
@@ -218,6 +305,15 @@
     /// # Errors
     ///
     /// Fails when the deployment is not relayed.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// deployment.cut("akl-a", "ham-c", true).await?;
+    /// deployment.cut("akl-a", "ham-c", false).await?;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn cut(&self, one: &str, other: &str, cut: bool) -> Result<(), DeploymentError> {
         if !self.plan.relayed {
             return Err(DeploymentError::Unknown(format!("link {one} {other}")));
@@ -231,11 +327,7 @@
     }
 
     /// Process of a name: `standin-platform`, `link-relay`, a member or a host.
-    ///
-    /// # Errors
-    ///
-    /// Fails when there is no such process.
-    pub fn process(&self, name: &str) -> Result<&ChildProcess, DeploymentError> {
+    fn process(&self, name: &str) -> Result<&ChildProcess, DeploymentError> {
         let member = self.members.get(name).map(|member| &member.process);
         let host = self.hosts.get(name).map(|host| &host.process);
         let own = [&self.platform, &self.relay].into_iter().find(|own| own.name() == name);
--- a/crates/testbed/src/deployment/control.rs
+++ b/crates/testbed/src/deployment/control.rs
@@ -34,6 +34,13 @@
     }
 
     /// Address of the listener.
+    ///
+    /// ```
+    /// use tanagerdeal_testbed::deployment::ControlClient;
+    ///
+    /// let client = ControlClient::new("127.0.0.1:9".parse().unwrap());
+    /// assert_eq!(client.address().port(), 9);
+    /// ```
     pub fn address(&self) -> SocketAddr {
         self.address
     }
--- a/crates/testbed/src/deployment/hosts.rs
+++ b/crates/testbed/src/deployment/hosts.rs
@@ -3,9 +3,10 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::time::Duration;
 
+use super::process::ChildProcess;
 use super::process::program;
 use super::settings::HostSettings;
-use super::{ChildProcess, ControlClient, Deployment, DeploymentError, wait_until};
+use super::{ControlClient, Deployment, DeploymentError, wait_until};
 
 /// A host: one proxy process.
 pub struct HostNode {
@@ -22,6 +23,14 @@
 
 impl Deployment {
     /// Hosts by name.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::Deployment;
+    /// # fn example(deployment: &mut Deployment) {
+    /// let names: Vec<&str> = deployment.hosts().map(|host| host.name.as_str()).collect();
+    /// assert_eq!(names[0], "akl-a-1");
+    /// # }
+    /// ```
     pub fn hosts(&self) -> impl Iterator<Item = &HostNode> {
         self.hosts.values()
     }
@@ -31,6 +40,14 @@
     /// # Errors
     ///
     /// Fails when there is no such host.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// assert_eq!(deployment.host("akl-a-1")?.domain, "akl-a");
+    /// # Ok(())
+    /// # }
+    /// ```
     pub fn host(&self, name: &str) -> Result<&HostNode, DeploymentError> {
         self.hosts.get(name).ok_or_else(|| DeploymentError::Unknown(name.to_owned()))
     }
@@ -40,6 +57,14 @@
     /// # Errors
     ///
     /// Fails when a host does not start or does not become ready in time.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// deployment.start_hosts().await?;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn start_hosts(&mut self) -> Result<(), DeploymentError> {
         for (name, domain) in self.plan.host_names() {
             self.start_host(&name, domain).await?;
@@ -56,6 +81,15 @@
     /// # Errors
     ///
     /// Fails when the process cannot be started.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// deployment.kill("akl-b-1").await?;
+    /// deployment.start_host("akl-b-1", 1).await?;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn start_host(&mut self, name: &str, domain: usize) -> Result<(), DeploymentError> {
         let place = &self.plan.domains[domain];
         let peer = free_udp_port(&place.address)?;
@@ -92,6 +126,16 @@
     /// # Errors
     ///
     /// Fails when there is no such host or it does not end in time.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// deployment.terminate("akl-a-1")?;
+    /// let limit = std::time::Duration::from_secs(40);
+    /// assert_eq!(deployment.wait_host("akl-a-1", limit).await?, Some(0));
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn wait_host(
         &mut self,
         name: &str,
@@ -103,6 +147,14 @@
 
 impl HostNode {
     /// Whether the host takes new sessions.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// assert!(deployment.host("akl-a-1")?.is_ready().await);
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn is_ready(&self) -> bool {
         self.admin.succeeds("/ready").await
     }
--- a/crates/testbed/src/deployment/members.rs
+++ b/crates/testbed/src/deployment/members.rs
@@ -13,8 +13,9 @@
 use crate::member::Execution;
 
 use super::control::printed_address;
+use super::process::ChildProcess;
 use super::process::program;
-use super::{ChildProcess, ControlClient, Deployment, DeploymentError, records, wait_until};
+use super::{ControlClient, Deployment, DeploymentError, records, wait_until};
 
 /// A member of a group.
 pub struct MemberNode {
@@ -39,6 +40,15 @@
     /// # Errors
     ///
     /// Fails when the member does not answer.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// let status = deployment.member("orders-1-a")?.status().await?;
+    /// println!("{} connections", status.connections);
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn status(&self) -> Result<MemberStatus, DeploymentError> {
         self.control.get("/v1/status").await
     }
@@ -46,6 +56,13 @@
 
 impl Deployment {
     /// Members by name.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::Deployment;
+    /// # fn example(deployment: &mut Deployment) {
+    /// assert_eq!(deployment.members().count(), 3);
+    /// # }
+    /// ```
     pub fn members(&self) -> impl Iterator<Item = &MemberNode> {
         self.members.values()
     }
@@ -55,6 +72,14 @@
     /// # Errors
     ///
     /// Fails when there is no such member.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// assert_eq!(deployment.member("orders-1-a")?.group, "orders-1");
+    /// # Ok(())
+    /// # }
+    /// ```
     pub fn member(&self, name: &str) -> Result<&MemberNode, DeploymentError> {
         self.members.get(name).ok_or_else(|| DeploymentError::Unknown(name.to_owned()))
     }
@@ -64,6 +89,15 @@
     /// # Errors
     ///
     /// Fails when the member refuses.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// let client = deployment.connect_member("orders-1-a").await?;
+    /// assert!(!client.is_closed());
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn connect_member(&self, name: &str) -> Result<Client, DeploymentError> {
         let failed = |reason: String| DeploymentError::Process { name: name.to_owned(), reason };
         let password = std::fs::read_to_string(self.files.service_password_file())
@@ -79,6 +113,14 @@
     }
 
     /// Member that calls itself primary in the highest term, among those that answer.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// assert_eq!(deployment.primary_of("orders-1").await.as_deref(), Some("orders-1-a"));
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn primary_of(&self, group: &str) -> Option<String> {
         let mut newest = None;
         for member in self.members.values().filter(|member| member.group == group) {
@@ -96,6 +138,15 @@
     /// # Errors
     ///
     /// Fails when a file cannot be read.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// let writes = deployment.executions()?.iter().filter(|entry| entry.write).count();
+    /// println!("{writes} writes");
+    /// # Ok(())
+    /// # }
+    /// ```
     pub fn executions(&self) -> Result<Vec<Execution>, DeploymentError> {
         let mut executions = Vec::new();
         for name in self.members.keys() {
@@ -128,53 +179,44 @@
         group: &str,
         domain: usize,
     ) -> Result<MemberNode, DeploymentError> {
-        let plan = &self.plan;
-        let (name, place) = (plan.member_name(group, domain), &plan.domains[domain]);
-        let listen = format!("{}:0", place.address);
-        let password = self.files.service_password_file().display().to_string();
-        let (slots, connections) = (plan.slots.to_string(), plan.connections.to_string());
-        let (connect, service) = (plan.connect_ms.to_string(), plan.service_ms.to_string());
-        let mut arguments: Vec<String> = [
-            ("--group", group),
-            ("--name", &name),
-            ("--domain", &place.name),
-            ("--sql", &listen),
-            ("--api", &listen),
-            ("--service-password-file", &password),
-            ("--slots", &slots),
-            ("--connections", &connections),
-            ("--connect-ms", &connect),
-            ("--service-ms", &service),
-        ]
-        .iter()
-        .flat_map(|(flag, value)| [(*flag).to_owned(), (*value).to_owned()])
-        .collect();
-        let executions = self.execution_file(&name).display().to_string();
-        arguments.extend(["--execution-file".to_owned(), executions]);
-        arguments.push("--end-with-input".to_owned());
-        if domain == 0 {
-            arguments.extend(["--primary-of-term".to_owned(), "1".to_owned()]);
-        }
+        let (name, place) = (self.plan.member_name(group, domain), &self.plan.domains[domain]);
         let program = program("standin-member")?;
+        let arguments = self.member_arguments(group, &name, domain);
         let (process, line) =
             ChildProcess::announce(&program, &arguments, &name, self.directory()).await?;
         let (sql, api) = (printed_address(&line, "sql")?, printed_address(&line, "api")?);
-        let published = match plan.relayed {
+        let published = match self.plan.relayed {
             true => [
                 self.open_relayed("tcp", sql, &place.name).await?,
                 self.open_relayed("tcp", api, &place.name).await?,
             ],
             false => [sql, api],
         };
-        Ok(MemberNode {
-            name,
-            group: group.to_owned(),
-            domain: place.name.clone(),
-            control: ControlClient::new(api),
-            sql,
-            published,
-            process,
-        })
+        let (group, domain) = (group.to_owned(), place.name.clone());
+        let control = ControlClient::new(api);
+        Ok(MemberNode { name, group, domain, control, sql, published, process })
+    }
+
+    fn member_arguments(&self, group: &str, name: &str, domain: usize) -> Vec<String> {
+        let (plan, place) = (&self.plan, &self.plan.domains[domain]);
+        let listen = format!("{}:0", place.address);
+        let pairs = [
+            ("--group", group.to_owned()),
+            ("--name", name.to_owned()),
+            ("--domain", place.name.clone()),
+            ("--sql", listen.clone()),
+            ("--api", listen),
+            ("--service-password-file", self.files.service_password_file().display().to_string()),
+            ("--execution-file", self.execution_file(name).display().to_string()),
+            ("--slots", plan.slots.to_string()),
+            ("--connections", plan.connections.to_string()),
+            ("--connect-ms", plan.connect_ms.to_string()),
+            ("--service-ms", plan.service_ms.to_string()),
+        ];
+        let pairs = pairs.into_iter().flat_map(|(flag, value)| [flag.to_owned(), value]);
+        let first: &[&str] = if domain == 0 { &["--primary-of-term", "1"] } else { &[] };
+        let rest = first.iter().chain(&["--end-with-input"]).map(|text| (*text).to_owned());
+        pairs.chain(rest).collect()
     }
 
     /// Makes the replicas follow the first member, creates the tables and waits for the replicas.
--- a/crates/testbed/src/deployment/observe.rs
+++ b/crates/testbed/src/deployment/observe.rs
@@ -130,6 +130,15 @@
     /// # Errors
     ///
     /// Fails when a group does not settle.
+    ///
+    /// ```no_run
+    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
+    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    /// let observer = deployment.observe();
+    /// println!("{} observations", observer.finish(deployment).await?.len());
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn finish(
         self,
         deployment: &Deployment,
--- a/crates/testbed/src/deployment/process.rs
+++ b/crates/testbed/src/deployment/process.rs
@@ -17,7 +17,7 @@
 const START_LIMIT: Duration = Duration::from_secs(30);
 
 /// A child process; it is killed when the value is dropped.
-pub struct ChildProcess {
+pub(super) struct ChildProcess {
     name: String,
     child: Child,
     log: PathBuf,
@@ -89,42 +89,25 @@
     }
 
     /// Name given at the start.
-    pub fn name(&self) -> &str {
+    pub(super) fn name(&self) -> &str {
         &self.name
     }
 
-    /// File that holds what the process wrote to its standard error.
-    pub fn log(&self) -> &Path {
-        &self.log
-    }
-
     /// Sends a signal to this process.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the process has ended.
-    pub fn signal(&self, signal: Signal) -> Result<(), DeploymentError> {
+    pub(super) fn signal(&self, signal: Signal) -> Result<(), DeploymentError> {
         let id = self.child.id().and_then(|id| Pid::from_raw(id as i32));
         let id = id.ok_or_else(|| self.error("the process has ended"))?;
         kill_process(id, signal).map_err(|error| self.error(&error.to_string()))
     }
 
     /// Kills the process and waits until it has ended.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the process cannot be killed.
-    pub async fn kill(&mut self) -> Result<(), DeploymentError> {
+    pub(super) async fn kill(&mut self) -> Result<(), DeploymentError> {
         let killed = self.child.kill().await;
         killed.map_err(|error| self.error(&error.to_string()))
     }
 
     /// Waits until the process has ended by itself and returns its exit code.
-    ///
-    /// # Errors
-    ///
-    /// Fails when it does not end in time.
-    pub async fn wait(&mut self, limit: Duration) -> Result<Option<i32>, DeploymentError> {
+    pub(super) async fn wait(&mut self, limit: Duration) -> Result<Option<i32>, DeploymentError> {
         match tokio::time::timeout(limit, self.child.wait()).await {
             Ok(Ok(status)) => Ok(status.code()),
             Ok(Err(error)) => Err(self.error(&error.to_string())),
--- a/crates/testbed/src/history.rs
+++ b/crates/testbed/src/history.rs
@@ -244,6 +244,12 @@
 }
 
 /// Request and attempt of the first tag in a text.
+///
+/// ```
+/// use tanagerdeal_testbed::history::find_tag;
+///
+/// assert_eq!(find_tag("UPDATE t SET writer = 'op#3.1#'"), Some((3, 1)));
+/// ```
 pub fn find_tag(text: &str) -> Option<(u64, u32)> {
     let (_, rest) = text.split_once("op#")?;
     let (tag, _) = rest.split_once('#')?;
@@ -283,6 +289,14 @@
     /// # Errors
     ///
     /// Fails when the file cannot be written.
+    ///
+    /// ```
+    /// use tanagerdeal_testbed::history::LineWriter;
+    ///
+    /// let file = tempfile::NamedTempFile::new().unwrap();
+    /// let mut writer = LineWriter::create(file.path()).unwrap();
+    /// writer.append(&"line").unwrap();
+    /// ```
     pub fn append(&mut self, value: &impl Serialize) -> io::Result<()> {
         serde_json::to_writer(&mut self.file, value)?;
         self.file.write_all(b"\n")
@@ -293,6 +307,13 @@
     /// # Errors
     ///
     /// Fails when the file cannot be written.
+    ///
+    /// ```
+    /// use tanagerdeal_testbed::history::LineWriter;
+    ///
+    /// let file = tempfile::NamedTempFile::new().unwrap();
+    /// LineWriter::create(file.path()).unwrap().finish().unwrap();
+    /// ```
     pub fn finish(mut self) -> io::Result<()> {
         self.file.flush()
     }
@@ -304,6 +325,14 @@
 /// # Errors
 ///
 /// Fails when the file cannot be read or a line is not of the expected form.
+///
+/// ```
+/// use tanagerdeal_testbed::history::read_lines;
+///
+/// let file = tempfile::NamedTempFile::new().unwrap();
+/// std::fs::write(file.path(), "1\n2\n3").unwrap();
+/// assert_eq!(read_lines::<u32>(file.path()).unwrap(), [1, 2]);
+/// ```
 pub fn read_lines<T: DeserializeOwned>(path: &Path) -> io::Result<Vec<T>> {
     let mut values = Vec::new();
     for (index, line) in fs::read(path)?.split_inclusive(|byte| *byte == b'\n').enumerate() {
--- a/crates/testbed/src/load/caller.rs
+++ b/crates/testbed/src/load/caller.rs
@@ -294,14 +294,7 @@
             connection.simple(&text).await
         }
         ArrivalKind::IdempotentWrite => {
-            let id = request_id.unwrap_or_default();
-            connection.simple(&format!("SET tanagerdeal.request_id = '{id}'")).await?;
-            let result = connection.simple(&update(item)).await;
-            if result.is_err() {
-                // The id must not stay set for the next write; a lost connection has lost it.
-                let _ = connection.simple("SET tanagerdeal.request_id = ''").await;
-            }
-            result
+            run_with_id(connection, request_id.unwrap_or_default(), &update(item)).await
         }
         ArrivalKind::Transaction => {
             let updates = items.iter().map(|item| update(item));
@@ -311,6 +304,21 @@
     }
 }
 
+/// Runs a write under a request id.
+async fn run_with_id(
+    connection: &CallerConnection,
+    request_id: &str,
+    text: &str,
+) -> Result<TextRows, CallFailure> {
+    connection.simple(&format!("SET tanagerdeal.request_id = '{request_id}'")).await?;
+    let result = connection.simple(text).await;
+    if result.is_err() {
+        // The id must not stay set for the next write; a lost connection has lost it.
+        let _ = connection.simple("SET tanagerdeal.request_id = ''").await;
+    }
+    result
+}
+
 /// Runs the statements of a transaction block; after a failure the block is rolled back. A refused
 /// BEGIN opens no block, so clients send no ROLLBACK after it.
 async fn run_block(
--- a/crates/testbed/src/member/execute.rs
+++ b/crates/testbed/src/member/execute.rs
@@ -252,22 +252,11 @@
             }
             false => data.commit(transaction)?,
         };
-        let execution = Execution {
-            member: data.identity.name.to_string(),
-            group: data.identity.group.to_string(),
-            domain: data.identity.domain.to_string(),
-            connection: self.connection,
-            transaction: transaction_id,
-            began_us: self.began_us,
-            start_us,
-            end_us: now_us(),
-            statement: parsed.text.clone(),
-            params: params.iter().map(Datum::to_text).collect(),
-            write: parsed.plan.is_write(),
-            primary: data.is_primary(),
-            rows: outcome.affected as u64,
-            position,
-        };
+        let mut execution = describe_execution(&data, parsed, params);
+        execution.connection = self.connection;
+        execution.transaction = transaction_id;
+        (execution.began_us, execution.start_us) = (self.began_us, start_us);
+        (execution.rows, execution.position) = (outcome.affected as u64, position);
         match open && parsed.plan.is_write() {
             true => self.uncommitted.push(execution),
             false => member.record(&mut data, vec![execution]),
@@ -282,6 +271,26 @@
     }
 }
 
+/// The record of a statement that ends now, without what the connection knows.
+fn describe_execution(data: &MemberData, parsed: &ParsedStatement, params: &[Datum]) -> Execution {
+    Execution {
+        member: data.identity.name.to_string(),
+        group: data.identity.group.to_string(),
+        domain: data.identity.domain.to_string(),
+        connection: 0,
+        transaction: 0,
+        began_us: 0,
+        start_us: 0,
+        end_us: now_us(),
+        statement: parsed.text.clone(),
+        params: params.iter().map(Datum::to_text).collect(),
+        write: parsed.plan.is_write(),
+        primary: data.is_primary(),
+        rows: 0,
+        position: LogPosition::default(),
+    }
+}
+
 fn execute_in(
     data: &mut MemberData,
     transaction: &mut Transaction,
--- a/crates/testbed/tests/check/main.rs
+++ b/crates/testbed/tests/check/main.rs
@@ -2,3 +2,4 @@
 
 mod bad;
 mod good;
+mod program;
--- a/crates/testbed/tests/load.rs
+++ b/crates/testbed/tests/load.rs
@@ -9,7 +9,8 @@
     Deployment, DeploymentPlan, PLATFORM_DOMAIN, RunObserver, wait_until,
 };
 use tanagerdeal_testbed::history::{Observation, OperatorAction, OperatorEvent, read_lines};
-use tanagerdeal_testbed::load::{LoadError, LoadPlan, LoadReport, run_load};
+use tanagerdeal_testbed::load::{LoadError, LoadPlan, LoadReport, SurgePlan, run_load};
+use tanagerdeal_testbed::relay::RelayState;
 use tanagerdeal_wire::platform::{TableWrite, TxnRequest};
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
@@ -79,6 +80,12 @@
     expect_that!(check_run(&run.files), eq(&Vec::new()));
     expect_that!(run.report.total.requests, gt(300));
     expect_that!(answered(&run.report), ge(980));
+    let relay: RelayState = deployment.relay().get("/control/state").await.expect("a state");
+    for link in ["akl-a akl-b", "ham-c akl-b", "akl-a platform"] {
+        expect_that!(relay.bytes.get(link), some(gt(&0)), "nothing passed from {link}");
+    }
+    let unknown = |link: &&String| link.starts_with(' ') || link.ends_with(' ');
+    expect_that!(relay.bytes.keys().find(unknown), none(), "a caller of an unknown domain");
     let searched = run.files.observations.iter();
     let searched = searched.filter(|line| matches!(line, Observation::Searched(_)));
     expect_that!(searched.count(), eq(3));
@@ -100,6 +107,26 @@
     expect_that!(gap, some(lt(9_000_000)));
 }
 
+/// Guards against a customer that gets more than its rate and burst over all hosts together, or that
+/// takes the others' answers away, when it sends five times its rate and most of it to one host.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_surging_customer_stays_within_its_limit() {
+    let _turn = ONE_RUN.lock().await;
+    let (deployment, observer) = start(DeploymentPlan::small()).await;
+    let mut load = LoadPlan::for_deployment(&deployment, 50, 10_000);
+    load.skewed_hosts = true;
+    load.customers[0].surge = Some(SurgePlan { from_ms: 3_000, to_ms: 9_000, factor: 10 });
+    run_load(load, &deployment.directory().join("history.jsonl")).await.expect("a run");
+    let run = finish(&deployment, observer, Vec::new()).await;
+    expect_that!(check_run(&run.files), eq(&Vec::new()));
+    let surging = &run.report.customers["yard-1"];
+    let refused = surging.outcomes.get("not_run").copied().unwrap_or(0);
+    expect_that!(refused, gt(surging.requests / 4), "the customer was over its rate");
+    let steady = &run.report.customers["yard-2"];
+    expect_that!(steady.on_time * 100, ge(steady.requests * 90));
+}
+
 /// Guards against acknowledgements by a primary that is cut off with the hosts of its failure domain.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
