--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -12,6 +12,7 @@
 mod reply;
 mod request;
 mod session;
+mod setting;
 mod startup;
 
 use std::sync::Arc;
--- a/crates/proxy/src/caller/conclude.rs
+++ b/crates/proxy/src/caller/conclude.rs
@@ -7,10 +7,10 @@
 use tanagerdeal_wire::member::LogPosition;
 
 use super::exchange::{ExchangeFault, ExchangeReply};
-use super::place::SessionSetting;
 use super::reply;
 use super::request::{AttemptEnd, Request};
 use super::session::{Session, SessionEnd, Transaction};
+use super::setting::SessionSetting;
 use crate::endpoint::ConnectionLease;
 
 impl Session {
--- a/crates/proxy/src/caller/place.rs
+++ b/crates/proxy/src/caller/place.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout_at;
 
 use super::session::Session;
+use super::setting::SessionSetting;
 use crate::endpoint::{ConnectionError, ConnectionLease, EndpointConnection, PoolError, field_of};
 
 /// Least time that is left for the settings of a connection before it is given up.
@@ -24,41 +25,6 @@
     ClientGone,
 }
 
-/// A setting made by the client, replayed on each connection that its session takes.
-#[derive(Clone)]
-pub(super) struct SessionSetting {
-    /// What it sets; a later setting of the same name replaces it.
-    pub(super) name: String,
-    /// Its text.
-    pub(super) text: String,
-}
-
-impl SessionSetting {
-    /// A setting from its statement; nothing when it ends with the transaction.
-    pub(super) fn parse(text: &str) -> Option<Self> {
-        let lower = text.trim().trim_end_matches(';').to_ascii_lowercase();
-        let words: Vec<&str> = lower.split([' ', '\t', '\n', '=']).filter(is_word).collect();
-        let name = match words.as_slice() {
-            ["set", "local", ..] | ["set", "transaction", ..] => return None,
-            ["set", "session", "authorization" | "characteristics", ..] => words[2],
-            ["set", "session", name, ..] | ["set" | "reset", name, ..] => name,
-            [first, ..] => first,
-            [] => return None,
-        };
-        Some(Self { name: name.to_owned(), text: text.to_owned() })
-    }
-
-    /// Whether it takes back all others.
-    pub(super) fn is_reset_of_all(&self) -> bool {
-        self.name == "all" || self.is_discard()
-    }
-
-    /// Whether it also drops the prepared statements of its connection.
-    pub(super) fn is_discard(&self) -> bool {
-        self.name == "discard"
-    }
-}
-
 impl Session {
     /// Asks the core where a request may run.
     pub(super) async fn place(
@@ -129,10 +95,6 @@
     Ok(())
 }
 
-fn is_word(word: &&str) -> bool {
-    !word.is_empty()
-}
-
 fn unexpected_answer() -> RequestRefusal {
     RequestRefusal::not_run(RefusalCode::Unavailable, "the request could not be placed")
 }
--- a/crates/proxy/src/caller/request.rs
+++ b/crates/proxy/src/caller/request.rs
@@ -11,10 +11,11 @@
 use super::batch::ExtendedBatch;
 use super::conclude::drop_or_return;
 use super::exchange::{Exchange, ExchangeFault, ExchangeReply, ExchangeRules};
-use super::place::{PlaceFault, SessionSetting};
+use super::place::PlaceFault;
 use super::record::{RecordMode, RecordedReply};
 use super::reply;
 use super::session::{Session, SessionEnd, Transaction};
+use super::setting::SessionSetting;
 use crate::endpoint::ConnectionLease;
 
 /// Attempts of one request; the core's retry budget usually ends them earlier.
@@ -142,17 +143,16 @@
         }
     }
 
-    /// Sends the request and reads the reply.
-    async fn exchange(
-        &mut self,
+    /// How the reply to a request is to be treated.
+    fn rules(
+        &self,
         request: &Request,
         plan: &DispatchPlan,
         mode: &RecordMode<'_>,
-        lease: &mut ConnectionLease,
-    ) -> ExchangeEnd {
+    ) -> ExchangeRules {
         let in_transaction = self.transaction.is_some();
         let commits = request.commits(self.transaction.as_ref());
-        let rules = ExchangeRules {
+        ExchangeRules {
             deadline: plan.deadline,
             dispatch: plan.dispatch,
             required: Some(plan.required).filter(|_| request.reads && !request.writes),
@@ -161,7 +161,18 @@
                 || mode.is_recorded()
                 || (!in_transaction && request.writes && request.ends_with_sync),
             buffer_bytes: self.context.limits.buffer_bytes,
-        };
+        }
+    }
+
+    /// Sends the request and reads the reply.
+    async fn exchange(
+        &mut self,
+        request: &Request,
+        plan: &DispatchPlan,
+        mode: &RecordMode<'_>,
+        lease: &mut ConnectionLease,
+    ) -> ExchangeEnd {
+        let rules = self.rules(request, plan, mode);
         self.cancel.begin(lease.connection().cancel_target()).await;
         mode.write_before(lease.connection());
         // Noted before it is known whether they succeed: a connection whose settings differ from
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -16,19 +16,15 @@
 use super::CallerContext;
 use super::batch::{ExtendedBatch, StatementTable};
 use super::cancel::CancelSlot;
-use super::place::SessionSetting;
 use super::reply;
 use super::request::{Request, RequestBody};
+use super::setting::SessionSetting;
 use super::startup::CallerStream;
 use crate::codec::{CodecError, Frame, FrameStream};
 use crate::endpoint::ConnectionLease;
 
 /// Statements that a session may have prepared.
 const MAX_STATEMENTS: usize = 1_000;
-/// Settings that a session may have made.
-const MAX_SETTINGS: usize = 100;
-/// Longest text of a setting, in bytes.
-const MAX_SETTING_BYTES: usize = 4 * 1024;
 /// Least wait for the end of an unlimited idle time.
 const FOREVER: Duration = Duration::from_secs(365 * 24 * 3600);
 
@@ -109,6 +105,28 @@
 }
 
 impl Session {
+    pub(super) fn new(
+        context: Arc<CallerContext>,
+        client: FrameStream<CallerStream>,
+        key: SessionKey,
+        closing: oneshot::Receiver<RequestRefusal>,
+        cancel: Arc<CancelSlot>,
+    ) -> Self {
+        Self {
+            context,
+            client,
+            key,
+            closing,
+            close_refusal: None,
+            cancel,
+            settings: Vec::new(),
+            statements: StatementTable::default(),
+            transaction: None,
+            batch: ExtendedBatch::default(),
+            is_skipping: false,
+        }
+    }
+
     /// Serves the session until it ends.
     pub(super) async fn serve(mut self) {
         while let Ok(frame) = self.wait().await {
@@ -293,19 +311,6 @@
         self.run_checked(request).await
     }
 
-    /// Runs a request unless its settings could not be replayed later.
-    async fn run_checked(&mut self, request: Request) -> Result<(), SessionEnd> {
-        let made = &request.settings;
-        let is_over = self.settings.len() + made.len() > MAX_SETTINGS
-            || made.iter().any(|setting| setting.text.len() > MAX_SETTING_BYTES);
-        if !made.is_empty() && is_over {
-            let message = "too many session settings, or one that is too long";
-            let refusal = RequestRefusal::not_run(RefusalCode::LimitExceeded, message);
-            return self.refuse(&refusal, request.ends_with_sync).await;
-        }
-        self.run(request).await
-    }
-
     /// Whether a statement rolls back to a savepoint of a transaction that the proxy has failed but
     /// the endpoint has not; it ends the failure.
     fn can_roll_back_to(&mut self, class: &StatementClass, sql: &str) -> bool {
@@ -365,31 +370,6 @@
         let call = CallerCall::EndRequest { dispatch, ending, seen, in_transaction };
         self.context.driver.tell(call);
     }
-
-    /// Notes the settings of a request and of its transaction that last.
-    pub(super) fn keep_settings(&mut self, request: &Request, earlier: Option<&Transaction>) {
-        let before = earlier.into_iter().flat_map(|earlier| &earlier.settings);
-        for setting in before.chain(&request.settings) {
-            if setting.is_reset_of_all() {
-                self.settings.clear();
-                continue;
-            }
-            self.settings.retain(|kept| kept.name != setting.name);
-            if !is_reset(&setting.text) {
-                self.settings.push(setting.clone());
-            }
-        }
-    }
-
-    fn settings_of<'a>(
-        &self,
-        statements: impl Iterator<Item = (&'a StatementClass, &'a str)>,
-    ) -> Vec<SessionSetting> {
-        statements
-            .filter(|(class, _)| **class == StatementClass::SessionSetting)
-            .filter_map(|(_, text)| SessionSetting::parse(text))
-            .collect()
-    }
 }
 
 /// Whether a statement may have rows that must be checked; FETCH belongs to a transaction.
@@ -415,7 +395,3 @@
     let start = sql.trim_start().get(..5).unwrap_or_default();
     start.eq_ignore_ascii_case("BEGIN") || start.eq_ignore_ascii_case("START")
 }
-
-fn is_reset(text: &str) -> bool {
-    text.trim_start().get(..5).unwrap_or_default().eq_ignore_ascii_case("RESET")
-}
--- a/crates/proxy/src/caller/startup.rs
+++ b/crates/proxy/src/caller/startup.rs
@@ -18,7 +18,6 @@
 use tokio_util::either::Either;
 
 use super::CallerContext;
-use super::batch::{ExtendedBatch, StatementTable};
 use super::reply::{self, Severity};
 use super::session::Session;
 use crate::codec::{CodecError, FrameStream};
@@ -162,19 +161,7 @@
     client.set_limit(context.limits.message_bytes);
     let cancel = context.cancels.register();
     greet(&mut client, &user, cancel.pid(), cancel.secret());
-    let mut session = Session {
-        context,
-        client,
-        key,
-        closing,
-        close_refusal: None,
-        cancel,
-        settings: Vec::new(),
-        statements: StatementTable::default(),
-        transaction: None,
-        batch: ExtendedBatch::default(),
-        is_skipping: false,
-    };
+    let mut session = Session::new(context, client, key, closing, cancel);
     // A client that has gone is noticed by the session's first read, which also ends the session.
     let _ = session.flush().await;
     Ok(session)
--- a/crates/proxy/src/endpoint/login.rs
+++ b/crates/proxy/src/endpoint/login.rs
@@ -3,9 +3,14 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
+use bytes::Bytes;
 use pgwire::api::auth::md5pass::hash_md5_password;
+use pgwire::api::auth::sasl::scram::ScramClientAuth;
+use pgwire::error::PgWireClientError;
 use pgwire::messages::PgWireBackendMessage;
-use pgwire::messages::startup::{Authentication, Password, SecretKey, Startup};
+use pgwire::messages::startup::{
+    Authentication, Password, SASLInitialResponse, SASLResponse, SecretKey, Startup,
+};
 use tokio::net::TcpStream;
 
 use super::ConnectionError;
@@ -14,6 +19,9 @@
 /// Application name that endpoints see, whoever the client is.
 const APPLICATION_NAME: &str = "tanagerdeal";
 
+/// Name of the only SASL mechanism supported.
+const SCRAM: &str = "SCRAM-SHA-256";
+
 /// Service credentials of the proxy at the endpoints.
 ///
 /// It has no `Debug`, so that the password cannot reach a log line.
@@ -74,9 +82,42 @@
         Authentication::Ok => return Ok(()),
         Authentication::CleartextPassword => login.password.clone(),
         Authentication::MD5Password(salt) => hash_md5_password(&login.user, &login.password, &salt),
+        Authentication::SASL(names) if names.iter().any(|name| name == SCRAM) => {
+            return exchange_scram(stream, login).await;
+        }
         _ => return Err(ConnectionError::Unexpected("an authentication method that is unknown")),
     };
     stream.push(&Password::new(password));
     stream.flush().await?;
     Ok(())
 }
+
+/// Proves the password by SCRAM-SHA-256 (RFC 7677) and checks that the endpoint knows it too.
+async fn exchange_scram(
+    stream: &mut FrameStream<TcpStream>,
+    login: &EndpointLogin,
+) -> Result<(), ConnectionError> {
+    let refused = |error: PgWireClientError| ConnectionError::Refused(error.to_string());
+    let scram = ScramClientAuth::new(login.user.clone(), login.password.clone());
+    let (first, state) = scram.build_client_first().map_err(refused)?;
+    stream.push(&SASLInitialResponse::new(SCRAM.to_owned(), Some(first.into())));
+    stream.flush().await?;
+    let challenge = read_sasl(stream).await?;
+    let (last, state) = state.build_client_final(&challenge).map_err(refused)?;
+    stream.push(&SASLResponse::new(last.into()));
+    stream.flush().await?;
+    let proof = read_sasl(stream).await?;
+    state.verify_server_final(&proof).map_err(refused)
+}
+
+async fn read_sasl(stream: &mut FrameStream<TcpStream>) -> Result<Bytes, ConnectionError> {
+    match stream.read().await?.backend()? {
+        PgWireBackendMessage::Authentication(
+            Authentication::SASLContinue(data) | Authentication::SASLFinal(data),
+        ) => Ok(data),
+        PgWireBackendMessage::ErrorResponse(error) => {
+            Err(ConnectionError::Refused(super::connection::message_of(&error)))
+        }
+        _ => Err(ConnectionError::Unexpected("a message that is no log-in step")),
+    }
+}
--- a/crates/proxy/tests/proxy/pool.rs
+++ b/crates/proxy/tests/proxy/pool.rs
@@ -124,3 +124,20 @@
     assert_eq!(reply.value.as_deref(), Some("SELECT 'mine'"));
     assert_that!(test.script.opened(), eq(2));
 }
+
+/// Guards against endpoints that cannot be used because they do not take a password in clear text.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_may_ask_for_scram() {
+    let test = PoolTest::new(1).await;
+    test.script.use_scram();
+    let mut lease = test.take(WAIT).await.unwrap();
+    let reply = lease.connection().run("SELECT 'scram'").await.unwrap();
+    assert_eq!(reply.value.as_deref(), Some("SELECT 'scram'"));
+    lease.give_back();
+    let found = test
+        .script
+        .received()
+        .windows(SERVICE_PASSWORD.len())
+        .any(|part| part == SERVICE_PASSWORD.as_bytes());
+    assert!(!found, "the password was sent");
+}
--- a/crates/proxy/tests/proxy/support/endpoint.rs
+++ b/crates/proxy/tests/proxy/support/endpoint.rs
@@ -7,6 +7,8 @@
 use std::task::{Context, Poll};
 
 use bytes::{BufMut as _, BytesMut};
+use pgwire::api::auth::Password;
+use pgwire::api::auth::sasl::scram::{ScramServerAuth, gen_salted_password};
 use pgwire::messages::data::{
     DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
 };
@@ -109,13 +111,9 @@
         PgWireFrontendMessage::Startup(_) => {}
         _ => return Err(Ended),
     }
-    stream.push(&Authentication::CleartextPassword);
-    stream.flush().await?;
-    match stream.read().await?.frontend()? {
-        PgWireFrontendMessage::PasswordMessageFamily(message) => {
-            assert_eq!(message.into_password().unwrap().password, SERVICE_PASSWORD);
-        }
-        _ => return Err(Ended),
+    match script.uses_scram() {
+        true => check_scram(&mut stream).await?,
+        false => check_password(&mut stream).await?,
     }
     let (pid, running) = script.connect();
     stream.push(&Authentication::Ok);
@@ -128,6 +126,46 @@
     Ok(())
 }
 
+async fn check_password(stream: &mut FrameStream<Tap>) -> Result<(), Ended> {
+    stream.push(&Authentication::CleartextPassword);
+    stream.flush().await?;
+    let PgWireFrontendMessage::PasswordMessageFamily(message) = stream.read().await?.frontend()?
+    else {
+        return Err(Ended);
+    };
+    match message.into_password().unwrap().password == SERVICE_PASSWORD {
+        true => Ok(()),
+        false => Err(Ended),
+    }
+}
+
+async fn check_scram(stream: &mut FrameStream<Tap>) -> Result<(), Ended> {
+    stream.push(&Authentication::SASL(vec!["SCRAM-SHA-256".to_owned()]));
+    stream.flush().await?;
+    let salt = b"salt of the test".to_vec();
+    let salted = gen_salted_password(SERVICE_PASSWORD, &salt, 4096);
+    let expected = Password::new(Some(salt), salted);
+    let first = match stream.read().await?.frontend()? {
+        PgWireFrontendMessage::PasswordMessageFamily(message) => {
+            message.into_sasl_initial_response().unwrap().data.unwrap()
+        }
+        _ => return Err(Ended),
+    };
+    let scram = ScramServerAuth::new();
+    let (challenge, state) = scram.on_client_first_message(&first, expected).unwrap();
+    stream.push(&Authentication::SASLContinue(challenge.into()));
+    stream.flush().await?;
+    let last = match stream.read().await?.frontend()? {
+        PgWireFrontendMessage::PasswordMessageFamily(message) => {
+            message.into_sasl_response().unwrap().data
+        }
+        _ => return Err(Ended),
+    };
+    let proof = state.on_client_final_message(&last).map_err(|_| Ended)?;
+    stream.push(&Authentication::SASLFinal(proof.into()));
+    Ok(())
+}
+
 struct Connection {
     stream: FrameStream<Tap>,
     script: Arc<EndpointScript>,
--- a/crates/proxy/tests/proxy/support/script.rs
+++ b/crates/proxy/tests/proxy/support/script.rs
@@ -59,6 +59,7 @@
     received: Vec<u8>,
     executed: Vec<(i32, String)>,
     cancels: Vec<(i32, Option<String>)>,
+    uses_scram: bool,
     connections: HashMap<i32, Arc<RunningStatement>>,
     opened: u32,
 }
@@ -86,6 +87,15 @@
         self.state().lag = lag;
     }
 
+    /// Makes the endpoint ask for SCRAM in place of a password in clear text.
+    pub fn use_scram(&self) {
+        self.state().uses_scram = true;
+    }
+
+    pub fn uses_scram(&self) -> bool {
+        self.state().uses_scram
+    }
+
     /// Position up to which the member has applied the log.
     pub fn applied(&self) -> LogPosition {
         let lag = if self.is_primary { 0 } else { self.state().lag };
