--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -18,7 +18,7 @@
 use crate::limit::LimitTable;
 use crate::membership::{HostTable, OwnState};
 use crate::message::{HostInput, HostOutput};
-use crate::profile::{HostPolicies, HostProfile, HostTiming};
+use crate::profile::{HostIdentity, HostPolicies, HostProfile, HostTiming};
 use crate::retry::RetryTable;
 use crate::routing::EndpointTable;
 use crate::schedule::QueueTable;
@@ -106,6 +106,16 @@
         }
     }
 
+    /// Who this host is.
+    pub fn identity(&self) -> &HostIdentity {
+        &self.profile.identity
+    }
+
+    /// Revision of the catalog in effect.
+    pub fn revision(&self) -> u64 {
+        self.catalog.revision()
+    }
+
     /// Replaces intervals and policies; deadlines that were computed before stay as they are.
     ///
     /// ```
--- /dev/null
+++ b/crates/testbed/src/bin/capacity.rs
@@ -0,0 +1,58 @@
+//! Measures the cost of control over several sizes and prints one line of JSON per fleet.
+
+use std::process::{Command, ExitCode};
+
+use tanagerdeal_testbed::capacity::{CapacityCase, run_case};
+
+/// A fleet of today's size; each series changes one number of it.
+const TODAY: CapacityCase =
+    CapacityCase { domains: 3, hosts: 9, groups: 3, customers: 8, changes: 0 };
+
+/// A fleet with the failure domains of the target size.
+const WIDE: CapacityCase =
+    CapacityCase { domains: 11, hosts: 55, groups: 3, customers: 8, changes: 0 };
+
+/// Without an argument, runs every fleet in a process of its own, so that memory is counted from
+/// the same start; with a number, runs that fleet only.
+fn main() -> ExitCode {
+    let cases = cases();
+    let Some(argument) = std::env::args().nth(1) else {
+        return run_all(cases.len());
+    };
+    let case = argument.parse().ok().and_then(|number: usize| cases.get(number));
+    match case.map(|case| serde_json::to_string(&run_case(case))) {
+        Some(Ok(line)) => {
+            println!("{line}");
+            ExitCode::SUCCESS
+        }
+        Some(Err(error)) => fail(&error.to_string()),
+        None => fail(&format!("{argument:?} is not a number below {}", cases.len())),
+    }
+}
+
+fn run_all(count: usize) -> ExitCode {
+    for number in 0..count {
+        let child = std::env::current_exe()
+            .and_then(|program| Command::new(program).arg(number.to_string()).status());
+        match child {
+            Ok(status) if status.success() => {}
+            Ok(status) => return fail(&format!("fleet {number}: {status}")),
+            Err(error) => return fail(&error.to_string()),
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn fail(reason: &str) -> ExitCode {
+    eprintln!("capacity: {reason}");
+    ExitCode::FAILURE
+}
+
+fn cases() -> Vec<CapacityCase> {
+    let mut cases = vec![TODAY];
+    cases.extend([22, 55, 110, 220, 440].map(|hosts| CapacityCase { hosts, ..WIDE }));
+    cases.extend([30, 100, 300].map(|groups| CapacityCase { groups, ..TODAY }));
+    cases.extend([80, 400, 1_600].map(|customers| CapacityCase { customers, ..TODAY }));
+    cases.extend([5, 20, 80].map(|changes| CapacityCase { changes, ..WIDE }));
+    cases
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,5 +1,6 @@
 //! Test bed: stand-ins for the platform, the database members and the network, and their tools.
 
+pub mod capacity;
 pub mod check;
 pub mod clock;
 pub mod control;
--- a/crates/testbed/tests/proofs/keys.rs
+++ b/crates/testbed/tests/proofs/keys.rs
@@ -100,9 +100,9 @@
     }
     let run = run.finish().await;
     expect_kept(&run, 200);
-    let accepted = run.files.history.iter().filter(|line| {
-        matches!(line, HistoryLine::Opened(opened) if opened.key_valid && opened.accepted)
-    });
+    let accepted = run.files.history.iter().filter(
+        |line| matches!(line, HistoryLine::Opened(opened) if opened.key_valid && opened.accepted),
+    );
     expect_that!(accepted.count(), ge(20));
     let searched = run.files.observations.iter();
     let searched = searched.filter(|line| matches!(line, Observation::Searched(_)));
