--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -142,7 +142,7 @@
     /// they bring it. Stops after about `max_bytes`; the revision is then below that of the catalog.
     ///
     /// Nothing when deletions after that revision are no longer known.
-    pub fn entries_after(
+    pub(crate) fn entries_after(
         &self,
         revision: u64,
         max_bytes: usize,
@@ -152,17 +152,17 @@
     }
 
     /// Whether another host that holds everything up to a revision lacks an entry.
-    pub fn has_news(&self, revision: u64) -> bool {
+    pub(crate) fn has_news(&self, revision: u64) -> bool {
         self.entries.newest_relayed() > revision
     }
 
     /// Revision of the last write to a key, 0 when it is absent.
-    pub fn key_revision(&self, key: &str) -> u64 {
+    pub(crate) fn key_revision(&self, key: &str) -> u64 {
         self.entries.present_revision(key)
     }
 
     /// Table keys of entries that this version does not understand, with the reason.
-    pub fn unknown(&self) -> impl Iterator<Item = (&str, &str)> {
+    pub(crate) fn unknown(&self) -> impl Iterator<Item = (&str, &str)> {
         self.unknown.iter().map(|(key, reason)| (key.as_str(), reason.as_str()))
     }
 
@@ -213,27 +213,27 @@
     }
 
     /// The share view of a failure domain.
-    pub fn view(&self, domain: &DomainName) -> Option<&ShareView> {
+    pub(crate) fn view(&self, domain: &DomainName) -> Option<&ShareView> {
         self.views.get(domain)
     }
 
     /// All share views.
-    pub fn views(&self) -> impl Iterator<Item = (&DomainName, &ShareView)> {
+    pub(crate) fn views(&self) -> impl Iterator<Item = (&DomainName, &ShareView)> {
         self.views.iter()
     }
 
     /// The failure domains among which rates are shared out.
-    pub fn fleet_view(&self) -> Option<&FleetView> {
+    pub(crate) fn fleet_view(&self) -> Option<&FleetView> {
         self.fleet_view.as_ref()
     }
 
     /// The last lease seen of a host.
-    pub fn lease(&self, host: &HostName) -> Option<&SeenLease> {
+    pub(crate) fn lease(&self, host: &HostName) -> Option<&SeenLease> {
         self.leases.get(host)
     }
 
     /// All leases seen.
-    pub fn leases(&self) -> impl Iterator<Item = (&HostName, &SeenLease)> {
+    pub(crate) fn leases(&self) -> impl Iterator<Item = (&HostName, &SeenLease)> {
         self.leases.iter()
     }
 
--- a/crates/core/src/host/fleet/lease.rs
+++ b/crates/core/src/host/fleet/lease.rs
@@ -66,8 +66,7 @@
             lease.renew_at = Some(now + RETRY_PAUSE);
             lease.read_back_after = Some(asked_at);
         }
-        // No lease of this incarnation exists yet: the record is a former incarnation's, or a write of
-        // this one whose answer was lost. Either may be replaced.
+        // The record is a former incarnation's, or a write of this one whose answer was lost.
         Err(StoreFault::Conflict(conflict)) if !lease.is_established => {
             lease.revision = conflict.revision;
             lease.renew_at = Some(now);
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -92,56 +92,59 @@
 impl HostTable {
     /// An empty table of a host; sequence numbers start at a random point, so that those of an earlier
     /// incarnation are recognised.
-    pub fn new(own: HostName, first_sequence: u64) -> Self {
+    pub(crate) fn new(own: HostName, first_sequence: u64) -> Self {
         let sequence = first_sequence;
         let own = Some(own);
         Self { own, sequence, first_sequence, urgent_sequence: sequence, ..Self::default() }
     }
 
     /// Number of hosts known.
-    pub fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.hosts.len()
     }
 
-    /// Whether no host is known.
-    pub fn is_empty(&self) -> bool {
-        self.hosts.is_empty()
-    }
-
     /// Whether the platform's list has been read.
-    pub fn has_listed(&self) -> bool {
+    pub(crate) fn has_listed(&self) -> bool {
         self.is_listed
     }
 
     /// A host by name.
-    pub fn host(&self, name: &HostName) -> Option<&KnownHost> {
+    pub(crate) fn host(&self, name: &HostName) -> Option<&KnownHost> {
         self.hosts.get(name)
     }
 
     /// All hosts.
-    pub fn hosts(&self) -> impl Iterator<Item = (&HostName, &KnownHost)> {
+    pub(crate) fn hosts(&self) -> impl Iterator<Item = (&HostName, &KnownHost)> {
         self.hosts.iter()
     }
 
     /// Other hosts that were heard of recently and are not leaving, with their peer addresses.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use tanagerdeal_core::membership::HostTable;
+    ///
+    /// assert!(HostTable::default().live_peers(Instant::now()).is_empty());
+    /// ```
     pub fn live_peers(&self, now: Instant) -> Vec<(&HostName, &str)> {
         self.others(now).map(|(name, host)| (name, host.peer_address.as_str())).collect()
     }
 
     /// Other hosts that were heard of recently and are not leaving.
-    pub fn others(&self, now: Instant) -> impl Iterator<Item = (&HostName, &KnownHost)> {
+    pub(crate) fn others(&self, now: Instant) -> impl Iterator<Item = (&HostName, &KnownHost)> {
         self.hosts.iter().filter(move |(name, host)| {
             Some(*name) != self.own.as_ref() && !host.leaving && self.is_heard(now, host)
         })
     }
 
     /// Other hosts that were heard of recently and are not leaving, with their failure domains.
-    pub fn heard(&self, now: Instant) -> impl Iterator<Item = (&HostName, &DomainName)> {
+    pub(crate) fn heard(&self, now: Instant) -> impl Iterator<Item = (&HostName, &DomainName)> {
         self.others(now).map(|(name, host)| (name, &host.domain))
     }
 
     /// Hosts among [`HostTable::heard`] that suspect the primary of a group in a term.
-    pub fn suspicions(
+    pub(crate) fn suspicions(
         &self,
         now: Instant,
         group: &GroupName,
@@ -156,7 +159,7 @@
     }
 
     /// Whether a host was heard of recently, or, if never heard of, is in the platform's list.
-    pub fn is_heard(&self, now: Instant, host: &KnownHost) -> bool {
+    pub(crate) fn is_heard(&self, now: Instant, host: &KnownHost) -> bool {
         let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
         let live_for = LIVE_FOR + LIVE_PER_HOST.saturating_mul(hosts);
         let is_within = |at: Instant, limit| now.saturating_duration_since(at) <= limit;
@@ -168,29 +171,34 @@
     }
 
     /// Failure domains of all hosts known.
-    pub fn domains(&self) -> BTreeSet<&DomainName> {
+    pub(crate) fn domains(&self) -> BTreeSet<&DomainName> {
         self.hosts.values().map(|host| &host.domain).collect()
     }
 
     /// Interval between heartbeats that other hosts relay.
-    pub fn heartbeat_interval(&self) -> Duration {
+    pub(crate) fn heartbeat_interval(&self) -> Duration {
         let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
         HEARTBEAT_INTERVAL.max(HEARTBEAT_PER_HOST.saturating_mul(hosts))
     }
 
     /// Sequence number of the newest state.
-    pub fn sequence(&self) -> u64 {
+    pub(crate) fn sequence(&self) -> u64 {
         self.sequence
     }
 
     /// Sequence number of the newest change that other hosts must learn of at once.
-    pub fn urgent_sequence(&self) -> u64 {
+    pub(crate) fn urgent_sequence(&self) -> u64 {
         self.urgent_sequence
     }
 
     /// Whether a host lacks an urgent change that did not come from it. With `home`, only changes of
     /// hosts of that failure domain count.
-    pub fn has_urgent(&self, receiver: &HostName, seen: u64, home: Option<&DomainName>) -> bool {
+    pub(crate) fn has_urgent(
+        &self,
+        receiver: &HostName,
+        seen: u64,
+        home: Option<&DomainName>,
+    ) -> bool {
         let seen = self.current_or_zero(seen);
         self.urgent_sequence > seen
             && self.hosts.iter().any(|(name, host)| {
@@ -201,13 +209,13 @@
     }
 
     /// Whom this host pulls from, as of the last run of the systems.
-    pub fn current_plan(&self) -> &PullPlan {
+    pub(crate) fn current_plan(&self) -> &PullPlan {
         &self.plan
     }
 
     /// Computes the plan again when it is due; ranking all hosts on every run would cost too much in a
     /// large fleet.
-    pub fn refresh_plan(&mut self, now: Instant, own: (&HostName, &DomainName)) {
+    pub(crate) fn refresh_plan(&mut self, now: Instant, own: (&HostName, &DomainName)) {
         if self.plan_due.is_none_or(|due| now >= due) {
             self.plan = self.plan(now, own);
             self.plan_due = Some(now + PLAN_INTERVAL);
@@ -215,7 +223,7 @@
     }
 
     /// Counts a change outside of the table that other hosts must learn of at once.
-    pub fn next_urgent(&mut self) -> u64 {
+    pub(crate) fn next_urgent(&mut self) -> u64 {
         self.sequence += 1;
         self.urgent_sequence = self.sequence;
         self.sequence
@@ -223,7 +231,7 @@
 
     /// Takes the platform's list, which lags: it adds hosts that were never heard of, or that
     /// fell silent and have restarted since.
-    pub fn adopt_list(&mut self, now: Instant, list: &HostList) {
+    pub(crate) fn adopt_list(&mut self, now: Instant, list: &HostList) {
         self.is_listed = true;
         self.plan_due = None;
         for entry in &list.hosts {
@@ -245,7 +253,7 @@
 
     /// Takes a state made at an instant, and tells whether it is new. `source` is the host it came
     /// from, to which it is not sent back.
-    pub fn adopt_state(
+    pub(crate) fn adopt_state(
         &mut self,
         now: Instant,
         made_at: Instant,
@@ -289,7 +297,12 @@
 
     /// States that changed after a sequence number, for a host; 0 or a number of an earlier
     /// incarnation of this host gives all.
-    pub fn states_after(&self, now: Instant, seen: u64, receiver: &HostName) -> Vec<PeerState> {
+    pub(crate) fn states_after(
+        &self,
+        now: Instant,
+        seen: u64,
+        receiver: &HostName,
+    ) -> Vec<PeerState> {
         let seen = self.current_or_zero(seen);
         let is_wanted = |name: &HostName, host: &KnownHost| {
             host.sequence > seen && name != receiver && host.source.as_ref() != Some(receiver)
@@ -299,12 +312,12 @@
     }
 
     /// A sequence number that another host sent back, or 0 when it is of an earlier incarnation.
-    pub fn current_or_zero(&self, seen: u64) -> u64 {
+    pub(crate) fn current_or_zero(&self, seen: u64) -> u64 {
         if (self.first_sequence..=self.sequence).contains(&seen) { seen } else { 0 }
     }
 
     /// Forgets hosts that were not heard of for minutes.
-    pub fn forget_silent(&mut self, now: Instant) {
+    pub(crate) fn forget_silent(&mut self, now: Instant) {
         let is_kept = |host: &KnownHost| {
             let last = host.listed_at.map_or(host.touched_at, |at| at.max(host.touched_at));
             now.saturating_duration_since(last) <= FORGET_AFTER
@@ -316,23 +329,18 @@
     }
 
     /// What was last exchanged with a host.
-    pub fn link(&mut self, host: &HostName) -> &mut PeerLink {
+    pub(crate) fn link(&mut self, host: &HostName) -> &mut PeerLink {
         self.links.entry(host.clone()).or_default()
     }
 
-    /// All links.
-    pub fn links(&self) -> impl Iterator<Item = (&HostName, &PeerLink)> {
-        self.links.iter()
-    }
-
-    /// The pull of another host that waits here.
-    pub fn held_pulls(&self) -> Vec<(HostName, HeldPull)> {
+    /// Pulls of other hosts that wait here.
+    pub(crate) fn held_pulls(&self) -> Vec<(HostName, HeldPull)> {
         let held = self.links.iter().filter_map(|(name, link)| Some((name, link.held?)));
         held.map(|(name, held)| (name.clone(), held)).collect()
     }
 
     /// Sends a request to a peer; nothing is sent to an unknown one.
-    pub fn send(
+    pub(crate) fn send(
         &mut self,
         host: &HostName,
         request: PeerRequest,
@@ -352,7 +360,7 @@
     }
 
     /// Ends a call.
-    pub fn end(&mut self, call: PeerCallKey) -> Option<PeerCall> {
+    pub(crate) fn end(&mut self, call: PeerCallKey) -> Option<PeerCall> {
         self.calls.remove(call)
     }
 }
@@ -388,6 +396,6 @@
 
 /// Whether other hosts must learn of a change at once: suspicions drive failover, and a host that
 /// leaves must not be chosen as a parent. Everything else can wait for the next answer.
-pub fn is_urgent_change(old: &PeerState, new: &PeerState) -> bool {
+pub(crate) fn is_urgent_change(old: &PeerState, new: &PeerState) -> bool {
     old.suspicions != new.suspicions || old.leaving != new.leaving
 }
--- a/crates/core/src/membership/peer.rs
+++ b/crates/core/src/membership/peer.rs
@@ -29,12 +29,12 @@
 
 impl OwnState {
     /// Sequence number of the newest announcement.
-    pub fn newest_announcement(&self) -> u64 {
+    pub(crate) fn newest_announcement(&self) -> u64 {
         self.announcements.values().map(|(sequence, _)| *sequence).max().unwrap_or(0)
     }
 
     /// Announcements that changed after a sequence number.
-    pub fn announcements_after(&self, seen: u64) -> Vec<GroupAnnouncement> {
+    pub(crate) fn announcements_after(&self, seen: u64) -> Vec<GroupAnnouncement> {
         let newer = self.announcements.values().filter(|(sequence, _)| *sequence > seen);
         newer.map(|(_, announcement)| announcement.clone()).collect()
     }
--- a/crates/core/src/membership/rank.rs
+++ b/crates/core/src/membership/rank.rs
@@ -51,7 +51,7 @@
 impl HostTable {
     /// Live hosts of a failure domain in the order of their ranks; `own` is the name and the failure
     /// domain of this host, which counts as live.
-    pub fn ranked(
+    pub(crate) fn ranked(
         &self,
         now: Instant,
         domain: &DomainName,
@@ -67,7 +67,7 @@
     }
 
     /// Whom this host pulls from now.
-    pub fn plan(&self, now: Instant, own: (&HostName, &DomainName)) -> PullPlan {
+    pub(crate) fn plan(&self, now: Instant, own: (&HostName, &DomainName)) -> PullPlan {
         let ranked = self.ranked(now, own.1, own);
         let rank = ranked.iter().position(|name| name == own.0).unwrap_or(0);
         let is_relay = rank < RELAYS;
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -58,7 +58,7 @@
 
 impl StoreState {
     /// When the platform last answered.
-    pub fn reached_at(&self) -> Option<Instant> {
+    pub(crate) fn reached_at(&self) -> Option<Instant> {
         self.reached_at
     }
 
@@ -95,7 +95,7 @@
     }
 
     /// Whether the last attempt failed, even if it was some pauses ago.
-    pub fn has_failed(&self, now: Instant) -> bool {
+    pub(crate) fn has_failed(&self, now: Instant) -> bool {
         self.has_failed_within(now, FAILURE_KNOWN)
     }
 
@@ -107,7 +107,7 @@
 
     /// Pause before the next attempt: twice as long after each failure, half of it random, so that
     /// hosts do not return to a slow store all at once.
-    pub fn pause(&self, base: Duration, is_relay: bool, random: &mut SmallRng) -> Duration {
+    pub(crate) fn pause(&self, base: Duration, is_relay: bool, random: &mut SmallRng) -> Duration {
         let longest = if is_relay { MAX_RELAY_PAUSE } else { MAX_PAUSE };
         let pause = base.saturating_mul(1 << self.failures.min(6)).min(longest);
         pause.mul_f64(random.random_range(0.5..1.0))
