--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -2,6 +2,7 @@
 
 mod batch;
 mod cancel;
+mod class;
 mod conclude;
 mod exchange;
 mod listener;
--- a/crates/proxy/src/caller/conclude.rs
+++ b/crates/proxy/src/caller/conclude.rs
@@ -69,7 +69,9 @@
             self.end_replied(plan, &reply, false);
             return self.finish(&reply, None).await;
         }
-        let position = reply.position.or(earlier.and_then(|earlier| earlier.position));
+        // Of an explicit transaction only the position reported with COMMIT is that of the commit.
+        let flushed = earlier.filter(|earlier| earlier.is_batch);
+        let position = reply.position.or(flushed.and_then(|earlier| earlier.position));
         match self.confirm(plan, position).await {
             Ok(token) => self.finish(&reply, Some(token)).await,
             Err(refusal) => Ok(AttemptEnd::Refused(refusal)),
--- a/crates/proxy/src/caller/exchange.rs
+++ b/crates/proxy/src/caller/exchange.rs
@@ -89,6 +89,8 @@
     reply: ExchangeReply,
     held_bytes: usize,
     is_verified: bool,
+    /// Whether a position was reported since the end of the last result.
+    is_position_new: bool,
     is_holding: bool,
     has_ended: bool,
     /// Whether a part of the reply has been handed to the client's stream.
@@ -113,6 +115,7 @@
             reply: ExchangeReply::default(),
             held_bytes: 0,
             is_verified,
+            is_position_new: false,
             is_holding: false,
             has_ended: false,
             has_delivered: false,
@@ -201,6 +204,7 @@
         match frame.clone().backend().map_err(ConnectionError::Codec)? {
             PgWireBackendMessage::ParameterStatus(status) if status.name == POSITION_PARAMETER => {
                 self.reply.position = status.value.parse().ok();
+                self.is_position_new = true;
                 Ok(())
             }
             _ => self.pass(frame).await,
@@ -238,6 +242,10 @@
             frame.clone().backend().map_err(ConnectionError::Codec)?
         {
             has_result = RESULT_TAGS.iter().any(|word| complete.tag.starts_with(word));
+            // The position of an earlier result in the same text is not that of the commit.
+            if complete.tag == "COMMIT" && !self.is_position_new {
+                self.reply.position = None;
+            }
             self.reply.tag = Some(complete.tag);
         }
         // An empty result is as old as its snapshot, so it is checked like one with rows.
@@ -255,6 +263,7 @@
         if self.expected.is_none() {
             self.has_ended = true;
         }
+        self.is_position_new = false;
         self.is_verified = self.rules.required.is_none();
         self.reply.position = self.reply.position.filter(|_| self.is_verified);
     }
--- a/crates/proxy/src/caller/request.rs
+++ b/crates/proxy/src/caller/request.rs
@@ -68,7 +68,10 @@
 impl Request {
     pub(super) fn commits(&self, transaction: Option<&Transaction>) -> bool {
         let is_batch = transaction.is_some_and(|transaction| transaction.is_batch);
-        matches!(self.class, StatementClass::Commit) || (is_batch && self.ends_with_sync)
+        // A block inside an open transaction commits that transaction.
+        matches!(self.class, StatementClass::Commit)
+            || self.is_block
+            || (is_batch && self.ends_with_sync)
     }
 }
 
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -16,6 +16,7 @@
 use super::CallerContext;
 use super::batch::{ExtendedBatch, StatementTable};
 use super::cancel::CancelSlot;
+use super::class::{may_read, placement_class, starts_transaction};
 use super::reply;
 use super::request::{Request, RequestBody};
 use super::setting::SessionSetting;
@@ -275,7 +276,8 @@
         Request {
             writes: class == StatementClass::Write,
             reads: may_read(&class),
-            is_block: class == StatementClass::Write && starts_transaction(&sql),
+            is_block: matches!(class, StatementClass::Read | StatementClass::Write)
+                && starts_transaction(&sql),
             class: placement_class(class, self.transaction.is_some()),
             body: RequestBody::Query(sql),
             ends_with_sync: true,
@@ -391,26 +393,6 @@
     }
 }
 
-/// Whether a statement may have rows that must be checked; FETCH belongs to a transaction.
-fn may_read(class: &StatementClass) -> bool {
-    matches!(class, StatementClass::Read | StatementClass::InTransaction)
-}
-
-/// The class under which a statement is placed: a setting may run anywhere.
-fn placement_class(class: StatementClass, is_open: bool) -> StatementClass {
-    match class {
-        StatementClass::Read | StatementClass::Write => class,
-        StatementClass::Begin { .. } | StatementClass::Commit | StatementClass::Rollback => class,
-        _ if is_open => StatementClass::InTransaction,
-        _ => StatementClass::Read,
-    }
-}
-
 fn unsupported(reason: &str) -> RequestRefusal {
     RequestRefusal::not_run(RefusalCode::Unsupported, reason)
 }
-
-fn starts_transaction(sql: &str) -> bool {
-    let start = sql.trim_start().get(..5).unwrap_or_default();
-    start.eq_ignore_ascii_case("BEGIN") || start.eq_ignore_ascii_case("START")
-}
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -52,6 +52,40 @@
 
 /// Starts the driver; the join handle ends when the actor has stopped or failed.
 ///
+/// ```
+/// use tanagerdeal::driver::{self, DriverPorts};
+/// use tanagerdeal_core::message::DrainPhase;
+/// use tanagerdeal_core::profile::{HostIdentity, HostPolicies, HostProfile, HostTiming};
+/// use tanagerdeal_wire::{DomainName, HostName};
+/// use tokio::sync::{mpsc, watch};
+///
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let identity = HostIdentity {
+///     host: HostName::new("h1").unwrap(),
+///     domain: DomainName::new("d1").unwrap(),
+///     incarnation: 1,
+///     peer_address: "127.0.0.1:1".to_owned(),
+///     admin_address: "127.0.0.1:2".to_owned(),
+/// };
+/// let profile = HostProfile {
+///     identity,
+///     timing: HostTiming::default(),
+///     policies: HostPolicies::default(),
+///     fleet_secret: b"secret".to_vec(),
+///     seed: 1,
+/// };
+/// let ports = DriverPorts {
+///     members: mpsc::unbounded_channel().0,
+///     store: mpsc::unbounded_channel().0,
+///     peers: mpsc::unbounded_channel().0,
+///     limits: mpsc::unbounded_channel().0,
+///     drain: watch::channel(DrainPhase::Serving).0,
+/// };
+/// let (handle, _) = driver::start(profile, ports).await.unwrap();
+/// assert_eq!(handle.status().await.unwrap().host, "h1");
+/// # });
+/// ```
+///
 /// # Errors
 ///
 /// Fails when the actor runtime refuses to start the actor.
--- a/crates/proxy/tests/proxy/process.rs
+++ b/crates/proxy/tests/proxy/process.rs
@@ -25,9 +25,14 @@
 
 impl HostProcess {
     fn start() -> Self {
+        Self::start_with(50)
+    }
+
+    /// Starts a host that takes new sessions for some time after the begin of a shutdown.
+    fn start_with(drain_notice_ms: u32) -> Self {
         let directory = TempDir::new().unwrap();
         let authority = write_certificates(directory.path());
-        let settings = write_settings(directory.path());
+        let settings = write_settings(directory.path(), drain_notice_ms);
         let child = Command::new(env!("CARGO_BIN_EXE_tanagerdeal"))
             .args(["run", "--config", &settings])
             .stderr(Stdio::null())
@@ -90,7 +95,7 @@
     issuer.der().clone()
 }
 
-fn write_settings(directory: &Path) -> String {
+fn write_settings(directory: &Path, drain_notice_ms: u32) -> String {
     let path = |name: &str| directory.join(name).display().to_string();
     let text = format!(
         "[host]\nname = h1\ndomain = d1\n\
@@ -100,7 +105,7 @@
          peer_key_file = {key}\npeer_ca_file = {ca}\n\
          [tls]\ncertificate_file = {chain}\nkey_file = {key}\n\
          [endpoint]\nuser = service\npassword_file = {secret}\n\
-         [timing]\ndrain_notice_ms = 50\n\
+         [timing]\ndrain_notice_ms = {drain_notice_ms}\n\
          [log]\nfile = {log}\nlevel = info\n",
         secret = path("secret"),
         chain = path("host.pem"),
@@ -159,6 +164,17 @@
     assert_eq!(host.wait().code(), Some(0));
 }
 
+/// Guards against a second SIGTERM that waits for the shutdown to finish.
+#[test]
+fn a_second_terminate_ends_the_process_at_once() {
+    let mut host = HostProcess::start_with(600_000);
+    host.logged("admin: listening on ");
+    host.signal("TERM");
+    host.logged("drain: shutting down");
+    host.signal("TERM");
+    assert_eq!(host.wait().code(), Some(1));
+}
+
 /// Guards against a reload that ends the process or keeps the old level.
 #[test]
 fn a_reload_changes_the_log_level() {
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -192,6 +192,30 @@
     assert_eq!(fleet.commits_of("kept"), 1);
 }
 
+/// Guards against an acknowledgement at the position of an earlier result, when COMMIT reports none.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_commit_without_a_position_is_not_acknowledged() {
+    let fleet = support::start().await;
+    let client = fleet.connect().await;
+    client.batch_execute("BEGIN").await.unwrap();
+    client.batch_execute("INSERT INTO t VALUES ('explicit')").await.unwrap();
+    client.simple_query("SELECT 'position'").await.unwrap();
+    fleet.primary().fail_next("COMMIT", Fault::NoPosition);
+    let error = client.batch_execute("COMMIT").await.unwrap_err();
+    assert_that!(message_of(&error), starts_with("may have run: "));
+    fleet.primary().fail_next("COMMIT", Fault::NoPosition);
+    let block = "BEGIN; INSERT INTO t VALUES ('block'); SELECT 'position'; COMMIT";
+    let error = client.batch_execute(block).await.unwrap_err();
+    assert_that!(message_of(&error), starts_with("may have run: "));
+    client.batch_execute("BEGIN").await.unwrap();
+    client.batch_execute("INSERT INTO t VALUES ('outer')").await.unwrap();
+    fleet.primary().fail_next("COMMIT", Fault::CommitAndClose);
+    let block = "/* a /* nested */ comment */ -- and another\nBEGIN; SELECT 1; COMMIT";
+    let error = client.batch_execute(block).await.unwrap_err();
+    assert_that!(message_of(&error), starts_with("may have run: "));
+    assert_eq!(fleet.commits_of("'outer'"), 1);
+}
+
 /// Guards against rows older than the session's own write: the replica says that it has caught up,
 /// but answers at an older position.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/proxy/tests/proxy/support/endpoint.rs
+++ b/crates/proxy/tests/proxy/support/endpoint.rs
@@ -210,7 +210,9 @@
         let message = self.stream.read().await?.frontend()?;
         match message {
             PgWireFrontendMessage::Query(query) => {
-                for sql in query.query.split(';').filter(|sql| !sql.trim().is_empty()) {
+                // Comments of the tests end with the only line break.
+                let text = query.query.rsplit('\n').next().unwrap_or_default().to_owned();
+                for sql in text.split(';').filter(|sql| !sql.trim().is_empty()) {
                     if !self.execute(sql.trim(), &[], true).await? {
                         break;
                     }
