--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -2,6 +2,7 @@
 
 mod batch;
 mod cancel;
+mod class;
 mod conclude;
 mod exchange;
 mod listener;
@@ -12,6 +13,7 @@
 mod reply;
 mod request;
 mod session;
+mod setting;
 mod startup;
 
 use std::sync::Arc;
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -16,19 +16,16 @@
 use super::CallerContext;
 use super::batch::{ExtendedBatch, StatementTable};
 use super::cancel::CancelSlot;
-use super::place::SessionSetting;
+use super::class::{may_read, placement_class, starts_transaction};
 use super::reply;
 use super::request::{Request, RequestBody};
+use super::setting::SessionSetting;
 use super::startup::CallerStream;
 use crate::codec::{CodecError, Frame, FrameStream};
 use crate::endpoint::ConnectionLease;
 
 /// Statements that a session may have prepared.
 const MAX_STATEMENTS: usize = 1_000;
-/// Settings that a session may have made.
-const MAX_SETTINGS: usize = 100;
-/// Longest text of a setting, in bytes.
-const MAX_SETTING_BYTES: usize = 4 * 1024;
 /// Least wait for the end of an unlimited idle time.
 const FOREVER: Duration = Duration::from_secs(365 * 24 * 3600);
 
@@ -109,6 +106,28 @@
 }
 
 impl Session {
+    pub(super) fn new(
+        context: Arc<CallerContext>,
+        client: FrameStream<CallerStream>,
+        key: SessionKey,
+        closing: oneshot::Receiver<RequestRefusal>,
+        cancel: Arc<CancelSlot>,
+    ) -> Self {
+        Self {
+            context,
+            client,
+            key,
+            closing,
+            close_refusal: None,
+            cancel,
+            settings: Vec::new(),
+            statements: StatementTable::default(),
+            transaction: None,
+            batch: ExtendedBatch::default(),
+            is_skipping: false,
+        }
+    }
+
     /// Serves the session until it ends.
     pub(super) async fn serve(mut self) {
         while let Ok(frame) = self.wait().await {
@@ -150,12 +169,23 @@
                     }
                     self.close_refusal = Some(refusal);
                 }
+                () = recalled(&mut self.transaction) => self.withdraw(),
                 frame = self.client.read() => return self.admit(frame).await,
                 () = sleep(idle) => return Err(self.close_idle(is_open).await),
             }
         }
     }
 
+    /// Closes the connection of an idle transaction, which the pool has to give up.
+    fn withdraw(&mut self) {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.fail();
+            let dispatch = transaction.dispatch;
+            self.end_dispatch(dispatch, RequestEnding::Lost);
+            log::warn!("endpoint: the connection of an idle transaction was withdrawn");
+        }
+    }
+
     /// Takes a message unless the session is to be closed or the message is invalid.
     async fn admit(&mut self, frame: Result<Frame, CodecError>) -> Result<Frame, SessionEnd> {
         match (frame, self.close_refusal.take()) {
@@ -246,7 +276,8 @@
         Request {
             writes: class == StatementClass::Write,
             reads: may_read(&class),
-            is_block: class == StatementClass::Write && starts_transaction(&sql),
+            is_block: matches!(class, StatementClass::Read | StatementClass::Write)
+                && starts_transaction(&sql),
             class: placement_class(class, self.transaction.is_some()),
             body: RequestBody::Query(sql),
             ends_with_sync: true,
@@ -293,19 +324,6 @@
         self.run_checked(request).await
     }
 
-    /// Runs a request unless its settings could not be replayed later.
-    async fn run_checked(&mut self, request: Request) -> Result<(), SessionEnd> {
-        let made = &request.settings;
-        let is_over = self.settings.len() + made.len() > MAX_SETTINGS
-            || made.iter().any(|setting| setting.text.len() > MAX_SETTING_BYTES);
-        if !made.is_empty() && is_over {
-            let message = "too many session settings, or one that is too long";
-            let refusal = RequestRefusal::not_run(RefusalCode::LimitExceeded, message);
-            return self.refuse(&refusal, request.ends_with_sync).await;
-        }
-        self.run(request).await
-    }
-
     /// Whether a statement rolls back to a savepoint of a transaction that the proxy has failed but
     /// the endpoint has not; it ends the failure.
     fn can_roll_back_to(&mut self, class: &StatementClass, sql: &str) -> bool {
@@ -365,57 +383,16 @@
         let call = CallerCall::EndRequest { dispatch, ending, seen, in_transaction };
         self.context.driver.tell(call);
     }
-
-    /// Notes the settings of a request and of its transaction that last.
-    pub(super) fn keep_settings(&mut self, request: &Request, earlier: Option<&Transaction>) {
-        let before = earlier.into_iter().flat_map(|earlier| &earlier.settings);
-        for setting in before.chain(&request.settings) {
-            if setting.is_reset_of_all() {
-                self.settings.clear();
-                continue;
-            }
-            self.settings.retain(|kept| kept.name != setting.name);
-            if !is_reset(&setting.text) {
-                self.settings.push(setting.clone());
-            }
-        }
-    }
-
-    fn settings_of<'a>(
-        &self,
-        statements: impl Iterator<Item = (&'a StatementClass, &'a str)>,
-    ) -> Vec<SessionSetting> {
-        statements
-            .filter(|(class, _)| **class == StatementClass::SessionSetting)
-            .filter_map(|(_, text)| SessionSetting::parse(text))
-            .collect()
-    }
 }
 
-/// Whether a statement may have rows that must be checked; FETCH belongs to a transaction.
-fn may_read(class: &StatementClass) -> bool {
-    matches!(class, StatementClass::Read | StatementClass::InTransaction)
-}
-
-/// The class under which a statement is placed: a setting may run anywhere.
-fn placement_class(class: StatementClass, is_open: bool) -> StatementClass {
-    match class {
-        StatementClass::Read | StatementClass::Write => class,
-        StatementClass::Begin { .. } | StatementClass::Commit | StatementClass::Rollback => class,
-        _ if is_open => StatementClass::InTransaction,
-        _ => StatementClass::Read,
+/// Waits until the connection of an idle transaction has to be closed.
+async fn recalled(transaction: &mut Option<Transaction>) {
+    match transaction.as_mut().and_then(|transaction| transaction.lease.as_mut()) {
+        Some(lease) => lease.recalled().await,
+        None => std::future::pending().await,
     }
 }
 
 fn unsupported(reason: &str) -> RequestRefusal {
     RequestRefusal::not_run(RefusalCode::Unsupported, reason)
 }
-
-fn starts_transaction(sql: &str) -> bool {
-    let start = sql.trim_start().get(..5).unwrap_or_default();
-    start.eq_ignore_ascii_case("BEGIN") || start.eq_ignore_ascii_case("START")
-}
-
-fn is_reset(text: &str) -> bool {
-    text.trim_start().get(..5).unwrap_or_default().eq_ignore_ascii_case("RESET")
-}
