--- a/crates/core/src/host/fleet/tests/member.rs
+++ b/crates/core/src/host/fleet/tests/member.rs
@@ -193,3 +193,21 @@
     let asked = fleet.index("akl-a-0");
     fleet.input(asked, HostInput::AskStatus(CallTag(1)));
 }
+
+/// Guards against failure domains that count each other as silent for good after a partition, and
+/// therefore never agree again that a primary has failed.
+#[test]
+fn domains_hear_each_other_after_partition() {
+    let mut fleet = settled(3);
+    let live = fleet.nodes.len() - 1;
+    let hears_all = |fleet: &Fleet| {
+        fleet.nodes.iter().all(|node| node.state.hosts.live_peers(fleet.now).len() == live)
+    };
+    fleet.cut_domains("akl-a", "akl-b");
+    fleet.cut_domains("akl-a", "ham-c");
+    fleet.run(secs(12));
+    assert!(!hears_all(&fleet));
+    fleet.cut.clear();
+    let took = fleet.run_until(secs(4), hears_all).expect("all hosts hear each other");
+    println!("all hosts hear each other {took:?} after the partition");
+}
