--- a/crates/testbed/src/measure/options.rs
+++ b/crates/testbed/src/measure/options.rs
@@ -20,6 +20,9 @@
 /// Multiple of its rate that the surging customer sends.
 const SURGE_FACTOR: u32 = 5;
 
+/// Tokens of the customer's rate that a transaction of two writes takes.
+const TRANSACTION_TOKENS: u32 = 4;
+
 /// Policies of the baseline, as keys and values of the section `[policy]`.
 const BASELINE: [(&str, &str); 5] = [
     ("reads", "primary"),
@@ -142,7 +145,9 @@
                 transactions: 5,
             };
         }
+        let tokens = tokens_of(&plan.mix);
         for customer in &mut plan.customers {
+            customer.millirate = customer.millirate * 100 / tokens;
             customer.sessions = customer.sessions.max(MANY_SESSIONS);
         }
         let surges = matches!(self.scenario, Surge | SurgeDomain);
@@ -158,6 +163,13 @@
     }
 }
 
+/// Tokens of a hundred requests: each statement of a transaction takes one, as do its two ends.
+fn tokens_of(mix: &RequestMix) -> u64 {
+    let others = mix.reads + mix.aged_reads + mix.lists + mix.writes + mix.idempotent_writes;
+    let total = others + mix.transactions;
+    u64::from(others + mix.transactions * TRANSACTION_TOKENS) * 100 / u64::from(total.max(1))
+}
+
 fn command() -> Command {
     let number = |name: &'static str| Arg::new(name).long(name).value_parser(value_parser!(u64));
     let path = |name: &'static str| Arg::new(name).long(name).value_parser(value_parser!(PathBuf));
