--- a/crates/proxy/src/codec.rs
+++ b/crates/proxy/src/codec.rs
@@ -92,7 +92,7 @@
 
     /// Type byte.
     pub fn tag(&self) -> u8 {
-        self.bytes[0]
+        self.bytes.first().copied().unwrap_or_default()
     }
 
     /// Length in bytes, with type and length field.
--- a/crates/proxy/tests/proxy/sessions.rs
+++ b/crates/proxy/tests/proxy/sessions.rs
@@ -7,6 +7,7 @@
 use tanagerdeal_wire::platform::{TableWrite, TxnRequest};
 
 use crate::support;
+use crate::support::script::Fault;
 
 /// Guards against reads that miss the session's own writes while the replicas lag, also after the
 /// session has moved to another connection with its token.
@@ -91,11 +92,7 @@
     let client = fleet.connect().await;
     client.batch_execute("BEGIN").await.unwrap();
     client.batch_execute("INSERT INTO t VALUES ('gone')").await.unwrap();
-    let key = "records/service/db";
-    let mut value = fleet.platform.read(key).await.unwrap().unwrap().value.unwrap();
-    value["groups"][0]["members"][0]["connections"] = json!(0);
-    let write = TableWrite { key: key.to_owned(), value: Some(value) };
-    fleet.platform.transact(&TxnRequest { checks: vec![], writes: vec![write] }).await.unwrap();
+    fleet.withdraw_connections(0).await;
     let primary = fleet.endpoints[0].clone();
     support::eventually("all its connections close", || primary.open() == 0).await;
     let error = client.batch_execute("INSERT INTO t VALUES ('more')").await.unwrap_err();
@@ -103,6 +100,26 @@
     assert_eq!(fleet.commits_of("'gone'"), 0);
 }
 
+/// Guards against a read that fails, or waits for its deadline, because its connection was withdrawn
+/// while other endpoints could answer it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_on_a_withdrawn_connection_is_placed_again() {
+    let fleet = support::start_with("[timing]\ndrain_limit_ms = 100\n").await;
+    let client = fleet.connect().await;
+    for endpoint in &fleet.endpoints {
+        endpoint.fail_next("'slow'", Fault::Delay(Duration::from_secs(60)));
+    }
+    let task = tokio::spawn(async move { client.simple_query("SELECT 'slow'").await });
+    let runs_at = |index: usize| {
+        fleet.endpoints[index].executed().iter().any(|(_, sql)| sql.contains("'slow'"))
+    };
+    support::eventually("the read runs", || (0..3).any(runs_at)).await;
+    let index = (0..3).find(|index| runs_at(*index)).unwrap();
+    fleet.endpoints.iter().for_each(|endpoint| endpoint.clear_faults());
+    fleet.withdraw_connections(index).await;
+    task.await.unwrap().unwrap();
+}
+
 /// Guards against admin pages that do not tell the state of the host.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_admin_pages_show_the_state() {
--- a/crates/proxy/tests/proxy/support/mod.rs
+++ b/crates/proxy/tests/proxy/support/mod.rs
@@ -112,6 +112,15 @@
         connect_with(&self.config()).await.unwrap()
     }
 
+    /// Takes all connections to an endpoint away from the hosts.
+    pub async fn withdraw_connections(&self, endpoint: usize) {
+        let key = "records/service/db";
+        let mut value = self.platform.read(key).await.unwrap().unwrap().value.unwrap();
+        value["groups"][0]["members"][endpoint]["connections"] = json!(0);
+        let write = TableWrite { key: key.to_owned(), value: Some(value) };
+        self.platform.transact(&TxnRequest { checks: vec![], writes: vec![write] }).await.unwrap();
+    }
+
     /// A page of the admin listener with its headers.
     pub async fn page(&self, path: &str) -> String {
         let mut socket = TcpStream::connect(self.host.admin).await.unwrap();
--- a/crates/proxy/tests/proxy/support/script.rs
+++ b/crates/proxy/tests/proxy/support/script.rs
@@ -82,6 +82,11 @@
         self.state().faults.push((text.to_owned(), fault));
     }
 
+    /// Takes back faults that have not been met.
+    pub fn clear_faults(&self) {
+        self.state().faults.clear();
+    }
+
     /// How many log entries the member is behind.
     pub fn set_lag(&self, lag: u64) {
         self.state().lag = lag;
