--- a/crates/proxy/src/caller/exchange.rs
+++ b/crates/proxy/src/caller/exchange.rs
@@ -46,6 +46,8 @@
     pub(super) dispatch: DispatchKey,
     /// Position from which on no check is needed; nothing when rows need no check.
     pub(super) required: Option<LogPosition>,
+    /// Whether a simple query has one result only.
+    pub(super) is_single: bool,
     /// Whether a portal was suspended before. Its further rows come from the snapshot whose position
     /// was checked then, and the endpoint does not report it again.
     pub(super) continues_portal: bool,
@@ -169,6 +171,10 @@
     /// gone.
     async fn next(&mut self) -> Result<Frame, ExchangeFault> {
         let deadline = self.rules.deadline;
+        // While rows keep coming, the timer below is not reached.
+        if Instant::now() >= deadline {
+            return Err(ExchangeFault::Deadline);
+        }
         tokio::select! {
             biased;
             frame = self.lease.read() => match frame {
@@ -230,11 +236,12 @@
 
     /// The end of an execution.
     async fn take_end(&mut self, frame: Frame) -> Result<(), ExchangeFault> {
-        if let Some(expected) = &mut self.expected {
-            match expected.pop_front() {
-                Some(ExpectedReply::Execution) => {}
-                _ => return Err(unexpected("the end of a result that was not asked for")),
-            }
+        let is_due = match &mut self.expected {
+            Some(expected) => matches!(expected.pop_front(), Some(ExpectedReply::Execution)),
+            None => !(self.has_ended && self.rules.is_single),
+        };
+        if !is_due {
+            return Err(unexpected("the end of a result that was not asked for"));
         }
         let mut has_result = frame.tag() == b's';
         self.reply.is_suspended |= has_result;
--- a/crates/proxy/src/caller/request.rs
+++ b/crates/proxy/src/caller/request.rs
@@ -159,6 +159,7 @@
             deadline: plan.deadline,
             dispatch: plan.dispatch,
             required: Some(plan.required).filter(|_| request.reads && !request.writes),
+            is_single: !request.is_block,
             continues_portal: self.transaction.as_ref().is_some_and(|open| open.has_portal),
             holds_completion: commits
                 || mode.is_recorded()
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -269,6 +269,20 @@
     assert_eq!(rows(client.simple_query(sql).await.unwrap())[0].get(0), Some(sql));
 }
 
+/// Guards against a second result that is taken for a part of the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_result_that_was_not_asked_for_is_an_error() {
+    let fleet = support::start().await;
+    let client = fleet.connect().await;
+    for endpoint in &fleet.endpoints {
+        endpoint.fail_next("'doubled'", Fault::Twice);
+    }
+    let result = client.simple_query("SELECT 'doubled'").await;
+    let error = result.map(|messages| messages.len()).unwrap_err();
+    assert_that!(message_of(&error), starts_with("may have run: "));
+    assert_eq!(rows(client.simple_query("SELECT 3").await.unwrap()).len(), 1);
+}
+
 /// Guards against a request that is held past its deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_passed_deadline_is_an_error() {
--- a/crates/proxy/tests/proxy/support/endpoint.rs
+++ b/crates/proxy/tests/proxy/support/endpoint.rs
@@ -419,6 +419,10 @@
             }
         }
         self.complete(&format!("SELECT {}", values.len()));
+        if matches!(fault, Some(Fault::Twice)) {
+            self.stream.push(&row("row of another statement"));
+            self.complete("SELECT 1");
+        }
         if matches!(fault, Some(Fault::Extra)) {
             self.stream.push(&ReadyForQuery::new(self.status));
             self.stream.push(&columns());
