--- a/crates/proxy/src/caller/class.rs
+++ b/crates/proxy/src/caller/class.rs
@@ -17,6 +17,14 @@
     }
 }
 
+/// Whether a statement may leave settings behind on its connection that the proxy does not know of, so
+/// that the connection must not serve another session.
+pub(super) fn leaves_state(sql: &str) -> bool {
+    let lower = sql.to_ascii_lowercase();
+    let word = lower.split_whitespace().next().unwrap_or_default();
+    lower.contains("set_config") || matches!(word, "do" | "call")
+}
+
 /// Whether a text begins with BEGIN or START TRANSACTION, after comments.
 pub(super) fn starts_transaction(sql: &str) -> bool {
     let mut rest = sql.trim_start();
--- a/crates/proxy/src/caller/conclude.rs
+++ b/crates/proxy/src/caller/conclude.rs
@@ -57,8 +57,9 @@
         }
         let earlier = self.transaction.take();
         self.statements.end_transaction();
-        let is_tainted =
-            was_cancelled || earlier.as_ref().is_some_and(|earlier| earlier.is_tainted);
+        let is_tainted = was_cancelled
+            || taints(request, &reply)
+            || earlier.as_ref().is_some_and(|earlier| earlier.is_tainted);
         drop_or_return(lease, is_tainted);
         let has_committed = !reply.is_error && reply.tag.as_deref() != Some("ROLLBACK");
         if has_committed {
@@ -110,9 +111,7 @@
         let is_new = self.transaction.is_none();
         let transaction = self.transaction.get_or_insert_with(|| Transaction::new(plan.dispatch));
         transaction.lease = Some(lease);
-        transaction.is_tainted |= was_cancelled
-            || reply.is_stale
-            || request.settings.iter().any(SessionSetting::is_discard);
+        transaction.is_tainted |= was_cancelled || taints(request, reply);
         transaction.wrote |= request.writes;
         transaction.has_portal |= reply.is_suspended;
         transaction.position = reply.position.or(transaction.position);
@@ -203,6 +202,13 @@
     }
 }
 
+/// Whether a request leaves its connection in a state that the proxy does not know: settings made by
+/// functions, or prepared statements that are gone or out of date.
+fn taints(request: &Request, reply: &ExchangeReply) -> bool {
+    let is_discard = request.settings.iter().any(SessionSetting::is_discard);
+    reply.is_stale || request.leaves_state || is_discard
+}
+
 /// Returns a connection to its pool, or closes it when a cancel request may still reach it.
 pub(super) fn drop_or_return(lease: ConnectionLease, is_tainted: bool) {
     match is_tainted {
--- a/crates/proxy/src/caller/request.rs
+++ b/crates/proxy/src/caller/request.rs
@@ -44,6 +44,8 @@
     pub(super) is_block: bool,
     /// Whether it ends with Sync, as simple queries do in effect.
     pub(super) ends_with_sync: bool,
+    /// Whether its connection must not serve another session.
+    pub(super) leaves_state: bool,
     /// Session settings that it makes.
     pub(super) settings: Vec<SessionSetting>,
 }
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -16,7 +16,7 @@
 use super::CallerContext;
 use super::batch::{ExtendedBatch, StatementTable};
 use super::cancel::CancelSlot;
-use super::class::{may_read, placement_class, starts_transaction};
+use super::class::{leaves_state, may_read, placement_class, starts_transaction};
 use super::reply;
 use super::request::{Request, RequestBody};
 use super::setting::SessionSetting;
@@ -279,6 +279,7 @@
             is_block: matches!(class, StatementClass::Read | StatementClass::Write)
                 && starts_transaction(&sql),
             class: placement_class(class, self.transaction.is_some()),
+            leaves_state: leaves_state(&sql),
             body: RequestBody::Query(sql),
             ends_with_sync: true,
             settings,
@@ -309,6 +310,7 @@
         let settings = self.settings_of(batch.executed().zip(batch.texts()));
         let writes = batch.executed().any(|class| *class == StatementClass::Write);
         let reads = batch.executed().any(may_read);
+        let leaves_state = batch.texts().any(leaves_state);
         let is_block = !in_transaction
             && batch.executed().any(|class| matches!(class, StatementClass::Begin { .. }))
             && batch.executed().any(|class| *class == StatementClass::Commit);
@@ -317,6 +319,7 @@
             reads,
             class,
             is_block,
+            leaves_state,
             body: RequestBody::Batch(batch),
             ends_with_sync: is_sync,
             settings,
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -322,6 +322,36 @@
     }
 }
 
+/// Guards against a connection that serves another session although it holds settings, or has lost
+/// prepared statements, without the proxy's knowledge.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_in_an_unknown_state_are_closed() {
+    let fleet = support::start().await;
+    let client = fleet.connect().await;
+    for endpoint in &fleet.endpoints {
+        endpoint.fail_next("'stale'", Fault::Stale);
+    }
+    let texts =
+        ["DISCARD ALL", "SELECT set_config('a', 'b', false)", "DO $$ x $$", "SELECT 'stale'"];
+    for sql in texts {
+        let _ = client.simple_query(sql).await;
+    }
+    for number in 0..20 {
+        client.simple_query(&format!("SELECT 'later', {number}")).await.unwrap();
+        client.batch_execute(&format!("UPDATE t SET later = {number}")).await.unwrap();
+    }
+    for endpoint in &fleet.endpoints {
+        let executed = endpoint.executed();
+        for (index, (pid, sql)) in executed.iter().enumerate() {
+            let is_last = !executed[index + 1..].iter().any(|(later, _)| later == pid);
+            assert!(!texts.contains(&sql.as_str()) || is_last, "reused after {sql}");
+        }
+    }
+    for sql in texts {
+        assert!(fleet.executed().iter().any(|executed| executed == sql), "{sql} was not executed");
+    }
+}
+
 /// Guards against the loss of prepared statements between connections, and against their mixing.
 #[tokio::test(flavor = "multi_thread")]
 async fn prepared_statements_work_on_every_connection() {
--- a/crates/proxy/tests/proxy/support/endpoint.rs
+++ b/crates/proxy/tests/proxy/support/endpoint.rs
@@ -334,6 +334,10 @@
                 self.error("57014", "canceling statement due to user request");
                 return Ok(false);
             }
+            Some(Fault::Stale) => {
+                self.error("0A000", "cached plan must not change result type");
+                return Ok(false);
+            }
             Some(Fault::Crossed) => self.stream.push(&BindComplete::new()),
             _ => {}
         }
--- a/crates/proxy/tests/proxy/support/script.rs
+++ b/crates/proxy/tests/proxy/support/script.rs
@@ -22,6 +22,8 @@
     NoPosition,
     /// Sends the reply of another statement after the end of its own.
     Extra,
+    /// Reports that the result of a prepared statement has changed its columns.
+    Stale,
     /// Sends a second result within its reply.
     Twice,
     /// Sends a reply to a message that was not sent.
