--- a/crates/proxy/src/caller/refuse.rs
+++ b/crates/proxy/src/caller/refuse.rs
@@ -117,6 +117,10 @@
     }
 
     async fn close_client(&mut self) -> SessionEnd {
+        // The endpoint does not wait for the client to read the error.
+        if let Some(transaction) = &mut self.transaction {
+            transaction.fail();
+        }
         self.client.close(CLOSE_TIMEOUT).await;
         SessionEnd::Closed
     }
