--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -1,5 +1,6 @@
 //! Escrow of shared resources: base shares, loans given and loans taken.
 
+mod adopt;
 pub(crate) mod demand;
 pub(crate) mod escrow;
 mod holding;
@@ -10,17 +11,22 @@
 use std::time::{Duration, Instant};
 
 use tanagerdeal_wire::peer::{BorrowRequest, ShareLoan, ShareResource};
-use tanagerdeal_wire::{CustomerName, EndpointName, value_type};
+use tanagerdeal_wire::{CustomerName, EndpointName, HostName, value_type};
 
-use crate::limit::{CustomerRate, RATE_UNITS};
+use crate::limit::RATE_UNITS;
 use crate::profile::HostTiming;
 use crate::session::placement::stable_hash;
 use demand::BorrowPace;
+use escrow::{LoanParty, LoanTerm};
+pub(crate) use holding::LoanKind;
 use holding::{ConnectionHolding, RateHolding};
 
 /// Part of a loan's time that the borrower does not use, because clocks run at different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time of a loan for one request: it covers the way of the loan and the margin for clocks.
+const BRIEF_LOAN: Duration = Duration::from_millis(500);
+
 /// Interval at which holdings are compared with demand. It is far below the time before the end of a
 /// loan at which its connections get no new work.
 const ADOPT_INTERVAL: Duration = Duration::from_millis(100);
@@ -46,6 +52,15 @@
     }
 }
 
+value_type! {
+    /// Units that this host lacks.
+    pub(crate) struct ShareNeed {
+        pub(crate) resource: ShareResource,
+        pub(crate) units: u64,
+        pub(crate) kind: LoanKind,
+    }
+}
+
 /// Holdings per resource.
 pub struct ShareTable {
     base: Option<BaseShare>,
@@ -182,56 +197,105 @@
     }
 
     /// Stops or resumes lending, while a share view changes.
+    ///
+    /// ```
+    /// tanagerdeal_core::share::ShareTable::default().set_lending(false);
+    /// ```
     pub fn set_lending(&mut self, is_lending: bool) {
         self.is_lending = is_lending;
     }
 
-    /// Grants a loan to another host; the loan has no units when nothing can be lent.
+    /// Grants a loan to another host; the loan has no units when nothing can be lent. It replaces
+    /// earlier loans to the same host that are neither larger nor longer, and does not add to them.
     ///
     /// The units are deducted at once and come back after the loan's time, whether or not the
     /// borrower learns of the loan.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use tanagerdeal_core::share::ShareTable;
+    /// use tanagerdeal_wire::peer::{BorrowRequest, ShareResource};
+    /// use tanagerdeal_wire::{EndpointName, HostName};
+    ///
+    /// let request = BorrowRequest {
+    ///     resource: ShareResource::EndpointConnections(EndpointName::new("e1").unwrap()),
+    ///     units: 1,
+    ///     valid_ms: 10_000,
+    ///     borrower: HostName::new("h2").unwrap(),
+    ///     incarnation: 1,
+    /// };
+    /// assert_eq!(ShareTable::default().lend(Instant::now(), &request).units, 0);
+    /// ```
     pub fn lend(&mut self, now: Instant, request: &BorrowRequest) -> ShareLoan {
-        let until = now + self.loan_valid;
+        let wanted_for = Duration::from_millis(request.valid_ms);
+        let until = now + self.loan_valid.min(wanted_for);
         let is_lending = self.is_lending && !self.is_handed_over;
         self.is_changed = true;
         let resource = request.resource.clone();
+        let (host, incarnation) = (request.borrower.clone(), request.incarnation);
+        let party = LoanParty { host, incarnation };
+        let wanted = LoanTerm { party, units: request.units, until };
         let (units, millitokens) = match &resource {
             _ if !is_lending => (0, 0),
             ShareResource::CustomerRate(customer) => {
                 let base = self.rate_base(now);
                 let holding = self.rates.get_mut(customer);
-                holding.map_or((0, 0), |holding| holding.lend(now, base, request.units, until))
+                holding.map_or((0, 0), |holding| holding.lend(now, base, wanted))
             }
             ShareResource::EndpointConnections(endpoint) => {
                 let base = self.connection_base(now, endpoint);
                 let holding = self.connections.get_mut(endpoint);
-                (holding.map_or(0, |holding| holding.lend(now, base, request.units, until)), 0)
+                (holding.map_or(0, |holding| holding.lend(now, base, wanted)), 0)
             }
         };
-        ShareLoan { resource, units, millitokens }
+        ShareLoan { resource, units, millitokens, valid_ms: millis_between(now, until) }
     }
 
     /// Takes a loan into use until `valid_until`, counted from when the request was sent; an empty
     /// loan tells that the peer has nothing to lend.
     ///
     /// The last part of the time is not used, because clocks run at different rates.
-    pub fn accept(&mut self, now: Instant, loan: &ShareLoan, valid_until: Instant) {
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use tanagerdeal_core::share::ShareTable;
+    /// use tanagerdeal_wire::peer::{ShareLoan, ShareResource};
+    /// use tanagerdeal_wire::{CustomerName, HostName};
+    ///
+    /// let now = Instant::now();
+    /// let resource = ShareResource::CustomerRate(CustomerName::new("quarry").unwrap());
+    /// let loan = ShareLoan { resource, units: 10, millitokens: 0, valid_ms: 10_000 };
+    /// let mut shares = ShareTable::default();
+    /// shares.accept(now, &HostName::new("h1").unwrap(), &loan, now + Duration::from_secs(10));
+    /// // A customer without a record has no use for a loan.
+    /// assert_eq!(shares.held(now, &loan.resource), 0);
+    /// ```
+    pub fn accept(
+        &mut self,
+        now: Instant,
+        lender: &HostName,
+        loan: &ShareLoan,
+        valid_until: Instant,
+    ) {
         self.paces.entry(loan.resource.clone()).or_default().answer(now, loan.units);
         self.is_changed = true;
         let until = valid_until.checked_sub(CLOCK_MARGIN).unwrap_or(now);
         if loan.units == 0 || until <= now {
             return;
         }
+        let term = LoanTerm { party: lender_party(lender), units: loan.units, until };
         match &loan.resource {
             ShareResource::CustomerRate(customer) => {
                 let base = self.rate_base(now);
                 if let Some(holding) = self.rates.get_mut(customer) {
-                    holding.accept(now, base, (loan.units, loan.millitokens), until);
+                    holding.accept(now, base, (term, loan.millitokens));
                 }
             }
             ShareResource::EndpointConnections(endpoint) => {
                 if let Some(holding) = self.connections.get_mut(endpoint) {
-                    holding.ledger.take(loan.units, until);
+                    holding.ledger.take(term);
                 }
             }
         }
@@ -239,20 +303,27 @@
 
     /// Everything that can be handed over when the host leaves: the whole base share less loans
     /// given. The host has no base share from then on. Loans taken stay until they end.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// assert!(tanagerdeal_core::share::ShareTable::default().hand_over(Instant::now()).is_empty());
+    /// ```
     pub fn hand_over(&mut self, now: Instant) -> Vec<ShareLoan> {
         self.settle_all(now);
         let mut loans = Vec::new();
+        let valid_ms = millis_between(now, now + self.loan_valid);
         let base = self.rate_base(now);
         for (customer, holding) in &mut self.rates {
             let (units, millitokens) = holding.hand_over(now, base);
             let resource = ShareResource::CustomerRate(customer.clone());
-            loans.push(ShareLoan { resource, units, millitokens });
+            loans.push(ShareLoan { resource, units, millitokens, valid_ms });
         }
         for (endpoint, holding) in &self.connections {
             let base = self.connection_base(now, endpoint);
             let units = base.saturating_sub(holding.ledger.given(now));
             let resource = ShareResource::EndpointConnections(endpoint.clone());
-            loans.push(ShareLoan { resource, units, millitokens: 0 });
+            loans.push(ShareLoan { resource, units, millitokens: 0, valid_ms });
         }
         self.is_handed_over = true;
         self.is_changed = true;
@@ -262,6 +333,17 @@
     }
 
     /// Units held of a resource: base share less loans given plus loans taken.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// use tanagerdeal_core::share::ShareTable;
+    /// use tanagerdeal_wire::EndpointName;
+    /// use tanagerdeal_wire::peer::ShareResource;
+    ///
+    /// let resource = ShareResource::EndpointConnections(EndpointName::new("e1").unwrap());
+    /// assert_eq!(ShareTable::default().held(Instant::now(), &resource), 0);
+    /// ```
     pub fn held(&self, now: Instant, resource: &ShareResource) -> u64 {
         match resource {
             ShareResource::CustomerRate(customer) => {
@@ -277,144 +359,6 @@
         }
     }
 
-    /// Sets how long loans are valid.
-    pub(crate) fn set_loan_valid(&mut self, loan_valid: Duration) {
-        self.loan_valid = loan_valid;
-    }
-
-    /// Takes over a customer's rate and burst. A lower rate is in effect at once; a customer seen
-    /// for the first time has no tokens.
-    pub(crate) fn set_rate(&mut self, now: Instant, customer: &CustomerName, rate: CustomerRate) {
-        let base = self.rate_base(now);
-        match self.rates.get_mut(customer) {
-            Some(holding) => holding.change_rate(now, base, rate),
-            None => {
-                self.rates.insert(customer.clone(), RateHolding::new(now, rate));
-            }
-        }
-    }
-
-    /// Forgets customers that no longer exist, other than those with loans.
-    pub(crate) fn retain_customers(
-        &mut self,
-        now: Instant,
-        is_known: impl Fn(&CustomerName) -> bool,
-    ) {
-        self.settle_all(now);
-        self.rates.retain(|customer, holding| is_known(customer) || !holding.ledger.is_empty());
-    }
-
-    /// Takes the token of one request; fails with the time at which the one after `ahead` others
-    /// has come, or nothing when the share is too small for any.
-    pub(crate) fn take_token(
-        &mut self,
-        now: Instant,
-        customer: &CustomerName,
-        ahead: u64,
-    ) -> Result<(), Option<Instant>> {
-        let base = self.rate_base(now);
-        match self.rates.get_mut(customer) {
-            Some(holding) => holding.take_token(now, base, ahead),
-            None => Err(None),
-        }
-    }
-
-    /// Counts a request of a customer as demand.
-    pub(crate) fn note_demand(&mut self, now: Instant, customer: &CustomerName) {
-        if let Some(holding) = self.rates.get_mut(customer) {
-            holding.demand.note(now);
-        }
-    }
-
-    /// Whether holdings are to be adopted now: when they have changed, and at intervals.
-    pub(crate) fn take_due(&mut self, now: Instant) -> bool {
-        let is_due = self.adopted_at.is_none_or(|at| now >= at + ADOPT_INTERVAL);
-        if is_due {
-            self.adopted_at = Some(now);
-        }
-        is_due | std::mem::take(&mut self.is_changed)
-    }
-
-    /// Notes how many connections all hosts may open to an endpoint, and how many are in use and
-    /// wanted here.
-    pub(crate) fn note_connections(
-        &mut self,
-        now: Instant,
-        endpoint: &EndpointName,
-        total: u32,
-        (in_use, wanted): (u64, u64),
-    ) {
-        let holding = self.connections.entry(endpoint.clone()).or_default();
-        holding.total = total;
-        holding.in_use = in_use;
-        holding.ledger.prune(now);
-        holding.peak.note(now, wanted);
-    }
-
-    /// Forgets endpoints that no longer exist.
-    pub(crate) fn retain_endpoints(&mut self, is_known: impl Fn(&EndpointName) -> bool) {
-        self.connections.retain(|endpoint, _| is_known(endpoint));
-    }
-
-    /// When the next loan taken of an endpoint's connections, or the base share, ends.
-    pub(crate) fn next_connection_end(
-        &self,
-        now: Instant,
-        endpoint: &EndpointName,
-    ) -> Option<Instant> {
-        let loan = self.connections.get(endpoint).and_then(|holding| holding.ledger.next_end(now));
-        let base = self.base.map(|base| base.valid_until).filter(|until| *until > now);
-        loan.into_iter().chain(base).min()
-    }
-
-    /// Units to be borrowed of each resource whose use comes near to what is held, judged ahead of
-    /// the end of loans.
-    pub(crate) fn shortages(&mut self, now: Instant, ahead: Duration) -> Vec<(ShareResource, u64)> {
-        let then = now + ahead;
-        let base = self.rate_base(now);
-        let rates = self.rates.iter_mut().map(|(customer, holding)| {
-            let missing = holding.shortage(now, then, base);
-            (ShareResource::CustomerRate(customer.clone()), missing)
-        });
-        let mut shortages: Vec<_> = rates.filter(|(_, missing)| *missing > 0).collect();
-        for (endpoint, holding) in &self.connections {
-            let base = self.connection_base(now, endpoint);
-            let missing = holding.peak.peak().saturating_sub(holding.ledger.held(then, base));
-            if missing > 0 {
-                let resource = ShareResource::EndpointConnections(endpoint.clone());
-                shortages.push((resource, missing));
-            }
-        }
-        shortages
-    }
-
-    /// Units of one resource to be borrowed because a request waits for it.
-    pub(crate) fn shortage(
-        &mut self,
-        now: Instant,
-        ahead: Duration,
-        resource: &ShareResource,
-    ) -> Option<u64> {
-        let base = self.rate_base(now);
-        match resource {
-            ShareResource::CustomerRate(customer) => {
-                let holding = self.rates.get_mut(customer)?;
-                Some(holding.shortage(now, now + ahead, base)).filter(|missing| *missing > 0)
-            }
-            ShareResource::EndpointConnections(_) => None,
-        }
-    }
-
-    /// Requests for loans of a resource.
-    pub(crate) fn pace(&mut self, resource: &ShareResource) -> &mut BorrowPace {
-        self.paces.entry(resource.clone()).or_default()
-    }
-
-    /// Forgets requests for loans without an answer.
-    pub(crate) fn prune_paces(&mut self, now: Instant) {
-        self.paces.values_mut().for_each(|pace| pace.prune(now));
-    }
-
     /// The base share, unless it has ended or was handed over.
     fn valid_base(&self, now: Instant) -> Option<BaseShare> {
         self.base.filter(|base| base.valid_until > now && !self.is_handed_over)
@@ -441,3 +385,11 @@
         self.rates.values_mut().for_each(|holding| holding.clamp(now, base));
     }
 }
+
+fn lender_party(lender: &HostName) -> LoanParty {
+    LoanParty { host: lender.clone(), incarnation: 0 }
+}
+
+fn millis_between(now: Instant, until: Instant) -> u64 {
+    u64::try_from(until.saturating_duration_since(now).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/testbed/src/load/caller.rs
+++ b/crates/testbed/src/load/caller.rs
@@ -161,8 +161,10 @@
 
     /// Opens a connection, on another host when the chosen one refuses.
     async fn ensure_connection(&mut self) -> Result<(), CallFailure> {
-        if self.connection.is_some() {
-            return Ok(());
+        match &self.connection {
+            Some(connection) if connection.is_closed() => self.disconnect().await,
+            Some(_) => return Ok(()),
+            None => {}
         }
         let mut last = CallFailure::new(OutcomeVerdict::NotRun, "no host");
         for _ in 0..self.plan.hosts.len() {
@@ -292,27 +294,48 @@
             connection.simple(&text).await
         }
         ArrivalKind::IdempotentWrite => {
-            let id = request_id.unwrap_or_default();
-            connection.simple(&format!("SET tanagerdeal.request_id = '{id}'")).await?;
-            let result = connection.simple(&update(item)).await;
-            if result.is_err() {
-                // The id must not stay set for the next write; a lost connection has lost it.
-                let _ = connection.simple("SET tanagerdeal.request_id = ''").await;
-            }
-            result
+            run_with_id(connection, request_id.unwrap_or_default(), &update(item)).await
         }
         ArrivalKind::Transaction => {
-            connection.simple("BEGIN").await?;
-            for item in items {
-                if let Err(failure) = connection.simple(&update(item)).await {
-                    // The block has failed or the connection is lost; the first failure counts.
-                    let _ = connection.simple("ROLLBACK").await;
-                    return Err(failure);
-                }
+            let updates = items.iter().map(|item| update(item));
+            let texts = ["BEGIN".to_owned()].into_iter().chain(updates);
+            run_block(connection, texts.chain(["COMMIT".to_owned()])).await
+        }
+    }
+}
+
+/// Runs a write under a request id.
+async fn run_with_id(
+    connection: &CallerConnection,
+    request_id: &str,
+    text: &str,
+) -> Result<TextRows, CallFailure> {
+    connection.simple(&format!("SET tanagerdeal.request_id = '{request_id}'")).await?;
+    let result = connection.simple(text).await;
+    if result.is_err() {
+        // The id must not stay set for the next write; a lost connection has lost it.
+        let _ = connection.simple("SET tanagerdeal.request_id = ''").await;
+    }
+    result
+}
+
+/// Runs the statements of a transaction block; after a failure the block is rolled back. A refused
+/// BEGIN opens no block, so clients send no ROLLBACK after it.
+async fn run_block(
+    connection: &CallerConnection,
+    texts: impl Iterator<Item = String>,
+) -> Result<TextRows, CallFailure> {
+    for (index, text) in texts.enumerate() {
+        if let Err(mut failure) = connection.simple(&text).await {
+            if index > 0 {
+                // The connection may be lost; the first failure counts.
+                let _ = connection.simple("ROLLBACK").await;
             }
-            connection.simple("COMMIT").await
+            failure.message += &format!(" (statement {} of a transaction)", index + 1);
+            return Err(failure);
         }
     }
+    Ok(Vec::new())
 }
 
 impl ArrivalKind {
