--- a/crates/core/src/membership/rank.rs
+++ b/crates/core/src/membership/rank.rs
@@ -1,5 +1,6 @@
 //! Rendezvous ranks, relays and the tree along which catalogs are pulled.
 
+use std::cmp::Reverse;
 use std::time::Instant;
 
 use tanagerdeal_wire::{DomainName, HostName, value_type};
@@ -12,6 +13,9 @@
 /// Children of a host in the tree below the relays.
 const FAN_OUT: usize = 8;
 
+/// Silent hosts of a failure domain that are asked while none of it is heard.
+const SILENT_ASKED: usize = 8;
+
 value_type! {
     /// Whom this host pulls from.
     #[derive(Default)]
@@ -51,7 +55,7 @@
 impl HostTable {
     /// Live hosts of a failure domain in the order of their ranks; `own` is the name and the failure
     /// domain of this host, which counts as live.
-    pub fn ranked(
+    pub(crate) fn ranked(
         &self,
         now: Instant,
         domain: &DomainName,
@@ -67,21 +71,37 @@
     }
 
     /// Whom this host pulls from now.
-    pub fn plan(&self, now: Instant, own: (&HostName, &DomainName)) -> PullPlan {
+    pub(crate) fn plan(&self, now: Instant, own: (&HostName, &DomainName)) -> PullPlan {
         let ranked = self.ranked(now, own.1, own);
         let rank = ranked.iter().position(|name| name == own.0).unwrap_or(0);
         let is_relay = rank < RELAYS;
-        let parents = parents(&ranked, rank);
+        let parents = match ranked.len() {
+            0 | 1 => self.silent(own.1, own.0),
+            _ => parents(&ranked, rank),
+        };
         let foreign = if is_relay { self.foreign(now, own) } else { Vec::new() };
         PullPlan { is_relay, rank, parents, foreign }
     }
 
+    /// Hosts of a failure domain of which none is heard, those listed last first. After a partition
+    /// both sides count the other as silent, so one must ask to be heard again.
+    fn silent(&self, domain: &DomainName, own: &HostName) -> Vec<HostName> {
+        let hosts = self
+            .hosts()
+            .filter(|(name, host)| host.domain == *domain && !host.leaving && *name != own);
+        let mut hosts: Vec<_> = hosts.collect();
+        hosts.sort_by_key(|(name, host)| {
+            (Reverse(host.listed_at), host_rank(domain.as_str(), name.as_str()))
+        });
+        hosts.into_iter().take(SILENT_ASKED).map(|(name, _)| name.clone()).collect()
+    }
+
     fn foreign(&self, now: Instant, own: (&HostName, &DomainName)) -> Vec<Vec<HostName>> {
         let domains = self.domains().into_iter().filter(|domain| *domain != own.1);
         let relays = domains.map(|domain| {
             let mut ranked = self.ranked(now, domain, own);
             ranked.truncate(RELAYS);
-            ranked
+            if ranked.is_empty() { self.silent(domain, own.0) } else { ranked }
         });
         relays.filter(|relays| !relays.is_empty()).collect()
     }
