Read replies while a long batch is written

A batch whose replies fill the sockets before all of it was written blocked until its deadline: the endpoint waited for the proxy to read, the proxy for the endpoint.

--- a/crates/proxy/src/codec.rs
+++ b/crates/proxy/src/codec.rs
@@ -1,6 +1,9 @@
 //! Frames of the PostgreSQL protocol over a byte stream, decoded by the codecs of pgwire.
 
+use std::future::poll_fn;
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Buf as _, BytesMut};
@@ -10,6 +13,7 @@
 };
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
 use tokio::time::timeout;
+use tokio_util::io::{poll_read_buf, poll_write_buf};
 
 /// Bytes of a frame before its body: the type and the length.
 const HEADER_BYTES: usize = 5;
@@ -228,6 +232,36 @@
         Ok(())
     }
 
+    /// Writes the output, and keeps what arrives in the meantime for later reads. An endpoint that
+    /// replies to a long batch before it has read all of it would otherwise wait for the proxy, and
+    /// the proxy for the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream ends or fails.
+    pub(crate) async fn flush_while_receiving(&mut self) -> Result<(), CodecError> {
+        while !self.output.is_empty() {
+            poll_fn(|context| self.poll_transfer(context)).await?;
+        }
+        Ok(self.io.flush().await?)
+    }
+
+    /// Writes some output or, while that is not possible, reads some input.
+    fn poll_transfer(&mut self, context: &mut Context<'_>) -> Poll<Result<(), CodecError>> {
+        let io = Pin::new(&mut self.io);
+        if let Poll::Ready(written) = poll_write_buf(io, context, &mut self.output) {
+            return Poll::Ready(written.map(drop).map_err(CodecError::Io));
+        }
+        if self.input.len() >= self.limit {
+            return Poll::Pending;
+        }
+        self.input.reserve(READ_BYTES);
+        match ready!(poll_read_buf(Pin::new(&mut self.io), context, &mut self.input))? {
+            0 => Poll::Ready(Err(CodecError::Closed)),
+            _ => Poll::Ready(Ok(())),
+        }
+    }
+
     /// Writes the output and ends the stream in this direction, then reads what the other side still
     /// sends for up to `wait`. Closing with unread bytes would make the other side's system drop
     /// output that has not been read yet.
--- a/crates/proxy/src/endpoint/connection.rs
+++ b/crates/proxy/src/endpoint/connection.rs
@@ -130,7 +130,7 @@
     ///
     /// Fails when the connection fails.
     pub(crate) async fn flush(&mut self) -> Result<(), ConnectionError> {
-        Ok(self.stream.flush().await?)
+        Ok(self.stream.flush_while_receiving().await?)
     }
 
     /// Reads the next message. A future that is dropped early loses no bytes.
--- a/crates/proxy/tests/proxy/batches.rs
+++ b/crates/proxy/tests/proxy/batches.rs
@@ -215,3 +215,20 @@
     assert_eq!(client.until_ready().await, ["complete ROLLBACK", "ready idle"]);
     assert_that!(fleet.commits_of("'r1'"), eq(0));
 }
+
+/// Guards against a long batch on which proxy and endpoint wait for each other, each with output that
+/// the other does not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_batch_with_long_replies_is_answered() {
+    let fleet = support::start().await;
+    let mut client = RawClient::connect(&fleet).await;
+    for number in 0..40 {
+        let padding = "x".repeat(300_000);
+        let sql = format!("SELECT '{padding}', {number} FROM numbers WHERE n <= 20000");
+        client.push(&parse("", &sql)).push(&bind("")).push(&execute());
+    }
+    client.push(&Sync::new()).flush().await;
+    let replies = client.until_ready().await;
+    let complete = replies.iter().filter(|reply| *reply == "complete SELECT 20000").count();
+    assert_eq!((complete, replies.len()), (40, 40 * 20_003 + 1));
+}
--- a/crates/proxy/tests/proxy/support/endpoint.rs
+++ b/crates/proxy/tests/proxy/support/endpoint.rs
@@ -258,6 +258,8 @@
                     Ok(count) if count > 0 => self.fetch(&portal, &sql, &parameters, count),
                     _ => self.is_skipping = !self.execute(&sql, &parameters, false).await?,
                 }
+                // Real servers write as soon as some replies are there.
+                self.stream.flush().await?;
             }
             PgWireFrontendMessage::Close(_) => self.stream.push(&CloseComplete::new()),
             _ => return Err(Ended),
