--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -4,6 +4,7 @@
 mod cancel;
 mod class;
 mod conclude;
+mod deliver;
 mod exchange;
 mod listener;
 mod local;
--- a/crates/proxy/src/caller/exchange.rs
+++ b/crates/proxy/src/caller/exchange.rs
@@ -6,7 +6,6 @@
 use pgwire::messages::PgWireBackendMessage;
 use pgwire::messages::response::{ErrorResponse, TransactionStatus};
 use tanagerdeal_core::message::DispatchKey;
-use tanagerdeal_core::message::caller::{CallerAnswer, CallerCall};
 use tanagerdeal_core::verdict::RequestRefusal;
 use tanagerdeal_wire::member::{LogPosition, POSITION_PARAMETER};
 use tokio::time::{sleep_until, timeout_at};
@@ -82,18 +81,18 @@
 
 /// Passes the reply of an endpoint to a client.
 pub(super) struct Exchange<'a> {
-    client: &'a mut FrameStream<CallerStream>,
+    pub(super) client: &'a mut FrameStream<CallerStream>,
     lease: &'a mut ConnectionLease,
-    driver: &'a DriverHandle,
-    rules: ExchangeRules,
+    pub(super) driver: &'a DriverHandle,
+    pub(super) rules: ExchangeRules,
     /// Replies due in a batch; nothing for a simple query.
     expected: Option<VecDeque<ExpectedReply>>,
-    reply: ExchangeReply,
-    held_bytes: usize,
-    is_verified: bool,
+    pub(super) reply: ExchangeReply,
+    pub(super) held_bytes: usize,
+    pub(super) is_verified: bool,
     /// Whether a position was reported since the end of the last result.
     is_position_new: bool,
-    is_holding: bool,
+    pub(super) is_holding: bool,
     has_ended: bool,
     /// Whether a part of the reply has been handed to the client's stream.
     pub(super) has_delivered: bool,
@@ -332,88 +331,9 @@
         }
         Ok(())
     }
-
-    /// Checks the reported position before anything of the result leaves. A result without a position
-    /// is checked as if it were older than everything.
-    async fn verify(&mut self) -> Result<(), ExchangeFault> {
-        let Some(required) = self.rules.required.filter(|_| !self.is_verified) else {
-            return Ok(());
-        };
-        if self.reply.rejected.is_some() {
-            return Ok(());
-        }
-        if self.reply.position.is_none() && self.rules.continues_portal {
-            self.is_verified = true;
-            return self.release().await;
-        }
-        let position = self.reply.position.unwrap_or_default();
-        let is_covered = position.term == required.term && position.offset >= required.offset;
-        if !is_covered {
-            let call = CallerCall::CheckRead { dispatch: self.rules.dispatch, position };
-            match self.driver.call(call).await {
-                CallerAnswer::ReadAccepted => {}
-                CallerAnswer::Refused(refusal) => return self.reject(refusal),
-                _ => return Err(unexpected("a result that could not be checked")),
-            }
-        }
-        self.reply.seen = self.reply.seen.max(Some(position));
-        self.is_verified = true;
-        self.release().await
-    }
-
-    /// Drops the result. If an earlier one has reached the client, the connection is given up.
-    fn reject(&mut self, refusal: RequestRefusal) -> Result<(), ExchangeFault> {
-        if self.has_delivered {
-            return Err(unexpected("a result that is older than the session requires"));
-        }
-        self.reply.held.clear();
-        self.reply.rejected = Some(refusal);
-        Ok(())
-    }
-
-    /// Passes on what was held for the check of a position.
-    async fn release(&mut self) -> Result<(), ExchangeFault> {
-        for frame in std::mem::take(&mut self.reply.held) {
-            self.deliver(&frame).await?;
-        }
-        self.held_bytes = 0;
-        Ok(())
-    }
-
-    /// Passes a message on, or holds it back.
-    async fn pass(&mut self, frame: Frame) -> Result<(), ExchangeFault> {
-        if self.reply.rejected.is_some() {
-            return Ok(());
-        }
-        if self.is_verified && !self.is_holding {
-            return self.deliver(&frame).await;
-        }
-        self.held_bytes += frame.size();
-        self.reply.held.push(frame);
-        // More rows than the buffer takes cannot be held. They belong to a batch of several
-        // statements, of which ReadyForQuery, not CommandComplete, tells that it was committed.
-        let is_row = self.reply.held.last().is_some_and(|frame| frame.tag() == b'D');
-        match is_row && self.is_holding && self.held_bytes > self.rules.buffer_bytes {
-            true => self.release().await,
-            false => Ok(()),
-        }
-    }
-
-    async fn deliver(&mut self, frame: &Frame) -> Result<(), ExchangeFault> {
-        self.has_delivered = true;
-        self.client.push_frame(frame);
-        if self.client.unsent() < self.rules.buffer_bytes {
-            return Ok(());
-        }
-        match timeout_at(self.rules.deadline.into(), self.client.flush()).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(ExchangeFault::ClientGone),
-            Err(_) => Err(ExchangeFault::Deadline),
-        }
-    }
 }
 
-fn unexpected(what: &'static str) -> ExchangeFault {
+pub(super) fn unexpected(what: &'static str) -> ExchangeFault {
     ConnectionError::Unexpected(what).into()
 }
 
