--- a/crates/proxy/src/caller/request.rs
+++ b/crates/proxy/src/caller/request.rs
@@ -44,6 +44,8 @@
     pub(super) is_block: bool,
     /// Whether it ends with Sync, as simple queries do in effect.
     pub(super) ends_with_sync: bool,
+    /// Whether its connection must not serve another session.
+    pub(super) leaves_state: bool,
     /// Session settings that it makes.
     pub(super) settings: Vec<SessionSetting>,
 }
@@ -159,6 +161,7 @@
             deadline: plan.deadline,
             dispatch: plan.dispatch,
             required: Some(plan.required).filter(|_| request.reads && !request.writes),
+            is_single: !request.is_block,
             continues_portal: self.transaction.as_ref().is_some_and(|open| open.has_portal),
             holds_completion: commits
                 || mode.is_recorded()
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -269,6 +269,20 @@
     assert_eq!(rows(client.simple_query(sql).await.unwrap())[0].get(0), Some(sql));
 }
 
+/// Guards against a second result that is taken for a part of the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_result_that_was_not_asked_for_is_an_error() {
+    let fleet = support::start().await;
+    let client = fleet.connect().await;
+    for endpoint in &fleet.endpoints {
+        endpoint.fail_next("'doubled'", Fault::Twice);
+    }
+    let result = client.simple_query("SELECT 'doubled'").await;
+    let error = result.map(|messages| messages.len()).unwrap_err();
+    assert_that!(message_of(&error), starts_with("may have run: "));
+    assert_eq!(rows(client.simple_query("SELECT 3").await.unwrap()).len(), 1);
+}
+
 /// Guards against a request that is held past its deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_passed_deadline_is_an_error() {
@@ -308,6 +322,36 @@
     }
 }
 
+/// Guards against a connection that serves another session although it holds settings, or has lost
+/// prepared statements, without the proxy's knowledge.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_in_an_unknown_state_are_closed() {
+    let fleet = support::start().await;
+    let client = fleet.connect().await;
+    for endpoint in &fleet.endpoints {
+        endpoint.fail_next("'stale'", Fault::Stale);
+    }
+    let texts =
+        ["DISCARD ALL", "SELECT set_config('a', 'b', false)", "DO $$ x $$", "SELECT 'stale'"];
+    for sql in texts {
+        let _ = client.simple_query(sql).await;
+    }
+    for number in 0..20 {
+        client.simple_query(&format!("SELECT 'later', {number}")).await.unwrap();
+        client.batch_execute(&format!("UPDATE t SET later = {number}")).await.unwrap();
+    }
+    for endpoint in &fleet.endpoints {
+        let executed = endpoint.executed();
+        for (index, (pid, sql)) in executed.iter().enumerate() {
+            let is_last = !executed[index + 1..].iter().any(|(later, _)| later == pid);
+            assert!(!texts.contains(&sql.as_str()) || is_last, "reused after {sql}");
+        }
+    }
+    for sql in texts {
+        assert!(fleet.executed().iter().any(|executed| executed == sql), "{sql} was not executed");
+    }
+}
+
 /// Guards against the loss of prepared statements between connections, and against their mixing.
 #[tokio::test(flavor = "multi_thread")]
 async fn prepared_statements_work_on_every_connection() {
--- a/crates/proxy/tests/proxy/support/endpoint.rs
+++ b/crates/proxy/tests/proxy/support/endpoint.rs
@@ -258,6 +258,8 @@
                     Ok(count) if count > 0 => self.fetch(&portal, &sql, &parameters, count),
                     _ => self.is_skipping = !self.execute(&sql, &parameters, false).await?,
                 }
+                // Real servers write as soon as some replies are there.
+                self.stream.flush().await?;
             }
             PgWireFrontendMessage::Close(_) => self.stream.push(&CloseComplete::new()),
             _ => return Err(Ended),
@@ -334,6 +336,10 @@
                 self.error("57014", "canceling statement due to user request");
                 return Ok(false);
             }
+            Some(Fault::Stale) => {
+                self.error("0A000", "cached plan must not change result type");
+                return Ok(false);
+            }
             Some(Fault::Crossed) => self.stream.push(&BindComplete::new()),
             _ => {}
         }
@@ -419,6 +425,10 @@
             }
         }
         self.complete(&format!("SELECT {}", values.len()));
+        if matches!(fault, Some(Fault::Twice)) {
+            self.stream.push(&row("row of another statement"));
+            self.complete("SELECT 1");
+        }
         if matches!(fault, Some(Fault::Extra)) {
             self.stream.push(&ReadyForQuery::new(self.status));
             self.stream.push(&columns());
--- a/crates/proxy/tests/proxy/support/script.rs
+++ b/crates/proxy/tests/proxy/support/script.rs
@@ -22,6 +22,10 @@
     NoPosition,
     /// Sends the reply of another statement after the end of its own.
     Extra,
+    /// Reports that the result of a prepared statement has changed its columns.
+    Stale,
+    /// Sends a second result within its reply.
+    Twice,
     /// Sends a reply to a message that was not sent.
     Crossed,
     /// Runs until it is cancelled.
@@ -82,6 +86,11 @@
         self.state().faults.push((text.to_owned(), fault));
     }
 
+    /// Takes back faults that have not been met.
+    pub fn clear_faults(&self) {
+        self.state().faults.clear();
+    }
+
     /// How many log entries the member is behind.
     pub fn set_lag(&self, lag: u64) {
         self.state().lag = lag;
