Wait 100 ms for tokens again

Reverted; whether a request may wait longer for a token of its own share is a decision for the core.

--- a/crates/core/src/host/traffic/admit.rs
+++ b/crates/core/src/host/traffic/admit.rs
@@ -16,17 +16,11 @@
 use crate::statement::StatementClass;
 use crate::verdict::{RefusalCode, RequestRefusal};
 
-/// Longest time for which a request outside a transaction waits for a token that its share is about
-/// to collect. It evens out bursts that the whole rate would have admitted.
-const TOKEN_PATIENCE: Duration = Duration::from_millis(500);
+/// Longest time for which a request outside a transaction waits for a token. It covers a request
+/// for a loan and evens out bursts that the whole rate would have admitted.
+const TOKEN_PATIENCE: Duration = Duration::from_millis(100);
 
-/// Part of the time to the deadline, as a divisor, that may be spent on waiting for a token.
-const PATIENCE_DIVISOR: u32 = 4;
-
-/// Longest time for which such a request waits for a loan, which may not come.
-const LOAN_PATIENCE: Duration = Duration::from_millis(100);
-
-/// Parts of a second that [`LOAN_PATIENCE`] is.
+/// Parts of a second that [`TOKEN_PATIENCE`] is.
 const PATIENCES_PER_S: usize = 10;
 
 /// Requests that may wait for a loan, in addition to what the rate yields meanwhile.
@@ -103,17 +97,15 @@
         Err(ready_at) => ready_at,
     };
     let Some(request) = waiting(state, session) else { return TokenOutcome::Refused(None) };
-    let (arrived, deadline) = (request.arrived, request.attempt.deadline - LEAST_REMAINING);
-    let most = deadline.saturating_duration_since(arrived) / PATIENCE_DIVISOR;
-    let limits = [TOKEN_PATIENCE, LOAN_PATIENCE].map(|patience| arrived + patience.min(most));
-    let [until, loan_until] = if request.in_transaction { [deadline; 2] } else { limits };
+    let patience = request.arrived + TOKEN_PATIENCE;
+    let deadline = request.attempt.deadline - LEAST_REMAINING;
+    let until = if request.in_transaction { deadline } else { patience.min(deadline) };
     if ready_at.is_some_and(|at| at <= until) {
         return TokenOutcome::Waits;
     }
     // Loans bring no more than the whole rate yields in this time.
     let most = rate.rate_per_s as usize / PATIENCES_PER_S + LEAST_LINE;
-    let may_come =
-        now < loan_until && ahead < most && loans::ask_now(state, now, customer, outputs);
+    let may_come = now < until && ahead < most && loans::ask_now(state, now, customer, outputs);
     if may_come { TokenOutcome::Waits } else { TokenOutcome::Refused(ready_at) }
 }
 
