Close connections to lost endpoints; end transactions without a token

Cause: requests on a frozen primary waited for their deadlines although it had been replaced, and COMMIT could be held up for lack of a token while its transaction kept locks.

The new test fails without the check for lost endpoints (no limit of 0 was sent) and passes with it; 40 tests of traffic pass.

--- a/crates/core/src/host/traffic/admit.rs
+++ b/crates/core/src/host/traffic/admit.rs
@@ -72,11 +72,12 @@
 }
 
 /// The customer of a session, and whether its next request takes a token. Open routes have no
-/// customer, and a rollback only frees what the transaction holds.
+/// customer, and the end of a transaction only frees what the transaction holds.
 fn customer_of(state: &HostState, session: SessionKey) -> Option<(CustomerName, bool)> {
     let entry = state.sessions.entries.get(session)?;
     let request = entry.waiting.as_ref()?;
-    let is_end = request.in_transaction && request.attempt.class == StatementClass::Rollback;
+    let is_end = request.in_transaction
+        && matches!(request.attempt.class, StatementClass::Commit | StatementClass::Rollback);
     Some((entry.account.clone(), entry.credential.is_some() && !is_end))
 }
 
--- a/crates/core/src/host/traffic/connections.rs
+++ b/crates/core/src/host/traffic/connections.rs
@@ -52,13 +52,19 @@
     // The limit leaves out loans that end soon.
     let held = state.shares.held(now, &resource);
     let lasting = state.shares.held(now + LOAN_NOTICE, &resource).min(held);
-    let limit = u32::try_from(lasting).unwrap_or(u32::MAX).min(total);
+    // Requests on a lost endpoint get their verdict now and not at their deadlines.
+    let is_lost = state.endpoints.is_lost(now, endpoint);
+    let limit = match is_lost {
+        true => 0,
+        false => u32::try_from(lasting).unwrap_or(u32::MAX).min(total),
+    };
     if state.queues.connections(endpoint) == limit {
         return;
     }
     // Connections of the base share are not counted on by others before this host has reported
     // that those in use fit, so that transactions on them may finish.
     let close_by = match lasting < held {
+        _ if is_lost => now,
         true => state.shares.next_connection_end(now, name).unwrap_or(now),
         false => now + state.profile.timing.drain_limit,
     };
--- a/crates/core/src/host/traffic/tests/commits.rs
+++ b/crates/core/src/host/traffic/tests/commits.rs
@@ -6,6 +6,7 @@
 use tanagerdeal_wire::member::MemberRole;
 
 use super::desk::{Desk, at};
+use crate::message::HostOutput;
 use crate::message::caller::{CallerAnswer, CallerCall, RequestEnding};
 use crate::statement::StatementClass;
 use crate::verdict::{RefusalCode, RunVerdict};
@@ -79,3 +80,28 @@
     let Some(CallerAnswer::Refused(refusal)) = desk.answer(tag) else { panic!("no answer") };
     expect_that!(refusal.verdict, eq(RunVerdict::MayHaveRun));
 }
+
+/// Guards against requests that wait for their deadlines on a frozen primary that was replaced; until
+/// it is replaced, they may still be answered.
+#[gtest]
+fn connections_to_a_lost_primary_are_closed_after_its_replacement() {
+    let mut desk = Desk::new();
+    desk.run(500);
+    desk.members[0].is_reachable = false;
+    desk.notices.clear();
+    desk.run(2_000);
+    expect_that!(closed_limits(&desk), is_empty());
+    desk.fail_over(100);
+    expect_that!(closed_limits(&desk), elements_are![eq("e0")]);
+}
+
+/// Endpoints to which no connection may be held from now on.
+fn closed_limits(desk: &Desk) -> Vec<String> {
+    let closed = desk.notices.iter().filter_map(|notice| match notice {
+        HostOutput::LimitConnections { name, limit: 0, close_by, .. } if *close_by <= desk.now => {
+            Some(name.to_string())
+        }
+        _ => None,
+    });
+    closed.collect()
+}
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -207,6 +207,15 @@
         self.members.iter().map(|(key, member)| (key, member.slots, member.connections))
     }
 
+    /// Whether no response is to be expected from an endpoint: its probes have gone unanswered for the
+    /// suspicion time, and it is not the primary, for which nobody else could answer.
+    pub(crate) fn is_lost(&self, now: Instant, endpoint: EndpointKey) -> bool {
+        let Some(member) = self.members.get(endpoint) else { return false };
+        let group = self.groups.get(member.group);
+        let is_primary = group.is_some_and(|group| group.primary == Some(endpoint));
+        !is_primary && member.is_silent(now, self.settings.suspect_after)
+    }
+
     /// Judges the position that an endpoint reported with a response.
     ///
     /// ```
