Let a relay have several reads of the change feed in flight

Cause: a relay sent the next read only after the answer to the last one, so with a store latency L its confirmation was up to 2 L old. With L = 3 s that is above the 4 s at which keyed requests are refused.

Ruled out: a longer stale_after. A failure domain that reaches only the store has no other bound than that age, and 5 s is the limit for a revoked key.

Change: a relay sends one more read each feed_interval, at most 8, once it has read the feed completely and while its last attempt did not fail. Answers name the revision they start at, so they apply in any order; a page that is older than the catalog changes nothing. A read that started after the lease's last known revision no longer ends the reading back of a renewal. The default timeout of a platform call is 4 s instead of 3 s, the age up to which an answer is of use.

--- a/crates/core/src/host/fleet/lease.rs
+++ b/crates/core/src/host/fleet/lease.rs
@@ -92,9 +92,13 @@
 }
 
 /// Looks for the own lease among the entries read, after a read that was sent at an instant.
-pub(super) fn read_back(state: &mut HostState, now: Instant, asked_at: Instant) {
+///
+/// A read from a later revision than the last one known of the lease, sent before the renewal failed,
+/// does not tell its outcome.
+pub(super) fn read_back(state: &mut HostState, now: Instant, after: u64, asked_at: Instant) {
     let host = &state.profile.identity.host;
-    if state.lease.read_back_after.is_some_and(|after| asked_at >= after) {
+    let is_covered = after <= state.lease.revision;
+    if is_covered && state.lease.read_back_after.is_some_and(|at| asked_at >= at) {
         state.lease.read_back_after = None;
     }
     let Some(seen) = state.catalog.lease(host) else { return };
--- a/crates/core/src/host/fleet/store.rs
+++ b/crates/core/src/host/fleet/store.rs
@@ -26,6 +26,10 @@
 /// all hosts read it, a fleet of any size thereby sends at most 100 reads a second.
 const FALLBACK_PER_HOST: Duration = Duration::from_millis(10);
 
+/// Reads of the change feed that a relay has in flight at most. At the usual interval the oldest is
+/// then 4 s old, and an answer that takes longer confirms nothing that keyed requests may use.
+const MAX_FEED_READS: usize = 8;
+
 /// Time for which another parent is tried before a host reads the store itself.
 const FALLBACK_DELAY: Duration = Duration::from_millis(500);
 
@@ -37,8 +41,8 @@
     outputs: &mut Vec<HostOutput>,
 ) {
     match event {
-        StoreEvent::ChangesRead { asked_at, result } => {
-            read_answered(state, now, asked_at, result);
+        StoreEvent::ChangesRead { after, asked_at, result } => {
+            read_answered(state, now, after, asked_at, result);
             run(state, now, outputs);
         }
         StoreEvent::Transacted { purpose, asked_at, result } => {
@@ -90,17 +94,19 @@
 fn read_answered(
     state: &mut HostState,
     now: Instant,
+    after: u64,
     asked_at: Instant,
     result: Result<EntryPage, StoreFault>,
 ) {
-    let after = state.store.feed.take().map_or(0, |read| read.after);
+    state.store.end_read(after, asked_at);
     note_result(state, now, result.as_ref().err());
     let is_answered = result.is_ok();
     if let Ok(page) = result {
         apply_page(state, now, after, asked_at, page);
-        super::lease::read_back(state, now, asked_at);
+        super::lease::read_back(state, now, after, asked_at);
     }
-    state.store.feed_due = Some(next_read(state, now, asked_at, is_answered));
+    let due = next_read(state, now, asked_at, is_answered);
+    state.store.feed_due = state.store.feed_due.max(Some(due));
 }
 
 /// When the change feed may be read again.
@@ -115,7 +121,8 @@
     }
     // Behind a slow store, relays that read in step would all confirm their catalogs at once and let
     // them age together. The random pause spreads them.
-    let is_slow = now >= asked_at + shortest;
+    // A relay with several reads in flight gets a confirmation in each interval anyway.
+    let is_slow = !is_relay && now >= asked_at + shortest;
     let took = now.saturating_duration_since(asked_at);
     let spread = took.mul_f64(state.random.random_range(0.0..0.5));
     if is_slow { now + spread } else { asked_at + shortest }
@@ -143,21 +150,32 @@
 
 fn read_feed(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
     let is_due = state.store.feed_due.is_none_or(|due| now >= due);
-    if state.store.feed.is_some() || !is_due {
+    let is_relay = super::is_relay(state);
+    if !is_due || state.store.feed.len() >= most_reads(state, is_relay) {
         return;
     }
     let read_back_from = super::lease::read_back_from(state);
-    let is_relay = super::is_relay(state);
     if !is_relay && read_back_from.is_none() && !is_fallback_due(state, now) {
         return;
     }
     // A relay needs all leases, which came by no other path.
     let complete = if is_relay { state.store.feed_revision } else { state.catalog.revision() };
     let after = read_back_from.unwrap_or(u64::MAX).min(complete);
-    state.store.feed = Some(FeedRead { after, sent_at: now });
+    state.store.feed.push(FeedRead { after, sent_at: now });
+    state.store.feed_due = Some(now + state.profile.timing.feed_interval);
     call(state, StoreRequest::ReadChanges { after }, outputs);
 }
 
+/// Number of reads of the change feed that may be in flight.
+///
+/// With one only, the age of a relay's confirmation reaches twice the latency of the store; with one
+/// more in each interval it stays near the latency plus the interval. The first read brings the whole
+/// catalog and is not repeated meanwhile, and a store that fails gets one attempt at a time.
+fn most_reads(state: &HostState, is_relay: bool) -> usize {
+    let has_read = state.store.feed_revision > 0;
+    if is_relay && has_read && !state.store.is_backing_off() { MAX_FEED_READS } else { 1 }
+}
+
 /// Whether a host that is no relay has to read the change feed, because no parent keeps its catalog
 /// fresh.
 fn is_fallback_due(state: &mut HostState, now: Instant) -> bool {
--- a/crates/core/src/message/fleet.rs
+++ b/crates/core/src/message/fleet.rs
@@ -93,6 +93,8 @@
     pub enum StoreEvent {
         /// Response to `ReadChanges`.
         ChangesRead {
+            /// Revision after which entries were asked for; several reads can be in flight.
+            after: u64,
             /// When the request was sent.
             asked_at: Instant,
             /// All changes up to the revision that was current when the last page was read.
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -36,8 +36,8 @@
 /// What this host knows about the platform.
 #[derive(Default)]
 pub struct StoreState {
-    /// The read of the change feed in flight; there is at most one.
-    pub feed: Option<FeedRead>,
+    /// The reads of the change feed in flight, in the order in which they were sent.
+    pub feed: Vec<FeedRead>,
     /// Revision up to which this host has read the feed itself, with the leases that other hosts do not
     /// relay.
     pub feed_revision: u64,
@@ -101,8 +101,22 @@
 
     fn has_failed_within(&self, now: Instant, limit: Duration) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) <= limit;
-        let waits = |feed: FeedRead| now.saturating_duration_since(feed.sent_at) >= SILENT_AFTER;
-        self.failed_at.is_some_and(is_recent) || self.feed.is_some_and(waits)
+        let waits = |feed: &FeedRead| now.saturating_duration_since(feed.sent_at) >= SILENT_AFTER;
+        self.failed_at.is_some_and(is_recent) || self.feed.iter().any(waits)
+    }
+
+    /// Takes the read of the change feed that was answered off the list. The runtime notes the time
+    /// somewhat later than the core, so of equal reads it is the last one sent by then.
+    pub(crate) fn end_read(&mut self, after: u64, asked_at: Instant) {
+        let is_answered = |read: &FeedRead| read.after == after && read.sent_at <= asked_at;
+        if let Some(place) = self.feed.iter().rposition(is_answered) {
+            self.feed.remove(place);
+        }
+    }
+
+    /// Whether the last attempt to reach the platform failed and none has succeeded since.
+    pub(crate) fn is_backing_off(&self) -> bool {
+        self.failures > 0
     }
 
     /// Pause before the next attempt: twice as long after each failure, half of it random, so that
--- a/crates/proxy/src/settings/table.rs
+++ b/crates/proxy/src/settings/table.rs
@@ -46,7 +46,7 @@
     }
     [platform] fixed {
         address: "address of the platform, ip:port",
-        timeout_ms = "3000": "time for a call of the platform",
+        timeout_ms = "4000": "time for a call of the platform",
     }
     [fleet] fixed {
         secret_file: "file with the secret that signs session tokens",
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -33,7 +33,7 @@
     match request {
         StoreRequest::ReadChanges { after } => {
             let result = client.changes(after).await.map_err(fault);
-            Some(StoreEvent::ChangesRead { asked_at, result })
+            Some(StoreEvent::ChangesRead { after, asked_at, result })
         }
         StoreRequest::Transact { purpose, txn } => {
             let result = client.transact(&txn).await.map_err(fault);
--- a/crates/testbed/src/capacity/fleet.rs
+++ b/crates/testbed/src/capacity/fleet.rs
@@ -209,7 +209,7 @@
         let asked_at = self.now;
         let event = match request {
             StoreRequest::ReadChanges { after } => {
-                StoreEvent::ChangesRead { asked_at, result: Ok(self.table.changes(after)) }
+                StoreEvent::ChangesRead { after, asked_at, result: Ok(self.table.changes(after)) }
             }
             StoreRequest::Transact { purpose, txn } => {
                 StoreEvent::Transacted { purpose, asked_at, result: self.table.transact(txn) }
