Read only the keys that hosts need in the first feed read

Cause: the first read of a relay started at revision 0 without a prefix and brought every change marker and audit entry ever written. Further, any read that brought entries took one more round trip, for an empty page as proof of the end, which doubled its time behind a slow store.

Ruled out: scans. They bring no deletions, so a host that already holds records from other hosts would keep a deleted one, and a relay could not pass on deletions to hosts with older catalogs.

Change: after revision 0 the feeds of records/, views/ and leases/ are read, and what changed after the lowest of their revisions once more. The current revision is read beside the first page and proves the end.

Measured (stand-in, 1,100 records, 1,100 markers, 1,100 audit entries, while 300 leases are written): 3,300 entries before by construction of the request, 1,100 and the leases after, none missing at any revision read.

Conclusion: the first read grows with the records, including those deleted, no longer with the changes. A read takes one round trip and two requests.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -8,6 +8,8 @@
 use tanagerdeal_wire::platform::{
     EntryPage, HostEntry, HostList, TableEntry, TxnConflict, TxnReply, TxnRequest,
 };
+use tanagerdeal_wire::record::RECORD_PREFIX;
+use tanagerdeal_wire::view::{FLEET_VIEW_KEY, LEASE_PREFIX, VIEW_PREFIX};
 
 /// Header that names the caller, a host or `operator`.
 pub const HOST_HEADER: &str = "x-host";
@@ -103,25 +105,71 @@
         self.call(self.http.get(self.url("/v1/tables/scan")).query(&[("prefix", prefix)])).await
     }
 
-    /// Reads everything that changed after a revision, the last write of each key only.
+    /// Reads everything that changed after a revision, the last write of each key only, up to a
+    /// revision that is at least the one current when the call began.
     ///
-    /// A page may be cut short, which its length does not show; so pages are read until an empty one
-    /// shows that the end was reached.
+    /// After revision 0 it reads the keys that hosts need and leaves out markers and audit entries,
+    /// which grow without limit. A page may be cut short, which its length does not show; so the
+    /// current revision is read beside it, and pages are read until they reach that.
     pub async fn changes(&self, after: u64) -> Result<EntryPage, PlatformError> {
-        let mut changes = self.changes_page(after).await?;
-        let mut is_last = changes.entries.is_empty();
-        while !is_last {
-            let page = self.changes_page(changes.revision).await?;
-            is_last = page.entries.is_empty();
+        if after == 0 {
+            return self.first_changes().await;
+        }
+        self.changes_of("", after).await
+    }
+
+    /// Reads the feeds of the keys that hosts need. They end at different revisions, so changes after
+    /// the lowest of these are read once more, and none is missing between the feeds.
+    async fn first_changes(&self) -> Result<EntryPage, PlatformError> {
+        let (records, views, leases) = tokio::try_join!(
+            self.changes_of(RECORD_PREFIX, 0),
+            self.changes_of(VIEW_PREFIX, 0),
+            self.changes_of(LEASE_PREFIX, 0),
+        )?;
+        let feeds = [records, views, leases];
+        let lowest = feeds.iter().map(|feed| feed.revision).min().unwrap_or(0);
+        let highest = feeds.iter().map(|feed| feed.revision).max().unwrap_or(0);
+        let entries = feeds.into_iter().flat_map(|feed| feed.entries).collect();
+        self.complete("", EntryPage { revision: lowest, entries }, highest).await
+    }
+
+    async fn changes_of(&self, prefix: &str, after: u64) -> Result<EntryPage, PlatformError> {
+        let (page, current) =
+            tokio::try_join!(self.changes_page(prefix, after), self.current_revision())?;
+        self.complete(prefix, page, current).await
+    }
+
+    /// Reads further pages until they reach a revision.
+    async fn complete(
+        &self,
+        prefix: &str,
+        mut changes: EntryPage,
+        through: u64,
+    ) -> Result<EntryPage, PlatformError> {
+        while changes.revision < through {
+            let page = self.changes_page(prefix, changes.revision).await?;
+            if page.revision <= changes.revision {
+                let revision = changes.revision;
+                return Err(self.unavailable(format!("change feed ends at revision {revision}")));
+            }
             changes.revision = page.revision;
             changes.entries.extend(page.entries);
         }
         Ok(changes)
     }
 
-    async fn changes_page(&self, after: u64) -> Result<EntryPage, PlatformError> {
+    async fn changes_page(&self, prefix: &str, after: u64) -> Result<EntryPage, PlatformError> {
         let query = [("after", after), ("limit", PAGE_ENTRIES as u64)];
-        self.call(self.http.get(self.url("/v1/tables/changes")).query(&query)).await
+        let request = self.http.get(self.url("/v1/tables/changes")).query(&query);
+        self.call(request.query(&[("prefix", prefix)])).await
+    }
+
+    /// The store's revision; every answer has it, so the smallest one is asked for.
+    async fn current_revision(&self) -> Result<u64, PlatformError> {
+        let query = [("key", FLEET_VIEW_KEY)];
+        let request = self.http.get(self.url("/v1/tables/read")).query(&query);
+        let page: EntryPage = self.call(request).await?;
+        Ok(page.revision)
     }
 
     /// Reads the host list.
--- a/crates/testbed/tests/platform.rs
+++ b/crates/testbed/tests/platform.rs
@@ -1,5 +1,7 @@
 //! The stand-in of the platform: transactions, change feed, host list and faults.
 
+use std::collections::BTreeSet;
+
 use googletest::prelude::*;
 use reqwest::{Client, Response, StatusCode};
 use serde_json::{Value, json};
@@ -132,3 +134,51 @@
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against a first read of the feed that grows with every change ever made, or that lacks keys
+/// written or deleted while its parts are read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn first_read_brings_only_what_hosts_need() {
+    let client = PlatformClient::start().await;
+    let mut pending = Vec::new();
+    for number in 0..1_100 {
+        let keys = ["records/a/", "changes/", "audit/"].map(|prefix| format!("{prefix}{number}"));
+        let writes = keys.map(|key| json!({"key": key, "value": {}}));
+        pending.extend(writes);
+    }
+    // Few large transactions, because the stand-in accepts some hundred a second.
+    for writes in pending.chunks(1_650) {
+        let body = json!({"checks": [], "writes": writes});
+        let status = client.post("/v1/tables/txn", body).await.expect("an answer").status();
+        assert_eq!(status, StatusCode::OK);
+    }
+    let address = client.base.trim_start_matches("http://").to_owned();
+    let timeout = std::time::Duration::from_secs(10);
+    let reader =
+        tanagerdeal_platform::PlatformClient::new(&address, "h1", "akl-a", timeout, None).unwrap();
+    let writer = tokio::spawn(async move {
+        for number in 0..300 {
+            let status = client.write(&format!("leases/h{number}"), 0, json!({"n": number})).await;
+            assert_eq!(status, StatusCode::OK);
+        }
+    });
+    let mut earliest = 2;
+    while !writer.is_finished() {
+        let page = reader.changes(0).await.unwrap();
+        assert!(page.revision >= earliest, "revision {} after {earliest}", page.revision);
+        earliest = page.revision;
+        // Each lease was one transaction, so the revision tells how many the page must hold.
+        let revisions: BTreeSet<u64> = page.entries.iter().map(|entry| entry.revision).collect();
+        let leases = (3..=page.revision).filter(|revision| !revisions.contains(revision));
+        assert_eq!(leases.count(), 0, "leases missing up to revision {}", page.revision);
+        let is_needed = |key: &str| key.starts_with("records/") || key.starts_with("leases/");
+        assert!(page.entries.iter().all(|entry| is_needed(&entry.key)));
+        assert!(page.entries.len() >= 1_100);
+        // Keeps the reads within the stand-in's budget.
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    writer.await.unwrap();
+    let page = reader.changes(2).await.unwrap();
+    expect_that!((page.revision, page.entries.len()), eq((302, 300)));
+}
