Go through customers only when a record has changed

Cause: ten times a second each host took over the rate of every customer, settled every bucket, looked every customer up again to forget those without a record, and cloned every name to look for shortages.

Change: the catalog counts changes of entries other than leases, and customers are adopted when the count has changed. Holdings with loans are still settled at each interval, since ended loans are judged conservatively between settlements. Names are cloned for actual needs only.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -50,6 +50,7 @@
 #[derive(Default)]
 pub struct CatalogTable {
     revision: u64,
+    version: u64,
     confirmed_at: Option<Instant>,
     entries: EntryTable,
     unknown: BTreeMap<String, String>,
@@ -71,6 +72,12 @@
         self.revision
     }
 
+    /// Rises with each change of an entry other than a lease, so that records are gone through only
+    /// after a change.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Instant as of which the catalog is known to equal the store.
     pub fn confirmed_at(&self) -> Option<Instant> {
         self.confirmed_at
@@ -129,6 +136,7 @@
                 None if entry.revision <= self.revision && !is_lease => count.ignored += 1,
                 _ => {
                     count.applied += 1;
+                    self.version += u64::from(!is_lease);
                     count.rejected += u64::from(!self.adopt(now, &entry));
                     self.entries.insert(entry);
                 }
--- a/crates/core/src/host/traffic/admit.rs
+++ b/crates/core/src/host/traffic/admit.rs
@@ -342,11 +342,15 @@
 /// Takes over rates of customers, so that buckets fill from when the customer is known.
 pub(super) fn adopt_customers(state: &mut HostState, now: Instant) {
     state.shares.set_loan_valid(state.profile.timing.loan_valid);
-    for (name, record) in state.catalog.customers() {
+    state.shares.settle_loans(now);
+    let (catalog, version) = (&state.catalog, state.catalog.version());
+    if !state.shares.is_new_version(version) {
+        return;
+    }
+    for (name, record) in catalog.customers() {
         state.shares.set_rate(now, name, rate_of(record));
     }
-    let catalog = &state.catalog;
-    state.shares.retain_customers(now, |name| catalog.customer(name).is_some());
+    state.shares.retain_customers(version, |name| catalog.customer(name).is_some());
     let sessions = &state.sessions;
     state.retries.retain(|name| catalog.customer(name).is_some() || sessions.count(name) > 0);
 }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -74,6 +74,8 @@
     /// Whether holdings of connections have changed since they were adopted.
     is_changed: bool,
     adopted_at: Option<Instant>,
+    /// Version of the catalog whose customers were adopted.
+    catalog_version: Option<u64>,
 }
 
 impl Default for ShareTable {
@@ -88,6 +90,7 @@
             paces: HashMap::new(),
             is_changed: false,
             adopted_at: None,
+            catalog_version: None,
         }
     }
 }
--- a/crates/core/src/share/adopt.rs
+++ b/crates/core/src/share/adopt.rs
@@ -46,14 +46,36 @@
         }
     }
 
-    /// Forgets customers that no longer exist, other than those with loans.
+    /// Whether the customers of a version of the catalog have yet to be adopted.
+    pub(crate) fn is_new_version(&self, version: u64) -> bool {
+        self.catalog_version != Some(version)
+    }
+
+    /// Settles holdings with loans. The others lose nothing when they are settled later, because what
+    /// they hold changes with the base share only, which settles all.
+    pub(crate) fn settle_loans(&mut self, now: Instant) {
+        let base = self.rate_base(now);
+        let with_loans = self.rates.values_mut().filter(|holding| !holding.ledger.is_empty());
+        with_loans.for_each(|holding| {
+            holding.settle(now, base);
+        });
+    }
+
+    /// Forgets customers that do not exist in a version of the catalog, other than those with loans,
+    /// for which this is tried again.
     pub(crate) fn retain_customers(
         &mut self,
-        now: Instant,
+        version: u64,
         is_known: impl Fn(&CustomerName) -> bool,
     ) {
-        self.settle_all(now);
-        self.rates.retain(|customer, holding| is_known(customer) || !holding.ledger.is_empty());
+        let mut is_done = true;
+        self.rates.retain(|customer, holding| {
+            let is_lent = !holding.ledger.is_empty();
+            let is_known = is_known(customer);
+            is_done &= is_known || !is_lent;
+            is_known || is_lent
+        });
+        self.catalog_version = is_done.then_some(version);
     }
 
     /// Takes the token of one request; fails with the time at which the one after `ahead` others
@@ -124,11 +146,16 @@
     pub(crate) fn shortages(&mut self, now: Instant, ahead: Duration) -> Vec<ShareNeed> {
         let then = now + ahead;
         let base = self.rate_base(now);
-        let rates = self.rates.iter_mut().map(|(customer, holding)| {
+        let rates = self.rates.iter_mut().filter_map(|(customer, holding)| {
             let (units, kind) = holding.shortage(now, then, (base, false));
-            ShareNeed { resource: ShareResource::CustomerRate(customer.clone()), units, kind }
+            let need = || ShareNeed {
+                resource: ShareResource::CustomerRate(customer.clone()),
+                units,
+                kind,
+            };
+            (units > 0).then(need)
         });
-        let mut needs: Vec<ShareNeed> = rates.filter(|need| need.units > 0).collect();
+        let mut needs: Vec<ShareNeed> = rates.collect();
         for (endpoint, holding) in &self.connections {
             let base = self.connection_base(now, endpoint);
             let units = holding.peak.peak().saturating_sub(holding.ledger.held(then, base));
