Try the next term at once when two promoters split the members

Cause, from traces of frozen primaries (seeds 127, 188, 235, 374; 26 and 138 with the Single policy): hosts learn of each other's suspicions at different times, so two may take the lowest rank at once, or one has waited for its rank while the lower one waits for a lost answer. Each fences one of the two members left and is refused by the other. Both withdrew for a fixed 500 ms, the others waited at least 500 ms from when their periodic probe showed the fence, and then several started in step and split the next term too. With loss, a lost answer added 250 ms before the start (it was asked for only once, then by the periodic probe) and 150 ms to a command.

Seed 125 of the test of two promoters is another fault: the promotion took 1.2 s, but at 8 s host 1 had lost the answers of the new primary to four periodic probes in a row and took it for silent.

Ruled out: late suspicion (all hosts suspected and agreed within 1.22 s in seed 127) and late takeover (30 ms after the fence succeeded).

Change: a promoter that holds a grant of a split term tries the next term after a random time of up to 150 ms, later when a majority refused it, and stops when a higher term was promised or the primary is confirmed again. One without a grant asks the rest again for 200 ms, since its own grant may have been reported in a lost answer, and then withdraws for a random time. Commands and awaited probes are repeated every 75 ms. Members with an unanswered probe are probed twice as often, which leaves the suspicion time as it is.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -13,7 +13,7 @@
 use crate::message::{EndpointKey, GroupKey};
 
 pub(crate) use agreement::{PeerView, is_agreed};
-pub(crate) use promotion::{Promotion, PromotionPhase, choose_target};
+pub(crate) use promotion::{PhaseOutcome, Promotion, PromotionPhase, choose_target};
 pub(crate) use rank::rank_among;
 
 /// Successful probes that clear a suspicion. A link that loses every second packet would otherwise
--- a/crates/core/src/failover/promotion.rs
+++ b/crates/core/src/failover/promotion.rs
@@ -8,11 +8,12 @@
 use crate::message::EndpointKey;
 use crate::routing::{EndpointTable, GroupState, advance_term};
 
-/// Time after which a command without an answer is repeated.
-const REPEAT_AFTER: Duration = Duration::from_millis(150);
+/// Time after which a command without an answer is repeated; commands can be repeated safely.
+const REPEAT_AFTER: Duration = Duration::from_millis(75);
 
-/// Time that members which have not answered get once a majority has granted the fence. It covers
-/// one repetition, so that one lost packet does not hide the furthest member.
+/// Time that members which have not answered get once a majority has granted the fence, or once a
+/// refusal has shown that none will. It covers two repetitions, so that a lost packet does not hide
+/// the furthest member.
 const STRAGGLER_WAIT: Duration = Duration::from_millis(200);
 
 /// Longest time for a majority to grant the fence, and for the chosen member to take over.
@@ -29,6 +30,18 @@
     pub(crate) grants: BTreeMap<EndpointKey, MemberStatus>,
     refusals: BTreeSet<EndpointKey>,
     granted_at: Option<Instant>,
+    refused_at: Option<Instant>,
+}
+
+/// How the phase of a promotion stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PhaseOutcome {
+    /// It goes on.
+    Open,
+    /// Another promoter of the same term holds grants too, and no majority is left for this one.
+    Split,
+    /// It was refused by all that could have granted, or it took too long.
+    Failed,
 }
 
 /// What a promotion waits for.
@@ -55,6 +68,11 @@
     },
     /// A majority promises the new term.
     Fencing,
+    /// The grants of the term are split: another term is tried when the time has come.
+    Retreating {
+        /// When to try.
+        until: Instant,
+    },
     /// The member takes over.
     Promoting {
         /// The member.
@@ -72,6 +90,7 @@
             grants: BTreeMap::new(),
             refusals: BTreeSet::new(),
             granted_at: None,
+            refused_at: None,
         }
     }
 
@@ -80,13 +99,14 @@
     }
 
     /// Takes the answer to a fence.
-    pub(crate) fn note_fence(&mut self, endpoint: EndpointKey, reply: TermReply) {
+    pub(crate) fn note_fence(&mut self, now: Instant, endpoint: EndpointKey, reply: TermReply) {
         match reply.granted {
             true => {
                 self.grants.insert(endpoint, reply.status);
             }
             false => {
                 self.refusals.insert(endpoint);
+                self.refused_at.get_or_insert(now);
             }
         }
     }
@@ -111,22 +131,40 @@
         answers >= reachable || now >= granted_at + STRAGGLER_WAIT
     }
 
-    /// Whether the phase has failed: refused by too many of the reachable members, or too late.
-    ///
-    /// Two promoters that start at once may split the members; neither waits for one that is down.
-    pub(crate) fn is_failed(&self, now: Instant, majority: usize, reachable: usize) -> bool {
+    /// Whether the phase can still succeed.
+    pub(crate) fn outcome(&self, now: Instant, majority: usize, reachable: usize) -> PhaseOutcome {
         let elapsed = now.saturating_duration_since(self.phase_since);
-        match self.phase {
+        let is_failed = match self.phase {
+            PromotionPhase::Fencing => return self.fence_outcome(now, majority, reachable),
             PromotionPhase::Promoting { .. } => elapsed >= TAKEOVER_LIMIT,
-            PromotionPhase::Fencing => {
-                let is_split = !self.refusals.is_empty()
-                    && self.refusals.len() + majority > reachable
-                    && self.grants.len() < majority;
-                is_split || elapsed >= FENCE_LIMIT
-            }
+            PromotionPhase::Retreating { .. } => false,
             _ => !self.refusals.is_empty(),
+        };
+        if is_failed { PhaseOutcome::Failed } else { PhaseOutcome::Open }
+    }
+
+    /// Two promoters that start at once may split the members; neither waits for one that is down.
+    ///
+    /// One that holds no grant leaves the group to the other, and finds out first whether only the
+    /// answer that reports its grant was lost.
+    fn fence_outcome(&self, now: Instant, majority: usize, reachable: usize) -> PhaseOutcome {
+        let is_beaten = self.refusals.len() + majority > reachable && self.grants.len() < majority;
+        let is_decided = self.grants.len() + self.refusals.len() >= reachable
+            || self.refused_at.is_some_and(|at| now >= at + STRAGGLER_WAIT);
+        match self.refused_at {
+            _ if now.saturating_duration_since(self.phase_since) >= FENCE_LIMIT => {
+                PhaseOutcome::Failed
+            }
+            Some(_) if is_beaten && !self.grants.is_empty() => PhaseOutcome::Split,
+            Some(_) if is_beaten && is_decided => PhaseOutcome::Failed,
+            _ => PhaseOutcome::Open,
         }
     }
+
+    /// Whether enough members have refused that another promoter may hold a majority.
+    pub(crate) fn may_be_beaten(&self, majority: usize) -> bool {
+        self.refusals.len() >= majority
+    }
 }
 
 /// The member with the furthest log among those that have granted a fence.
--- a/crates/core/src/failover/tests.rs
+++ b/crates/core/src/failover/tests.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use tanagerdeal_wire::{DomainName, HostName};
+use tanagerdeal_wire::member::{LogPosition, MemberRole, MemberStatus, TermReply, TermRequest};
+use tanagerdeal_wire::{DomainName, EndpointName, GroupName, HostName};
 
-use super::{GroupWatch, PeerView, is_agreed};
+use super::{GroupWatch, PeerView, PhaseOutcome, Promotion, PromotionPhase, is_agreed};
+use crate::message::EndpointKey;
 
 fn domain(name: &str) -> DomainName {
     DomainName::new(name).unwrap()
@@ -89,3 +91,51 @@
     watch.judge(now, 2, false, None, Duration::ZERO);
     assert_that!(watch.suspicion.is_some(), eq(false));
 }
+
+/// A promotion of a group of three after these answers to its fence, one a member.
+fn fencing(now: Instant, answers: &[bool]) -> Promotion {
+    let request = TermRequest { term: 2, promoter: "h".to_owned() };
+    let mut promotion = Promotion::new(now, request, PromotionPhase::Fencing);
+    for (number, granted) in (1..).zip(answers) {
+        let status = MemberStatus {
+            group: GroupName::new("g").unwrap(),
+            member: EndpointName::new(&format!("m{number}")).unwrap(),
+            role: MemberRole::Fenced,
+            promised_term: 2,
+            received: LogPosition::default(),
+            applied: LogPosition::default(),
+            term_history: Vec::new(),
+            connections: 0,
+            running: 0,
+        };
+        let endpoint = EndpointKey::from(slotmap::KeyData::from_ffi((1 << 32) | number));
+        promotion.note_fence(now, endpoint, TermReply { granted: *granted, status });
+    }
+    promotion
+}
+
+/// Guards against a promoter that gives up while a grant of its own keeps others from the term, and
+/// against one that overtakes a promoter which may have won.
+#[gtest]
+fn only_a_promoter_that_holds_a_grant_tries_another_term() {
+    let now = Instant::now();
+    let outcome = |answers: &[bool], reachable| fencing(now, answers).outcome(now, 2, reachable);
+    assert_that!(outcome(&[true, false], 2), eq(PhaseOutcome::Split));
+    assert_that!(outcome(&[true, false], 3), eq(PhaseOutcome::Open), "the third may grant");
+    assert_that!(outcome(&[true, false, false], 3), eq(PhaseOutcome::Split));
+    assert_that!(outcome(&[false, false], 2), eq(PhaseOutcome::Failed));
+    assert_that!(outcome(&[true, true], 3), eq(PhaseOutcome::Open));
+    assert_that!(fencing(now, &[true, false]).may_be_beaten(2), eq(false));
+    assert_that!(fencing(now, &[true, false, false]).may_be_beaten(2), eq(true));
+}
+
+/// Guards against a promoter that leaves the term to another because the answer that reports its
+/// own grant was lost, and against one that waits for that answer without end.
+#[gtest]
+fn refused_promoter_asks_the_rest_again_before_it_gives_up() {
+    let now = Instant::now();
+    let promotion = fencing(now, &[false]);
+    assert_that!(promotion.outcome(now + Duration::from_millis(150), 2, 2), eq(PhaseOutcome::Open));
+    let late = now + Duration::from_millis(250);
+    assert_that!(promotion.outcome(late, 2, 2), eq(PhaseOutcome::Failed));
+}
--- a/crates/core/src/host/groups/probe.rs
+++ b/crates/core/src/host/groups/probe.rs
@@ -16,7 +16,11 @@
     let interval = state.profile.timing.probe_interval;
     let is_due = |member: &MemberState| {
         let sent_at = member.probe.sent_at;
-        let has_passed = sent_at.is_none_or(|sent_at| now >= sent_at + interval);
+        // Repeated sooner while unanswered, so that lost packets alone seldom make it silent.
+        let is_late =
+            member.probe.unanswered_since.is_some_and(|since| now >= since + interval / 2);
+        let rest = if is_late { interval / 2 } else { interval };
+        let has_passed = sent_at.is_none_or(|sent_at| now >= sent_at + rest);
         let is_doubted = member.is_in_doubt() && sent_at < member.lost_at;
         has_passed || is_doubted || member.probe.is_wanted
     };
--- a/crates/core/src/host/groups/promote.rs
+++ b/crates/core/src/host/groups/promote.rs
@@ -1,14 +1,16 @@
 //! Steps of a promotion by this host.
 
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
+use rand::Rng as _;
 use serde_json::json;
-use tanagerdeal_wire::member::TermReply;
+use tanagerdeal_wire::member::{TermReply, TermRequest};
 use tanagerdeal_wire::platform::{TableWrite, TxnRequest};
 
 use super::super::HostState;
 use super::{follow, probe};
-use crate::failover::{Promotion, PromotionPhase, choose_target};
+use crate::failover::{PhaseOutcome, Promotion, PromotionPhase, choose_target};
 use crate::message::fleet::{StorePurpose, StoreRequest, TermCommand};
 use crate::message::{EndpointKey, GroupKey, HostOutput};
 
@@ -24,8 +26,16 @@
 /// Time between probes while a switchover waits for a position.
 const WATCH_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Rest after a promotion that failed, so that two hosts do not overtake each other forever.
-const FAILURE_REST: Duration = Duration::from_millis(500);
+/// Rest after a promotion that failed, so that two hosts do not overtake each other forever; drawn
+/// at random, so that hosts that failed together do not start together again.
+const FAILURE_REST: Range<Duration> = Duration::from_millis(400)..Duration::from_millis(700);
+
+/// Time before another term is tried when the grants of one were split; drawn at random, so that
+/// the promoters do not split the next term too. A fence and a promotion take about 40 ms.
+const SPLIT_REST: Range<Duration> = Duration::ZERO..Duration::from_millis(150);
+
+/// Added to it when another promoter may hold a majority, so that its promotion can finish first.
+const BEATEN_REST: Duration = Duration::from_millis(150);
 
 /// Continues the promotion of a group, if there is one.
 pub(super) fn step(
@@ -37,11 +47,25 @@
     let Some(mut promotion) = state.failovers.watch(key).promotion.take() else { return };
     let Some(group) = state.endpoints.groups.get(key) else { return };
     let (majority, reachable) = (group.majority(), state.endpoints.count_reachable(now, group));
-    if is_overtaken(state, key, &promotion) || promotion.is_failed(now, majority, reachable) {
-        stop(state, now, key, &promotion);
-        return;
+    match promotion.outcome(now, majority, reachable) {
+        _ if is_overtaken(state, key, &promotion) => {
+            return stop(state, now, key, &promotion);
+        }
+        PhaseOutcome::Failed => return stop(state, now, key, &promotion),
+        PhaseOutcome::Split => retreat(state, now, key, majority, &mut promotion),
+        PhaseOutcome::Open => {}
     }
     match promotion.phase {
+        PromotionPhase::Retreating { until } if now >= until => {
+            // The members that were fenced may be a minority without which the primary works.
+            let works = state.endpoints.confirmed(key);
+            if works.is_some_and(|(at, _)| at >= promotion.phase_since) {
+                return stop(state, now, key, &promotion);
+            }
+            let request = next_request(state, key);
+            promotion = Promotion::new(now, request, PromotionPhase::Fencing);
+        }
+        PromotionPhase::Retreating { .. } => {}
         PromotionPhase::Settling { target } => {
             settle(state, now, key, target, &mut promotion, outputs);
         }
@@ -71,7 +95,10 @@
     let Some(mut promotion) = state.failovers.watch(key).promotion.take() else { return };
     match command {
         TermCommand::Fence(request) if request == promotion.request => {
-            promotion.note_fence(endpoint, reply);
+            if let (false, Some((first, _))) = (reply.granted, promotion.sent) {
+                state.endpoints.observe(now, endpoint, first, reply.status.clone());
+            }
+            promotion.note_fence(now, endpoint, reply);
         }
         TermCommand::Promote(request)
             if request == promotion.request
@@ -105,13 +132,45 @@
     // A member that did not take over may still do so; only a new term is safe, and at once.
     let rest = match promotion.phase {
         PromotionPhase::Promoting { .. } => Duration::ZERO,
-        _ => FAILURE_REST,
+        _ => state.random.random_range(FAILURE_REST),
     };
     let watch = state.failovers.watch(key);
     watch.promotion = None;
     watch.rest_until = Some(now + rest);
 }
 
+/// Waits before another term is tried, and asks the members how far the other promoter is.
+fn retreat(
+    state: &mut HostState,
+    now: Instant,
+    key: GroupKey,
+    majority: usize,
+    promotion: &mut Promotion,
+) {
+    let term = promotion.request.term;
+    log::info!(
+        "failover: Grants of term {term} of {} are split.",
+        state.endpoints.groups[key].name
+    );
+    let beaten = if promotion.may_be_beaten(majority) { BEATEN_REST } else { Duration::ZERO };
+    let until = now + beaten + state.random.random_range(SPLIT_REST);
+    promotion.enter(now, PromotionPhase::Retreating { until });
+    state.endpoints.want_probes(key);
+}
+
+/// The request of a new attempt, in a term above all that the members are known to have promised.
+pub(super) fn next_request(state: &mut HostState, key: GroupKey) -> TermRequest {
+    let group = &state.endpoints.groups[key];
+    let statuses = state.endpoints.members_of(group).filter_map(|(_, member)| member.status());
+    let promised = statuses.map(|status| status.promised_term).max().unwrap_or(0);
+    let term = promised.max(group.term) + 1;
+    state.failovers.attempts += 1;
+    let identity = &state.profile.identity;
+    let promoter =
+        format!("{}/{}/{}", identity.host, identity.incarnation, state.failovers.attempts);
+    TermRequest { term, promoter }
+}
+
 /// Waits until running statements have finished and the target has the whole log.
 fn settle(
     state: &mut HostState,
@@ -211,7 +270,9 @@
     outputs: &mut Vec<HostOutput>,
 ) {
     let receivers = match promotion.phase {
-        PromotionPhase::Settling { .. } | PromotionPhase::CatchingUp { .. } => return,
+        PromotionPhase::Settling { .. }
+        | PromotionPhase::CatchingUp { .. }
+        | PromotionPhase::Retreating { .. } => return,
         PromotionPhase::Closing { primary, .. } => vec![primary],
         PromotionPhase::Fencing => {
             let members = state.endpoints.groups[key].members.iter().copied();
--- a/crates/core/src/host/groups/tests/failover.rs
+++ b/crates/core/src/host/groups/tests/failover.rs
@@ -23,10 +23,11 @@
     world
 }
 
-/// Guards against a killed or frozen primary that is not replaced in time.
+/// Guards against a killed or frozen primary that is not replaced in time, also when two promoters
+/// split the members (seeds from 79 on).
 #[gtest]
 fn frozen_primary_is_replaced_within_two_seconds() {
-    for seed in 0..20 {
+    for seed in (0..30).chain([79, 127, 182, 188, 264, 325, 379, 393]) {
         let mut world = started(9, seed);
         world.frozen.insert(0);
         let took = world.run_until(secs(9), |world| {
@@ -145,17 +146,18 @@
     }
 }
 
-/// Guards against a promotion that a single lost command or answer stops.
+/// Guards against a promotion that lost commands or answers stop; two promoters split the members
+/// in the seeds from 169 on.
 #[gtest]
 fn lost_commands_and_answers_are_repeated() {
-    for seed in 0..20 {
+    for seed in (0..30).chain([169, 187, 235, 325, 330, 344, 374]) {
         let mut world = started(9, seed);
         world.loss = 20;
         world.frozen.insert(0);
         let took = world.run_until(secs(9), |world| {
             (0..9).any(|host| world.primary(host).is_some_and(|primary| primary != 0))
         });
-        assert_that!(took, some(le(secs(5))), "seed {seed}");
+        assert_that!(took, some(le(secs(3))), "seed {seed}");
         world.check_safety();
     }
 }
@@ -191,11 +193,13 @@
     assert_that!(world.promotions.len(), eq(1));
 }
 
-/// Guards against two promoters of one term: each member grants it to one only.
+/// Guards against two promoters of one term: each member grants it to one only. Guards also against
+/// promoters that split the members and hold each other up, and against a host that loses sight of
+/// the new primary because a few packets in a row are lost (seed 125).
 #[gtest]
 fn two_promoters_cannot_both_win_a_term() {
     // Without messages between the hosts each agrees only with itself and starts on its own.
-    for seed in 0..20 {
+    for seed in (0..60).chain([79, 89, 125, 140, 261, 314, 337, 343, 384, 396]) {
         let mut world = started(3, seed);
         for host in &mut world.hosts {
             host.profile.policies.suspicion = SuspicionPolicy::Single;
@@ -203,9 +207,12 @@
         }
         world.loss = 10;
         world.frozen.insert(0);
+        let frozen_at = world.now;
         world.run(secs(8));
         world.check_safety();
         assert_that!(world.promotions.len(), ge(1), "seed {seed}");
+        let took = world.promotions[0].0 - frozen_at;
+        assert_that!(took, le(secs(2)), "seed {seed}");
         assert_that!(world.primary(1), some(ne(0)), "seed {seed}");
     }
 }
--- a/crates/core/src/host/groups/watch.rs
+++ b/crates/core/src/host/groups/watch.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use tanagerdeal_wire::GroupName;
-use tanagerdeal_wire::member::TermRequest;
 
 use super::super::HostState;
 use super::{follow, promote};
@@ -129,10 +128,12 @@
     };
     let watch = state.failovers.watch(key);
     let holds = watch.suspicion.is_some() && agrees;
-    let is_news = holds && watch.agreed_since.is_none();
     hold_since(&mut watch.agreed_since, now, holds);
-    if is_news {
-        state.endpoints.want_probes(key);
+    let Some(since) = watch.agreed_since else { return };
+    let heard_at = state.endpoints.heard_at(&state.endpoints.groups[key]);
+    // Without a majority that answers there is no promotion to ask for.
+    if heard_at < Some(since) && now < since + state.profile.timing.suspect_after {
+        state.endpoints.want_answers(now, key, since);
     }
 }
 
@@ -195,14 +196,7 @@
 }
 
 fn start(state: &mut HostState, now: Instant, key: GroupKey, reason: PromotionReason) {
-    let group = &state.endpoints.groups[key];
-    let statuses = state.endpoints.members_of(group).filter_map(|(_, member)| member.status());
-    let promised = statuses.map(|status| status.promised_term).max().unwrap_or(0);
-    let term = promised.max(group.term) + 1;
-    state.failovers.attempts += 1;
-    let identity = &state.profile.identity;
-    let promoter =
-        format!("{}/{}/{}", identity.host, identity.incarnation, state.failovers.attempts);
+    let request = promote::next_request(state, key);
     let (phase, text) = match reason {
         PromotionReason::Failed => (PromotionPhase::Fencing, "its primary has failed"),
         PromotionReason::Unfinished => (PromotionPhase::Fencing, "a fenced term has no primary"),
@@ -210,8 +204,9 @@
             (PromotionPhase::Settling { target }, "its primary is to get no new work")
         }
     };
-    log::info!("failover: Promotion of {} to term {term} starts: {text}.", group.name);
-    let promotion = Promotion::new(now, TermRequest { term, promoter }, phase);
+    let (name, term) = (&state.endpoints.groups[key].name, request.term);
+    log::info!("failover: Promotion of {name} to term {term} starts: {text}.");
+    let promotion = Promotion::new(now, request, phase);
     state.failovers.watch(key).promotion = Some(promotion);
     state.counters.promotions_started += 1;
 }
--- a/crates/core/src/routing/observe.rs
+++ b/crates/core/src/routing/observe.rs
@@ -1,12 +1,15 @@
 //! Answers of members, and what follows from them for their group.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tanagerdeal_wire::member::{LogPosition, MemberStatus};
 
 use super::{Coverage, EndpointTable, GroupState, MemberState, compare};
 use crate::message::{EndpointKey, GroupKey};
 
+/// Time after which a probe whose answer a promotion waits for is repeated.
+const ASK_AGAIN: Duration = Duration::from_millis(75);
+
 impl EndpointTable {
     /// Takes the answer of a member to a probe sent at `asked_at`.
     ///
@@ -112,6 +115,16 @@
         }
     }
 
+    /// Has the members of a group probed that have not answered a probe sent at `since` or later.
+    pub(crate) fn want_answers(&mut self, now: Instant, group: GroupKey, since: Instant) {
+        for member in self.members.values_mut().filter(|member| member.group == group) {
+            let is_answered = member.view.as_ref().is_some_and(|view| view.asked_at >= since);
+            let sent_at = member.probe.sent_at;
+            let is_sent = |at: Instant| at >= since && now < at + ASK_AGAIN;
+            member.probe.is_wanted |= !is_answered && !sent_at.is_some_and(is_sent);
+        }
+    }
+
     /// Moves the start of unanswered probes, for a time in which this host did not run.
     pub(crate) fn shift_silence(&mut self, shift: impl Fn(Instant) -> Instant) {
         for member in self.members.values_mut() {
