--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use crate::context::ToolContext;
 use crate::error::ToolError;
+use crate::print::print_line;
 
 /// Timeout of one status request.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -65,12 +66,12 @@
 pub async fn status(context: &ToolContext) -> Result<(), ToolError> {
     let (reports, listed) = reports(context).await?;
     if context.json {
-        println!("{}", json!({ "listed": listed, "hosts": reports }));
+        print_line(format_args!("{}", json!({ "listed": listed, "hosts": reports })));
         return Ok(());
     }
-    println!("{} of {listed} listed hosts answered", reports.len());
+    print_line(format_args!("{} of {listed} listed hosts answered", reports.len()));
     for report in &reports {
-        println!(
+        print_line(format_args!(
             "host {} domain {} revision {} catalog_age_ms {} keyed {} ready {}",
             text(&report["host"]),
             text(&report["domain"]),
@@ -78,7 +79,7 @@
             report["catalog_age_ms"],
             report["serving_keyed"],
             report["ready"],
-        );
+        ));
         print_names("  record not understood:", &report["unknown_records"]);
     }
     if let Some(report) = reports.iter().max_by_key(|report| report["revision"].as_u64()) {
@@ -90,19 +91,19 @@
 
 fn print_groups(report: &Value) {
     for group in report["groups"].as_array().into_iter().flatten() {
-        println!(
+        print_line(format_args!(
             "group {} term {} primary {}",
             text(&group["group"]),
             group["term"],
             text(&group["primary"]),
-        );
+        ));
         for member in group["members"].as_array().into_iter().flatten() {
-            println!(
+            print_line(format_args!(
                 "  endpoint {} {} applied {}",
                 text(&member["endpoint"]),
                 text(&member["state"]),
                 member["applied"],
-            );
+            ));
         }
     }
 }
@@ -110,20 +111,20 @@
 fn print_limits(reports: &[Value]) {
     for report in reports {
         for limit in report["limits"].as_array().into_iter().flatten() {
-            println!(
+            print_line(format_args!(
                 "limit {} on {}: share {} millionths, {} sessions",
                 text(&limit["customer"]),
                 text(&report["host"]),
                 limit["share"],
                 limit["sessions"],
-            );
+            ));
         }
     }
 }
 
 fn print_names(label: &str, names: &Value) {
     for name in names.as_array().into_iter().flatten() {
-        println!("{label} {}", text(name));
+        print_line(format_args!("{label} {}", text(name)));
     }
 }
 
--- a/crates/ctl/src/record.rs
+++ b/crates/ctl/src/record.rs
@@ -16,7 +16,7 @@
 
 use crate::context::ToolContext;
 use crate::error::ToolError;
-use crate::print::{print_audit, print_record};
+use crate::print::{print_audit, print_line, print_record};
 
 /// Characters of a key's secret; 62 symbols each, so that 32 carry 190 bits.
 const SECRET_CHARACTERS: usize = 32;
@@ -77,8 +77,8 @@
     let fields = json!({ "customer": customer, "salt": salt, "digest": digest });
     put_fields(context, arguments, RecordKind::Key, &name, fields).await?;
     match context.json {
-        true => println!("{}", json!({ "key": format!("{name}.{secret}") })),
-        false => println!("key {name}.{secret}"),
+        true => print_line(format_args!("{}", json!({ "key": format!("{name}.{secret}") }))),
+        false => print_line(format_args!("key {name}.{secret}")),
     }
     Ok(())
 }
--- a/crates/ctl/src/switchover.rs
+++ b/crates/ctl/src/switchover.rs
@@ -9,6 +9,7 @@
 use crate::context::ToolContext;
 use crate::error::ToolError;
 use crate::fleet;
+use crate::print::print_line;
 use crate::record::put_state;
 
 /// Pause between two looks at the group.
@@ -26,7 +27,7 @@
     put_state(context, RecordKind::Endpoint, &before, "leaving").await?;
     let after = wait_for_other(context, group, &before).await;
     put_state(context, RecordKind::Endpoint, &before, "serving").await?;
-    println!("group {group}: primary moved from {before} to {}", after?);
+    print_line(format_args!("group {group}: primary moved from {before} to {}", after?));
     Ok(())
 }
 
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -1,7 +1,7 @@
 //! Runs of the tool against the platform's stand-in.
 
 use std::net::SocketAddr;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 use axum::routing::get;
 use axum::{Json, Router};
@@ -140,3 +140,22 @@
     let put = ["--wait-ms", "500", "put", "domain", "d1", "state=out"];
     expect_that!(fleet.run(&put).await.status.code(), some(eq(3)));
 }
+
+/// Guards against a panic when the reader of a long output has closed the pipe.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_closed_pipe_ends_the_tool_quietly() {
+    let fleet = TestFleet::start().await;
+    fleet.run_ok(&["put", "customer", "quarry", "rate_per_s=10", "burst=20"]).await;
+    let platform = fleet.platform.to_string();
+    let ended = tokio::task::spawn_blocking(move || {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tanagerctl"));
+        command.args(["--platform", &platform, "list", "customer"]);
+        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+        drop(child.stdout.take());
+        child.wait_with_output().unwrap()
+    });
+    let output = ended.await.unwrap();
+    expect_that!(output.status.code(), some(eq(0)));
+    expect_that!(output.stderr, is_empty());
+}
