--- a/crates/testbed/src/bin/capacity.rs
+++ b/crates/testbed/src/bin/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::process::{Command, ExitCode};
 
-use tanagerdeal_testbed::capacity::{CapacityCase, run_case};
+use tanagerdeal_testbed::capacity::{CapacityCase, measure_sessions, run_case};
 
 /// A fleet of today's size; each series changes one number of it.
 const TODAY: CapacityCase =
@@ -13,12 +13,15 @@
     CapacityCase { domains: 11, hosts: 55, groups: 3, customers: 8, changes: 0 };
 
 /// Without an argument, runs every fleet in a process of its own, so that memory is counted from
-/// the same start; with a number, runs that fleet only.
+/// the same start; with a number, runs that fleet only; with `sessions`, measures one host process.
 fn main() -> ExitCode {
     let cases = cases();
     let Some(argument) = std::env::args().nth(1) else {
         return run_all(cases.len());
     };
+    if argument == "sessions" {
+        return run_sessions();
+    }
     let case = argument.parse().ok().and_then(|number: usize| cases.get(number));
     match case.map(|case| serde_json::to_string(&run_case(case))) {
         Some(Ok(line)) => {
@@ -30,6 +33,21 @@
     }
 }
 
+fn run_sessions() -> ExitCode {
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error.to_string()),
+    };
+    match runtime.block_on(measure_sessions()).map(|cost| serde_json::to_string(&cost)) {
+        Ok(Ok(line)) => {
+            println!("{line}");
+            ExitCode::SUCCESS
+        }
+        Ok(Err(error)) => fail(&error.to_string()),
+        Err(error) => fail(&error.to_string()),
+    }
+}
+
 fn run_all(count: usize) -> ExitCode {
     for number in 0..count {
         let child = std::env::current_exe()
--- a/crates/testbed/src/capacity.rs
+++ b/crates/testbed/src/capacity.rs
@@ -5,6 +5,7 @@
 
 mod cost;
 mod fleet;
+mod session;
 mod table;
 
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use fleet::CoreFleet;
 
 pub use cost::HostCost;
+pub use session::{SessionCost, measure_sessions};
 
 /// Virtual time before the measurement, in which hosts find each other and take their shares.
 const WARM_UP: Duration = Duration::from_secs(20);
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -330,6 +330,16 @@
     }
 
     /// Process of a name: `standin-platform`, `link-relay`, a member or a host.
+    /// Process id of a member, a host or the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no process of this name runs.
+    pub fn process_id(&self, name: &str) -> Result<u32, DeploymentError> {
+        let id = self.process(name)?.id();
+        id.ok_or_else(|| DeploymentError::Unknown(name.to_owned()))
+    }
+
     fn process(&self, name: &str) -> Result<&ChildProcess, DeploymentError> {
         let member = self.members.get(name).map(|member| &member.process);
         let host = self.hosts.get(name).map(|host| &host.process);
--- a/crates/testbed/src/deployment/process.rs
+++ b/crates/testbed/src/deployment/process.rs
@@ -93,6 +93,11 @@
         &self.name
     }
 
+    /// Its process id, while it runs.
+    pub(super) fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Sends a signal to this process.
     pub(super) fn signal(&self, signal: Signal) -> Result<(), DeploymentError> {
         let id = self.child.id().and_then(|id| Pid::from_raw(id as i32));
