--- a/crates/core/src/host/traffic/tests/desk.rs
+++ b/crates/core/src/host/traffic/tests/desk.rs
@@ -39,6 +39,7 @@
     pub(super) now: Instant,
     pub(super) state: HostState,
     pub(super) members: Vec<DeskMember>,
+    next_tick: Instant,
     /// Whether the catalog is confirmed as time passes.
     pub(super) has_store: bool,
     /// Outputs other than answers and probes.
@@ -126,6 +127,7 @@
             now,
             state: HostState::new(profile(name, policies)),
             members: (0..3).map(member).collect(),
+            next_tick: now + TICK,
             has_store: true,
             notices: Vec::new(),
             answers: HashMap::new(),
@@ -139,29 +141,32 @@
     }
 
     pub(super) fn put(&mut self, key: &str, value: Option<Value>) {
+        let after = self.revision;
         self.revision += 1;
         let entry = TableEntry { key: key.to_owned(), revision: self.revision, value };
-        self.read_changes(vec![entry]);
+        self.read_changes(after, vec![entry]);
     }
 
-    fn read_changes(&mut self, entries: Vec<TableEntry>) {
+    fn read_changes(&mut self, after: u64, entries: Vec<TableEntry>) {
         let page = EntryPage { revision: self.revision, entries };
-        let event = StoreEvent::ChangesRead { asked_at: self.now, result: Ok(page) };
+        let event = StoreEvent::ChangesRead { after, asked_at: self.now, result: Ok(page) };
         self.input(HostInput::Store(event));
     }
 
-    /// Lets time pass in ticks; members answer probes at once.
+    /// Lets time pass, with a tick every 20 ms; members answer probes at once.
     pub(super) fn run(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
-        while self.now < end {
-            self.now = (self.now + TICK).min(end);
+        while self.next_tick <= end {
+            self.now = self.next_tick;
+            self.next_tick += TICK;
             if self.has_store {
-                self.read_changes(Vec::new());
+                self.read_changes(self.revision, Vec::new());
             }
             let mut outputs = Vec::new();
             self.state.tick(self.now, &mut outputs);
             self.take(outputs);
         }
+        self.now = end;
     }
 
     pub(super) fn input(&mut self, input: HostInput) {
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -2,7 +2,9 @@
 
 mod batch;
 mod cancel;
+mod class;
 mod conclude;
+mod deliver;
 mod exchange;
 mod listener;
 mod local;
--- a/crates/proxy/src/caller/conclude.rs
+++ b/crates/proxy/src/caller/conclude.rs
@@ -57,8 +57,9 @@
         }
         let earlier = self.transaction.take();
         self.statements.end_transaction();
-        let is_tainted =
-            was_cancelled || earlier.as_ref().is_some_and(|earlier| earlier.is_tainted);
+        let is_tainted = was_cancelled
+            || taints(request, &reply)
+            || earlier.as_ref().is_some_and(|earlier| earlier.is_tainted);
         drop_or_return(lease, is_tainted);
         let has_committed = !reply.is_error && reply.tag.as_deref() != Some("ROLLBACK");
         if has_committed {
@@ -69,7 +70,9 @@
             self.end_replied(plan, &reply, false);
             return self.finish(&reply, None).await;
         }
-        let position = reply.position.or(earlier.and_then(|earlier| earlier.position));
+        // Of an explicit transaction only the position reported with COMMIT is that of the commit.
+        let flushed = earlier.filter(|earlier| earlier.is_batch);
+        let position = reply.position.or(flushed.and_then(|earlier| earlier.position));
         match self.confirm(plan, position).await {
             Ok(token) => self.finish(&reply, Some(token)).await,
             Err(refusal) => Ok(AttemptEnd::Refused(refusal)),
@@ -108,9 +111,7 @@
         let is_new = self.transaction.is_none();
         let transaction = self.transaction.get_or_insert_with(|| Transaction::new(plan.dispatch));
         transaction.lease = Some(lease);
-        transaction.is_tainted |= was_cancelled
-            || reply.is_stale
-            || request.settings.iter().any(SessionSetting::is_discard);
+        transaction.is_tainted |= was_cancelled || taints(request, reply);
         transaction.wrote |= request.writes;
         transaction.has_portal |= reply.is_suspended;
         transaction.position = reply.position.or(transaction.position);
@@ -201,6 +202,13 @@
     }
 }
 
+/// Whether a request leaves its connection in a state that the proxy does not know: settings made by
+/// functions, or prepared statements that are gone or out of date.
+fn taints(request: &Request, reply: &ExchangeReply) -> bool {
+    let is_discard = request.settings.iter().any(SessionSetting::is_discard);
+    reply.is_stale || request.leaves_state || is_discard
+}
+
 /// Returns a connection to its pool, or closes it when a cancel request may still reach it.
 pub(super) fn drop_or_return(lease: ConnectionLease, is_tainted: bool) {
     match is_tainted {
--- a/crates/proxy/src/caller/request.rs
+++ b/crates/proxy/src/caller/request.rs
@@ -44,6 +44,8 @@
     pub(super) is_block: bool,
     /// Whether it ends with Sync, as simple queries do in effect.
     pub(super) ends_with_sync: bool,
+    /// Whether its connection must not serve another session.
+    pub(super) leaves_state: bool,
     /// Session settings that it makes.
     pub(super) settings: Vec<SessionSetting>,
 }
@@ -68,7 +70,10 @@
 impl Request {
     pub(super) fn commits(&self, transaction: Option<&Transaction>) -> bool {
         let is_batch = transaction.is_some_and(|transaction| transaction.is_batch);
-        matches!(self.class, StatementClass::Commit) || (is_batch && self.ends_with_sync)
+        // A block inside an open transaction commits that transaction.
+        matches!(self.class, StatementClass::Commit)
+            || self.is_block
+            || (is_batch && self.ends_with_sync)
     }
 }
 
@@ -156,6 +161,7 @@
             deadline: plan.deadline,
             dispatch: plan.dispatch,
             required: Some(plan.required).filter(|_| request.reads && !request.writes),
+            is_single: !request.is_block,
             continues_portal: self.transaction.as_ref().is_some_and(|open| open.has_portal),
             holds_completion: commits
                 || mode.is_recorded()
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -16,6 +16,7 @@
 use super::CallerContext;
 use super::batch::{ExtendedBatch, StatementTable};
 use super::cancel::CancelSlot;
+use super::class::{leaves_state, may_read, placement_class, starts_transaction};
 use super::reply;
 use super::request::{Request, RequestBody};
 use super::setting::SessionSetting;
@@ -168,12 +169,23 @@
                     }
                     self.close_refusal = Some(refusal);
                 }
+                () = recalled(&mut self.transaction) => self.withdraw(),
                 frame = self.client.read() => return self.admit(frame).await,
                 () = sleep(idle) => return Err(self.close_idle(is_open).await),
             }
         }
     }
 
+    /// Closes the connection of an idle transaction, which the pool has to give up.
+    fn withdraw(&mut self) {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.fail();
+            let dispatch = transaction.dispatch;
+            self.end_dispatch(dispatch, RequestEnding::Lost);
+            log::warn!("endpoint: the connection of an idle transaction was withdrawn");
+        }
+    }
+
     /// Takes a message unless the session is to be closed or the message is invalid.
     async fn admit(&mut self, frame: Result<Frame, CodecError>) -> Result<Frame, SessionEnd> {
         match (frame, self.close_refusal.take()) {
@@ -264,8 +276,10 @@
         Request {
             writes: class == StatementClass::Write,
             reads: may_read(&class),
-            is_block: class == StatementClass::Write && starts_transaction(&sql),
+            is_block: matches!(class, StatementClass::Read | StatementClass::Write)
+                && starts_transaction(&sql),
             class: placement_class(class, self.transaction.is_some()),
+            leaves_state: leaves_state(&sql),
             body: RequestBody::Query(sql),
             ends_with_sync: true,
             settings,
@@ -296,6 +310,7 @@
         let settings = self.settings_of(batch.executed().zip(batch.texts()));
         let writes = batch.executed().any(|class| *class == StatementClass::Write);
         let reads = batch.executed().any(may_read);
+        let leaves_state = batch.texts().any(leaves_state);
         let is_block = !in_transaction
             && batch.executed().any(|class| matches!(class, StatementClass::Begin { .. }))
             && batch.executed().any(|class| *class == StatementClass::Commit);
@@ -304,6 +319,7 @@
             reads,
             class,
             is_block,
+            leaves_state,
             body: RequestBody::Batch(batch),
             ends_with_sync: is_sync,
             settings,
@@ -372,26 +388,14 @@
     }
 }
 
-/// Whether a statement may have rows that must be checked; FETCH belongs to a transaction.
-fn may_read(class: &StatementClass) -> bool {
-    matches!(class, StatementClass::Read | StatementClass::InTransaction)
-}
-
-/// The class under which a statement is placed: a setting may run anywhere.
-fn placement_class(class: StatementClass, is_open: bool) -> StatementClass {
-    match class {
-        StatementClass::Read | StatementClass::Write => class,
-        StatementClass::Begin { .. } | StatementClass::Commit | StatementClass::Rollback => class,
-        _ if is_open => StatementClass::InTransaction,
-        _ => StatementClass::Read,
+/// Waits until the connection of an idle transaction has to be closed.
+async fn recalled(transaction: &mut Option<Transaction>) {
+    match transaction.as_mut().and_then(|transaction| transaction.lease.as_mut()) {
+        Some(lease) => lease.recalled().await,
+        None => std::future::pending().await,
     }
 }
 
 fn unsupported(reason: &str) -> RequestRefusal {
     RequestRefusal::not_run(RefusalCode::Unsupported, reason)
 }
-
-fn starts_transaction(sql: &str) -> bool {
-    let start = sql.trim_start().get(..5).unwrap_or_default();
-    start.eq_ignore_ascii_case("BEGIN") || start.eq_ignore_ascii_case("START")
-}
--- a/crates/proxy/tests/proxy/support/endpoint.rs
+++ b/crates/proxy/tests/proxy/support/endpoint.rs
@@ -210,7 +210,9 @@
         let message = self.stream.read().await?.frontend()?;
         match message {
             PgWireFrontendMessage::Query(query) => {
-                for sql in query.query.split(';').filter(|sql| !sql.trim().is_empty()) {
+                // Comments of the tests end with the only line break.
+                let text = query.query.rsplit('\n').next().unwrap_or_default().to_owned();
+                for sql in text.split(';').filter(|sql| !sql.trim().is_empty()) {
                     if !self.execute(sql.trim(), &[], true).await? {
                         break;
                     }
@@ -256,6 +258,8 @@
                     Ok(count) if count > 0 => self.fetch(&portal, &sql, &parameters, count),
                     _ => self.is_skipping = !self.execute(&sql, &parameters, false).await?,
                 }
+                // Real servers write as soon as some replies are there.
+                self.stream.flush().await?;
             }
             PgWireFrontendMessage::Close(_) => self.stream.push(&CloseComplete::new()),
             _ => return Err(Ended),
@@ -332,6 +336,10 @@
                 self.error("57014", "canceling statement due to user request");
                 return Ok(false);
             }
+            Some(Fault::Stale) => {
+                self.error("0A000", "cached plan must not change result type");
+                return Ok(false);
+            }
             Some(Fault::Crossed) => self.stream.push(&BindComplete::new()),
             _ => {}
         }
@@ -417,6 +425,10 @@
             }
         }
         self.complete(&format!("SELECT {}", values.len()));
+        if matches!(fault, Some(Fault::Twice)) {
+            self.stream.push(&row("row of another statement"));
+            self.complete("SELECT 1");
+        }
         if matches!(fault, Some(Fault::Extra)) {
             self.stream.push(&ReadyForQuery::new(self.status));
             self.stream.push(&columns());
