--- a/crates/core/src/host/traffic/admit.rs
+++ b/crates/core/src/host/traffic/admit.rs
@@ -105,7 +105,9 @@
     }
     // Loans bring no more than the whole rate yields in this time.
     let most = rate.rate_per_s as usize / PATIENCES_PER_S + LEAST_LINE;
-    let may_come = now < until && ahead < most && loans::ask_now(state, now, customer, outputs);
+    let line = (customer, ahead + 1);
+    let may_come =
+        now < until && ahead < most && loans::ask_now(state, now, line, until, outputs);
     if may_come { TokenOutcome::Waits } else { TokenOutcome::Refused(ready_at) }
 }
 
--- a/crates/core/src/host/traffic/loans.rs
+++ b/crates/core/src/host/traffic/loans.rs
@@ -15,6 +15,9 @@
 /// Hosts that are asked at once for one resource.
 const ASKED_AT_ONCE: usize = 4;
 
+/// Hosts of a round for tokens that have what is missing if each has its part.
+const BRIEF_PARTS: usize = 2;
+
 /// Time before the end of a loan at which the next one is asked for.
 const RENEW_AHEAD: Duration = Duration::from_secs(3);
 
@@ -34,29 +37,38 @@
 pub(super) fn ask_now(
     state: &mut HostState,
     now: Instant,
-    customer: &CustomerName,
+    (customer, requests): (&CustomerName, usize),
+    until: Instant,
     outputs: &mut Vec<HostOutput>,
 ) -> bool {
     if state.profile.policies.limits == LimitPolicy::EqualSplit {
         return false;
     }
-    if let Some(need) = state.shares.rate_shortage(now, RENEW_AHEAD, customer) {
+    let need = state.shares.rate_shortage(now, RENEW_AHEAD, customer);
+    if let Some(need) = need.filter(|need| need.kind == LoanKind::Lasting) {
+        ask(state, now, &need, outputs);
+    }
+    let resource = ShareResource::CustomerRate(customer.clone());
+    let units = state.shares.missing_units(now, customer, requests as u64);
+    if units > 0 {
+        let need = ShareNeed { resource: resource.clone(), units, kind: LoanKind::Brief };
         ask(state, now, &need, outputs);
     }
-    state.shares.pace(&ShareResource::CustomerRate(customer.clone())).is_open(now)
+    state.shares.pace(&resource, LoanKind::Lasting).is_open(now)
+        || state.shares.pace(&resource, LoanKind::Brief).may_bring(now, until)
 }
 
-/// Asks some hosts for what is missing, in parts that reach if half of them lend it for long, or if
-/// one of them does not lend it for a moment. The first host is random, so that borrowers spread
+/// Asks some hosts for what is missing, in parts that reach if half of them lend it for long, or two
+/// of them lend it for a moment. The first host is random, so that borrowers spread
 /// over lenders.
 fn ask(state: &mut HostState, now: Instant, need: &ShareNeed, outputs: &mut Vec<HostOutput>) {
     let resource = &need.resource;
-    if !state.shares.pace(resource).may_ask(now) {
+    if !state.shares.pace(resource, need.kind).may_ask(now) {
         return;
     }
     let mut peers: Vec<HostName> =
         state.hosts.live_peers(now).into_iter().map(|(host, _)| host.clone()).collect();
-    peers.retain(|host| state.shares.pace(resource).may_ask_host(now, host));
+    peers.retain(|host| state.shares.pace(resource, need.kind).may_ask_host(now, host));
     if peers.is_empty() {
         return;
     }
@@ -65,19 +77,18 @@
     peers.truncate(ASKED_AT_ONCE);
     let parts = match need.kind {
         LoanKind::Lasting => peers.len().div_ceil(2),
-        LoanKind::Brief => peers.len().max(2) - 1,
+        LoanKind::Brief => peers.len().min(BRIEF_PARTS),
     };
     let units = need.units.div_ceil(parts as u64);
     let valid_ms = state.shares.loan_time(need.kind).as_millis();
-    state.shares.pace(resource).begin_round(now);
-    // Units that last longer than the need are asked for again, because loans of one lender do not
-    // add up.
-    let lasts_until = match need.kind {
-        LoanKind::Lasting => now + RENEW_AHEAD,
-        LoanKind::Brief => now,
-    };
+    state.shares.pace(resource, need.kind).begin_round(now, units);
     for host in peers {
-        let kept = state.shares.taken_from(lasts_until, &host, resource);
+        // Units that last longer than the need are asked for again, because loans of one lender do
+        // not add up. Tokens do.
+        let kept = match need.kind {
+            LoanKind::Lasting => state.shares.taken_from(now + RENEW_AHEAD, &host, resource),
+            LoanKind::Brief => 0,
+        };
         let request = PeerRequest::Borrow(BorrowRequest {
             resource: resource.clone(),
             units: kept + units,
@@ -87,7 +98,7 @@
         });
         if state.hosts.send(&host, request, now + BORROW_TIMEOUT, outputs).is_some() {
             state.counters.peer_calls += 1;
-            state.shares.pace(resource).ask(now, host);
+            state.shares.pace(resource, need.kind).ask(now, host);
         }
     }
 }
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -131,9 +131,19 @@
         u64::from(self.rate.burst) * units
     }
 
+    /// Cuts the tokens to a number of microtokens.
+    pub(crate) fn limit(&mut self, most: u64) {
+        self.tokens = self.tokens.min(most);
+    }
+
     /// Takes the tokens of one request.
     pub(crate) fn take(&mut self) -> bool {
-        let left = self.tokens.checked_sub(REQUEST_TOKENS);
+        self.spend(REQUEST_TOKENS)
+    }
+
+    /// Takes microtokens, if there are as many.
+    pub(crate) fn spend(&mut self, microtokens: u64) -> bool {
+        let left = self.tokens.checked_sub(microtokens);
         self.tokens = left.unwrap_or(self.tokens);
         left.is_some()
     }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -4,6 +4,7 @@
 pub(crate) mod demand;
 pub(crate) mod escrow;
 mod holding;
+mod tokens;
 #[cfg(test)]
 mod tests;
 
@@ -24,8 +25,9 @@
 /// Part of a loan's time that the borrower does not use, because clocks run at different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(100);
 
-/// Time of a loan for one request: it covers the way of the loan and the margin for clocks.
-const BRIEF_LOAN: Duration = Duration::from_millis(500);
+/// Time of a loan for one request: it covers [`demand::BORROW_TIMEOUT`] and the margin for clocks.
+/// Loans of a customer's rate for at most this time move tokens and no units.
+const BRIEF_LOAN: Duration = Duration::from_millis(300);
 
 /// Interval at which holdings are compared with demand. It is far below the time before the end of a
 /// loan at which its connections get no new work.
@@ -70,7 +72,7 @@
     loan_valid: Duration,
     rates: HashMap<CustomerName, RateHolding>,
     connections: HashMap<EndpointName, ConnectionHolding>,
-    paces: HashMap<ShareResource, BorrowPace>,
+    paces: HashMap<(ShareResource, LoanKind), BorrowPace>,
     /// Whether holdings of connections have changed since they were adopted.
     is_changed: bool,
     adopted_at: Option<Instant>,
@@ -188,7 +190,7 @@
     /// ```
     pub fn loans_fit(&self, now: Instant, base: &BaseShare) -> bool {
         let rates_fit =
-            self.rates.values().all(|holding| holding.ledger.given(now) <= base.rate_units());
+            self.rates.values().all(|holding| holding.given(now) <= base.rate_units());
         let connections_fit = self.connections.iter().all(|(endpoint, holding)| {
             let base = base.connections(endpoint, holding.total);
             holding.ledger.given(now) <= base && holding.in_use <= holding.ledger.held(now, base)
@@ -238,6 +240,11 @@
         let wanted = LoanTerm { party, units: request.units, until };
         let (units, millitokens) = match &resource {
             _ if !is_lending => (0, 0),
+            ShareResource::CustomerRate(customer) if wanted_for <= BRIEF_LOAN => {
+                let base = self.rate_base(now);
+                let holding = self.rates.get_mut(customer);
+                (0, holding.map_or(0, |holding| holding.lend_tokens(now, base, &wanted)))
+            }
             ShareResource::CustomerRate(customer) => {
                 let base = self.rate_base(now);
                 let holding = self.rates.get_mut(customer);
@@ -279,14 +286,35 @@
         loan: &ShareLoan,
         valid_until: Instant,
     ) {
-        self.paces.entry(loan.resource.clone()).or_default().answer(now, loan.units);
+        let is_rate = matches!(loan.resource, ShareResource::CustomerRate(_));
+        let is_brief = is_rate && Duration::from_millis(loan.valid_ms) <= BRIEF_LOAN;
+        let kind = if is_brief { LoanKind::Brief } else { LoanKind::Lasting };
+        let pace = self.paces.entry((loan.resource.clone(), kind)).or_default();
+        match &loan.resource {
+            ShareResource::CustomerRate(customer) if is_brief => {
+                let holding = self.rates.get(customer);
+                let is_full = |units| {
+                    holding.is_some_and(|holding| holding.is_full(loan.millitokens, units))
+                };
+                let base = self.base.map_or(0, |base| base.rate_units());
+                let is_small = holding.is_some_and(|holding| holding.is_small(base));
+                pace.answer_tokens(now, lender, (is_small, is_full));
+            }
+            _ => pace.answer(now, loan.units),
+        }
         self.is_changed = true;
         let until = valid_until.checked_sub(CLOCK_MARGIN).unwrap_or(now);
-        if loan.units == 0 || until <= now {
+        if loan.units.max(loan.millitokens) == 0 || until <= now {
             return;
         }
         let term = LoanTerm { party: lender_party(lender), units: loan.units, until };
         match &loan.resource {
+            ShareResource::CustomerRate(customer) if loan.units == 0 => {
+                let base = self.rate_base(now);
+                if let Some(holding) = self.rates.get_mut(customer) {
+                    holding.accept_tokens(now, base, (until, loan.millitokens));
+                }
+            }
             ShareResource::CustomerRate(customer) => {
                 let base = self.rate_base(now);
                 if let Some(holding) = self.rates.get_mut(customer) {
--- a/crates/core/src/share/adopt.rs
+++ b/crates/core/src/share/adopt.rs
@@ -53,7 +53,7 @@
         is_known: impl Fn(&CustomerName) -> bool,
     ) {
         self.settle_all(now);
-        self.rates.retain(|customer, holding| is_known(customer) || !holding.ledger.is_empty());
+        self.rates.retain(|customer, holding| is_known(customer) || !holding.is_idle());
     }
 
     /// Takes the token of one request; fails with the time at which the one after `ahead` others
@@ -162,8 +162,20 @@
     }
 
     /// Requests for loans of a resource.
-    pub(crate) fn pace(&mut self, resource: &ShareResource) -> &mut BorrowPace {
-        self.paces.entry(resource.clone()).or_default()
+    pub(crate) fn pace(&mut self, resource: &ShareResource, kind: LoanKind) -> &mut BorrowPace {
+        self.paces.entry((resource.clone(), kind)).or_default()
+    }
+
+    /// Units whose capacity holds the tokens that a number of waiting requests lack.
+    pub(crate) fn missing_units(
+        &mut self,
+        now: Instant,
+        customer: &CustomerName,
+        requests: u64,
+    ) -> u64 {
+        let base = self.rate_base(now);
+        let holding = self.rates.get_mut(customer);
+        holding.map_or(0, |holding| holding.missing_units(now, base, requests))
     }
 
     /// Forgets requests for loans without an answer.
--- a/crates/core/src/share/demand.rs
+++ b/crates/core/src/share/demand.rs
@@ -26,6 +26,14 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(20);
 const MOST_PAUSE: Duration = Duration::from_secs(1);
 
+/// Pause after a round that brought tokens to a customer whose share is large enough for loans of
+/// units, which cost fewer messages.
+const LARGE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause between rounds for which a request waits. A longer one follows several rounds that
+/// brought nothing, which are a sign of a customer over its rate.
+const WAITED_PAUSE: Duration = Duration::from_millis(40);
+
 /// Averages of requests a second, decaying exponentially.
 #[derive(Default)]
 pub(crate) struct DemandMeter {
@@ -49,6 +57,8 @@
     open: Vec<Instant>,
     next_round: Option<Instant>,
     pause: Duration,
+    /// Units that each host of the last round was asked for.
+    wanted: u64,
 }
 
 impl DemandMeter {
@@ -111,8 +121,9 @@
         self.asked.get(host).is_none_or(|at| now >= *at + PEER_PAUSE)
     }
 
-    /// Notes that a round begins.
-    pub(crate) fn begin_round(&mut self, now: Instant) {
+    /// Notes that a round begins, with the units that each host is asked for.
+    pub(crate) fn begin_round(&mut self, now: Instant, units: u64) {
+        self.wanted = units;
         self.pause = (self.pause * 2).clamp(LEAST_PAUSE, MOST_PAUSE);
         self.next_round = Some(now + self.pause);
         self.asked.retain(|_, at| now < *at + PEER_PAUSE);
@@ -134,6 +145,24 @@
         }
     }
 
+    /// Notes an answer to a request for tokens. A host that lent all that was
+    /// asked for may have more at once; others are drained, as they are for a customer over its rate.
+    pub(crate) fn answer_tokens(&mut self, now: Instant, host: &HostName, (is_small, is_full): (bool, impl Fn(u64) -> bool)) {
+        self.open.retain(|until| *until > now);
+        self.open.pop();
+        if self.wanted > 0 && is_full(self.wanted) {
+            self.pause = Duration::ZERO;
+            self.next_round = Some(if is_small { now } else { now + LARGE_PAUSE });
+            self.asked.remove(host);
+        }
+    }
+
+    /// Whether an answer is expected, or a round by an instant may bring tokens.
+    pub(crate) fn may_bring(&self, now: Instant, until: Instant) -> bool {
+        let has_round = self.next_round.is_some_and(|at| at <= until);
+        self.is_open(now) || (has_round && self.pause <= WAITED_PAUSE)
+    }
+
     /// Whether an answer is still expected.
     pub(crate) fn is_open(&self, now: Instant) -> bool {
         self.open.iter().any(|until| *until > now)
--- a/crates/core/src/share/holding.rs
+++ b/crates/core/src/share/holding.rs
@@ -6,6 +6,7 @@
 
 use super::demand::{DemandMeter, PeakMeter};
 use super::escrow::{EscrowLedger, LoanTerm};
+use super::tokens::TokenLoans;
 use crate::limit::{CustomerRate, MILLITOKEN, RATE_UNITS, REQUEST_TOKENS, TokenBucket};
 
 /// Part of the use of what is held, in percent, above which more is borrowed.
@@ -21,12 +22,17 @@
 /// waits. Loans come from several hosts and are rounded, so that some more than one is needed.
 const LEAST_PERCENT: u64 = 125;
 
+/// Tokens that a base share can hold, or collects in a second, below which no units are borrowed for long. Each loan of units
+/// loses tokens where it ends and where it begins, which is more than such a share can spare.
+const SMALL_BURST: u64 = 4 * REQUEST_TOKENS;
+const SMALL_RATE: u64 = 8 * REQUEST_TOKENS;
+
 /// Requests a second below which a host counts as idle.
 const LEAST_DEMAND: f64 = 0.01;
 
 value_type! {
     /// Time for which units are borrowed.
-    #[derive(Copy)]
+    #[derive(Copy, Hash)]
     pub(crate) enum LoanKind {
         /// For as long as the demand lasts; renewed before its end.
         Lasting,
@@ -40,6 +46,10 @@
     pub(super) ledger: EscrowLedger,
     pub(super) demand: DemandMeter,
     bucket: TokenBucket,
+    /// Tokens lent, whose capacity is withheld until they can no longer be used elsewhere.
+    lent: TokenLoans,
+    /// Tokens taken beyond the capacity of the share.
+    fetched: TokenLoans,
 }
 
 /// Share of an endpoint's connections.
@@ -55,26 +65,109 @@
 impl RateHolding {
     pub(super) fn new(now: Instant, rate: CustomerRate) -> Self {
         let bucket = TokenBucket::new(now, rate);
-        Self { ledger: EscrowLedger::default(), demand: DemandMeter::default(), bucket }
+        let (lent, fetched) = (TokenLoans::default(), TokenLoans::default());
+        let (ledger, demand) = (EscrowLedger::default(), DemandMeter::default());
+        Self { ledger, demand, bucket, lent, fetched }
     }
 
     /// Adds tokens up to now for the units that were held all the time, and returns the units held.
     pub(super) fn settle(&mut self, now: Instant, base: u64) -> u64 {
-        let throughout = self.ledger.held_throughout(self.bucket.settled_at(), now, base);
+        let since = self.bucket.settled_at();
+        let throughout = self.ledger.held_throughout(since, now, base);
         self.bucket.settle(now, throughout);
+        // Tokens lent at `since` left no room for new ones until they ended, perhaps only now.
+        self.bucket.limit(self.bucket.capacity(throughout).saturating_sub(self.lent.sum(since)));
         self.ledger.prune(now);
+        self.lent.prune(self.bucket.settled_at());
+        self.fetched.prune(now);
         self.ledger.held(now, base)
     }
 
     pub(super) fn clamp(&mut self, now: Instant, base: u64) {
         let held = self.ledger.held(now, base);
-        self.bucket.clamp(held);
+        self.bucket.limit(self.bucket.capacity(held).saturating_sub(self.lent.sum(now)));
+    }
+
+    /// Units given, including those whose capacity is withheld for tokens lent.
+    pub(super) fn given(&self, now: Instant) -> u64 {
+        self.ledger.given(now) + self.withheld(now)
+    }
+
+    fn withheld(&self, now: Instant) -> u64 {
+        let burst = u64::from(self.bucket.rate().burst).max(1);
+        self.lent.sum(now).div_ceil(burst)
+    }
+
+    /// Whether nothing is lent or borrowed.
+    pub(super) fn is_idle(&self) -> bool {
+        self.ledger.is_empty() && self.lent.is_empty() && self.fetched.is_empty()
+    }
+
+    /// Lends tokens until an instant, as many as some units hold at most. Until then their capacity
+    /// is withheld from the base share, but the lender keeps its rate: tokens lent are thereby never
+    /// part of two buckets, and a loan costs the lender nothing else.
+    pub(super) fn lend_tokens(&mut self, now: Instant, base: u64, term: &LoanTerm) -> u64 {
+        self.settle(now, base);
+        let free = self.bucket.capacity(base.saturating_sub(self.ledger.given(now)));
+        let free = free.saturating_sub(self.lent.sum(now));
+        let millitokens = self.bucket.withdraw(self.bucket.capacity(term.units).min(free) / MILLITOKEN);
+        self.lent.add(term.until, millitokens * MILLITOKEN);
+        self.clamp(now, base);
+        millitokens
+    }
+
+    /// Takes tokens that were lent until an instant. Those for which the share has capacity stay.
+    pub(super) fn accept_tokens(
+        &mut self,
+        now: Instant,
+        base: u64,
+        (until, millitokens): (Instant, u64),
+    ) {
+        let held = self.settle(now, base);
+        let before = self.bucket.tokens();
+        self.bucket.deposit(millitokens, held);
+        self.clamp(now, base);
+        let kept = self.bucket.tokens().saturating_sub(before);
+        self.fetched.add(until, (millitokens * MILLITOKEN).saturating_sub(kept));
+    }
+
+    /// Units whose capacity holds the tokens that a number of waiting requests lack.
+    pub(super) fn missing_units(&mut self, now: Instant, base: u64, requests: u64) -> u64 {
+        self.settle(now, base);
+        let burst = u64::from(self.bucket.rate().burst).max(1);
+        let there = self.bucket.tokens() + self.fetched.sum(now);
+        (requests * REQUEST_TOKENS).saturating_sub(there).div_ceil(burst).min(RATE_UNITS)
+    }
+
+    /// Whether a loan has all the tokens that were asked for as units.
+    pub(super) fn is_full(&self, millitokens: u64, units: u64) -> bool {
+        millitokens >= self.bucket.capacity(units) / MILLITOKEN
+    }
+
+    /// Whether the base share is too small for loans of units.
+    pub(super) fn is_small(&self, base: u64) -> bool {
+        let per_s = u64::from(self.bucket.rate().rate_per_s) * base;
+        self.bucket.capacity(base) < SMALL_BURST || per_s < SMALL_RATE
+    }
+
+    /// Takes the tokens of one request, borrowed ones first.
+    fn take(&mut self, now: Instant) -> bool {
+        let borrowed = self.fetched.sum(now).min(REQUEST_TOKENS);
+        if borrowed == 0 {
+            return self.bucket.take();
+        }
+        let is_taken = self.bucket.spend(REQUEST_TOKENS - borrowed);
+        if is_taken {
+            self.fetched.spend(borrowed);
+        }
+        is_taken
     }
 
     pub(super) fn change_rate(&mut self, now: Instant, base: u64, rate: CustomerRate) {
         if rate != self.bucket.rate() {
             let held = self.settle(now, base);
             self.bucket.change_rate(rate, held);
+            self.clamp(now, base);
         }
     }
 
@@ -85,7 +178,7 @@
         ahead: u64,
     ) -> Result<(), Option<Instant>> {
         let held = self.settle(now, base);
-        match ahead == 0 && self.bucket.take() {
+        match ahead == 0 && self.take(now) {
             true => Ok(()),
             false => Err(self.bucket.ready_at(held, ahead + 1)),
         }
@@ -95,6 +188,7 @@
         self.settle(now, base);
         self.ledger.take(loan);
         self.bucket.deposit(millitokens, self.ledger.held(now, base));
+        self.clamp(now, base);
     }
 
     /// Units and millitokens lent from the base share, what the borrower has already included. A loan
@@ -102,7 +196,8 @@
     pub(super) fn lend(&mut self, now: Instant, base: u64, wanted: LoanTerm) -> (u64, u64) {
         let held = self.settle(now, base);
         let needed = self.units_for(self.demand.lasting_rate(now)).max(self.floor(base));
-        let units = lendable(&self.ledger, now, (base, needed), &wanted);
+        let free = base.saturating_sub(self.withheld(now));
+        let units = lendable(&self.ledger, now, (free, needed), &wanted);
         if units == 0 {
             return (0, 0);
         }
@@ -129,7 +224,7 @@
 
     /// Units and millitokens of the whole base share; called on a settled holding.
     pub(super) fn hand_over(&mut self, now: Instant, base: u64) -> (u64, u64) {
-        let units = base.saturating_sub(self.ledger.given(now));
+        let units = base.saturating_sub(self.given(now));
         let tokens = self.bucket.capacity(units).min(self.bucket.tokens());
         (units, self.bucket.withdraw(tokens / MILLITOKEN))
     }
@@ -168,6 +263,7 @@
         let is_low = self.bucket.tokens() < full * (100 - BORROW_PERCENT) / 100;
         let rising = self.units_for(demand.max(self.demand.rising_rate(now)));
         let lasting = match () {
+            _ if self.is_small(base) => 0,
             _ if is_waiting => rising,
             _ if is_low && used > held / 2 => rising.max(held + held / 2),
             _ if used > held * BORROW_PERCENT / 100 => self.units_for(demand),
