Lend tokens without units to hosts that lack some

Cause: a loan for one request moved rate and capacity with its token for 500 ms, so that each one lost up to half a second of the moved rate, and lasting loans between shares of one or two tokens lost tokens wherever they began and ended. Requests refused at once while the first round of four hosts had nothing.

Change: a loan of a rate for at most 300 ms moves tokens only. The lender keeps its rate and withholds the capacity of the tokens until they have ended, so the sum over all hosts stays within rate and burst. Small shares (below 4 tokens of burst or 8 tokens a second) borrow tokens only, at a pace of their own: a host that gave all that it was asked for may be asked again at once, a round that brings less doubles the pause, and requests wait up to 100 ms for a round to come.

Ruled out: the same pace for large shares. Large shares keep their scheme.

--- a/crates/core/src/host/traffic/admit.rs
+++ b/crates/core/src/host/traffic/admit.rs
@@ -106,8 +106,7 @@
     // Loans bring no more than the whole rate yields in this time.
     let most = rate.rate_per_s as usize / PATIENCES_PER_S + LEAST_LINE;
     let line = (customer, ahead + 1);
-    let may_come =
-        now < until && ahead < most && loans::ask_now(state, now, line, until, outputs);
+    let may_come = now < until && ahead < most && loans::ask_now(state, now, line, until, outputs);
     if may_come { TokenOutcome::Waits } else { TokenOutcome::Refused(ready_at) }
 }
 
--- a/crates/core/src/host/traffic/loans.rs
+++ b/crates/core/src/host/traffic/loans.rs
@@ -28,7 +28,7 @@
         return;
     }
     for need in state.shares.shortages(now, RENEW_AHEAD) {
-        ask(state, now, &need, outputs);
+        ask(state, now, &need, LoanKind::Lasting, outputs);
     }
 }
 
@@ -44,31 +44,41 @@
     if state.profile.policies.limits == LimitPolicy::EqualSplit {
         return false;
     }
-    let need = state.shares.rate_shortage(now, RENEW_AHEAD, customer);
-    if let Some(need) = need.filter(|need| need.kind == LoanKind::Lasting) {
-        ask(state, now, &need, outputs);
-    }
     let resource = ShareResource::CustomerRate(customer.clone());
     let units = state.shares.missing_units(now, customer, requests as u64);
-    if units > 0 {
-        let need = ShareNeed { resource: resource.clone(), units, kind: LoanKind::Brief };
-        ask(state, now, &need, outputs);
+    let kind = LoanKind::Brief;
+    let tokens = (units > 0).then_some(ShareNeed { resource: resource.clone(), units, kind });
+    if state.shares.is_small(customer) {
+        if let Some(need) = tokens {
+            ask(state, now, &need, LoanKind::Brief, outputs);
+        }
+        return state.shares.pace(&resource, LoanKind::Brief).may_bring(now, until);
+    }
+    let need = state.shares.rate_shortage(now, RENEW_AHEAD, customer);
+    let is_brief = need.as_ref().is_some_and(|need| need.kind == LoanKind::Brief);
+    if let Some(need) = if is_brief { tokens } else { need } {
+        ask(state, now, &need, LoanKind::Lasting, outputs);
     }
     state.shares.pace(&resource, LoanKind::Lasting).is_open(now)
-        || state.shares.pace(&resource, LoanKind::Brief).may_bring(now, until)
 }
 
 /// Asks some hosts for what is missing, in parts that reach if half of them lend it for long, or two
 /// of them lend it for a moment. The first host is random, so that borrowers spread
 /// over lenders.
-fn ask(state: &mut HostState, now: Instant, need: &ShareNeed, outputs: &mut Vec<HostOutput>) {
+fn ask(
+    state: &mut HostState,
+    now: Instant,
+    need: &ShareNeed,
+    pace: LoanKind,
+    outputs: &mut Vec<HostOutput>,
+) {
     let resource = &need.resource;
-    if !state.shares.pace(resource, need.kind).may_ask(now) {
+    if !state.shares.pace(resource, pace).may_ask(now) {
         return;
     }
     let mut peers: Vec<HostName> =
         state.hosts.live_peers(now).into_iter().map(|(host, _)| host.clone()).collect();
-    peers.retain(|host| state.shares.pace(resource, need.kind).may_ask_host(now, host));
+    peers.retain(|host| state.shares.pace(resource, pace).may_ask_host(now, host));
     if peers.is_empty() {
         return;
     }
@@ -81,7 +91,7 @@
     };
     let units = need.units.div_ceil(parts as u64);
     let valid_ms = state.shares.loan_time(need.kind).as_millis();
-    state.shares.pace(resource, need.kind).begin_round(now, units);
+    state.shares.pace(resource, pace).begin_round(now, units);
     for host in peers {
         // Units that last longer than the need are asked for again, because loans of one lender do
         // not add up. Tokens do.
@@ -98,7 +108,7 @@
         });
         if state.hosts.send(&host, request, now + BORROW_TIMEOUT, outputs).is_some() {
             state.counters.peer_calls += 1;
-            state.shares.pace(resource, need.kind).ask(now, host);
+            state.shares.pace(resource, pace).ask(now, host);
         }
     }
 }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -4,9 +4,9 @@
 pub(crate) mod demand;
 pub(crate) mod escrow;
 mod holding;
-mod tokens;
 #[cfg(test)]
 mod tests;
+mod tokens;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -189,8 +189,7 @@
     /// assert!(ShareTable::default().loans_fit(now, &base));
     /// ```
     pub fn loans_fit(&self, now: Instant, base: &BaseShare) -> bool {
-        let rates_fit =
-            self.rates.values().all(|holding| holding.given(now) <= base.rate_units());
+        let rates_fit = self.rates.values().all(|holding| holding.given(now) <= base.rate_units());
         let connections_fit = self.connections.iter().all(|(endpoint, holding)| {
             let base = base.connections(endpoint, holding.total);
             holding.ledger.given(now) <= base && holding.in_use <= holding.ledger.held(now, base)
@@ -286,21 +285,19 @@
         loan: &ShareLoan,
         valid_until: Instant,
     ) {
-        let is_rate = matches!(loan.resource, ShareResource::CustomerRate(_));
-        let is_brief = is_rate && Duration::from_millis(loan.valid_ms) <= BRIEF_LOAN;
-        let kind = if is_brief { LoanKind::Brief } else { LoanKind::Lasting };
-        let pace = self.paces.entry((loan.resource.clone(), kind)).or_default();
+        let is_brief = Duration::from_millis(loan.valid_ms) <= BRIEF_LOAN;
         match &loan.resource {
-            ShareResource::CustomerRate(customer) if is_brief => {
+            ShareResource::CustomerRate(customer) if is_brief && self.is_small(customer) => {
                 let holding = self.rates.get(customer);
-                let is_full = |units| {
+                let pace = self.paces.entry((loan.resource.clone(), LoanKind::Brief)).or_default();
+                pace.answer_tokens(now, lender, |units| {
                     holding.is_some_and(|holding| holding.is_full(loan.millitokens, units))
-                };
-                let base = self.base.map_or(0, |base| base.rate_units());
-                let is_small = holding.is_some_and(|holding| holding.is_small(base));
-                pace.answer_tokens(now, lender, (is_small, is_full));
+                });
+            }
+            resource => {
+                let brought = loan.units.max(loan.millitokens);
+                self.pace(resource, LoanKind::Lasting).answer(now, brought);
             }
-            _ => pace.answer(now, loan.units),
         }
         self.is_changed = true;
         let until = valid_until.checked_sub(CLOCK_MARGIN).unwrap_or(now);
--- a/crates/core/src/share/adopt.rs
+++ b/crates/core/src/share/adopt.rs
@@ -166,6 +166,13 @@
         self.paces.entry((resource.clone(), kind)).or_default()
     }
 
+    /// Whether a customer's base share is too small for loans of units, so that its tokens are
+    /// borrowed one by one and at a pace of their own.
+    pub(crate) fn is_small(&self, customer: &CustomerName) -> bool {
+        let base = self.base.map_or(0, |base| base.rate_units());
+        self.rates.get(customer).is_some_and(|holding| holding.is_small(base))
+    }
+
     /// Units whose capacity holds the tokens that a number of waiting requests lack.
     pub(crate) fn missing_units(
         &mut self,
--- a/crates/core/src/share/demand.rs
+++ b/crates/core/src/share/demand.rs
@@ -26,10 +26,6 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(20);
 const MOST_PAUSE: Duration = Duration::from_secs(1);
 
-/// Pause after a round that brought tokens to a customer whose share is large enough for loans of
-/// units, which cost fewer messages.
-const LARGE_PAUSE: Duration = Duration::from_millis(50);
-
 /// Longest pause between rounds for which a request waits. A longer one follows several rounds that
 /// brought nothing, which are a sign of a customer over its rate.
 const WAITED_PAUSE: Duration = Duration::from_millis(40);
@@ -147,12 +143,17 @@
 
     /// Notes an answer to a request for tokens. A host that lent all that was
     /// asked for may have more at once; others are drained, as they are for a customer over its rate.
-    pub(crate) fn answer_tokens(&mut self, now: Instant, host: &HostName, (is_small, is_full): (bool, impl Fn(u64) -> bool)) {
+    pub(crate) fn answer_tokens(
+        &mut self,
+        now: Instant,
+        host: &HostName,
+        is_full: impl Fn(u64) -> bool,
+    ) {
         self.open.retain(|until| *until > now);
         self.open.pop();
         if self.wanted > 0 && is_full(self.wanted) {
             self.pause = Duration::ZERO;
-            self.next_round = Some(if is_small { now } else { now + LARGE_PAUSE });
+            self.next_round = Some(now);
             self.asked.remove(host);
         }
     }
--- a/crates/core/src/share/holding.rs
+++ b/crates/core/src/share/holding.rs
@@ -110,7 +110,8 @@
         self.settle(now, base);
         let free = self.bucket.capacity(base.saturating_sub(self.ledger.given(now)));
         let free = free.saturating_sub(self.lent.sum(now));
-        let millitokens = self.bucket.withdraw(self.bucket.capacity(term.units).min(free) / MILLITOKEN);
+        let millitokens =
+            self.bucket.withdraw(self.bucket.capacity(term.units).min(free) / MILLITOKEN);
         self.lent.add(term.until, millitokens * MILLITOKEN);
         self.clamp(now, base);
         millitokens
--- a/crates/core/src/share/tests.rs
+++ b/crates/core/src/share/tests.rs
@@ -314,6 +314,31 @@
     }
 }
 
+/// Guards against tokens lent that the lender collects again while the borrower can use them, against
+/// a lender that loses its rate by them, and against unused ones that outlast the loan.
+#[gtest]
+fn tokens_lent_leave_their_capacity_until_they_end() {
+    let start = Instant::now();
+    let (mut lender, mut borrower) = (table(start, 2, 0), table(start, 2, 1));
+    let now = after(start, 10_000);
+    expect_that!(take_all(&mut lender, after(now, 0)), eq(25));
+    let now = after(now, 10_000);
+    let brief = BorrowRequest { valid_ms: 300, ..request(rate(), 200_000) };
+    let loan = lender.lend(now, &brief);
+    expect_that!((loan.units, loan.millitokens), eq((0, 10_000)));
+    expect_that!(lender.held(now, &rate()), eq(500_000));
+    // The share of 50 tokens a second is full after 15 of 25 tokens.
+    expect_that!(take_all(&mut lender, after(now, 299)), eq(15));
+    expect_that!(take_all(&mut lender, after(now, 399)), eq(5));
+    take_all(&mut borrower, now);
+    borrower.accept(now, &lender_name(), &loan, after(now, 300));
+    expect_that!(take_all(&mut borrower, now), eq(10));
+    expect_that!(take_all(&mut borrower, after(now, 10_000)), eq(25));
+    let loan = ShareLoan { millitokens: 9_000, ..loan };
+    borrower.accept(after(now, 20_000), &lender_name(), &loan, after(now, 20_300));
+    expect_that!(take_all(&mut borrower, after(now, 20_200)), eq(25));
+}
+
 /// Guards against a model in which nothing is ever lent or used, so that the property above would
 /// hold for any code.
 #[gtest]
--- a/crates/core/src/share/tests/fleet.rs
+++ b/crates/core/src/share/tests/fleet.rs
@@ -34,6 +34,13 @@
         valid_ms: u64,
         is_rate: bool,
     },
+    /// A host asks another one for tokens.
+    AskTokens {
+        from: usize,
+        to: usize,
+        units: u64,
+        valid_ms: u64,
+    },
     /// A message arrives.
     Deliver(usize),
     /// A request for a loan arrives, and will arrive once more.
@@ -83,7 +90,7 @@
 pub(super) fn any_step() -> impl Strategy<Value = FleetStep> {
     let host = 0..4usize;
     prop_oneof![
-           6 => prop_oneof![0..50u64, 0..3_000u64, 9_000..12_000u64].prop_map(FleetStep::Advance),
+           6 => prop_oneof![0..50u64, 0..300u64, 0..3_000u64, 9_000..12_000u64].prop_map(FleetStep::Advance),
            6 => (host.clone(), 1..60u32)
                .prop_map(|(host, requests)| FleetStep::Take { host, requests }),
            3 => Just(FleetStep::TakeAll),
@@ -91,6 +98,9 @@
                |(from, to, units, valid_ms, is_rate)| {
     FleetStep::Ask { from, to, units, valid_ms, is_rate } }
            ),
+           4 => (host.clone(), host.clone(), 1..700_000u64, 100..=300u64).prop_map(
+               |(from, to, units, valid_ms)| FleetStep::AskTokens { from, to, units, valid_ms }
+           ),
            8 => (0..20usize).prop_map(FleetStep::Deliver),
            1 => (0..20usize).prop_map(FleetStep::Repeat),
            1 => (0..20usize).prop_map(FleetStep::Lose),
@@ -174,7 +184,10 @@
             FleetStep::Ask { from, to, units, valid_ms, is_rate } if from != to => {
                 self.ask((*from, *to), *units, *valid_ms, *is_rate);
             }
-            FleetStep::Ask { .. } => {}
+            FleetStep::AskTokens { from, to, units, valid_ms } if from != to => {
+                self.ask((*from, *to), *units, *valid_ms, true);
+            }
+            FleetStep::Ask { .. } | FleetStep::AskTokens { .. } => {}
             FleetStep::Deliver(index) => self.deliver(*index, false),
             FleetStep::Repeat(index) => self.deliver(*index, true),
             FleetStep::Lose(index) => {
