Give each customer with small shares a home that gathers its tokens

Cause: base shares of one or two tokens overflow at some hosts while others lack tokens.

Change: in fleets of up to 15 hosts, the host with the lowest rendezvous hash for a customer borrows the base shares of all others for 3 s and renews them each second while tokens are asked for. Hosts that lack a token ask it first, in one message for all requests that wait, then others as before. Tokens may be lent from units taken that last as long.

--- a/crates/core/src/host/traffic/loans.rs
+++ b/crates/core/src/host/traffic/loans.rs
@@ -7,6 +7,7 @@
 use tanagerdeal_wire::{CustomerName, HostName};
 
 use crate::host::HostState;
+use crate::membership::host_rank;
 use crate::message::HostOutput;
 use crate::profile::LimitPolicy;
 use crate::share::demand::BORROW_TIMEOUT;
@@ -18,6 +19,15 @@
 /// Hosts of a round for tokens that have what is missing if each has its part.
 const BRIEF_PARTS: usize = 2;
 
+/// Largest fleet in which a customer has one home.
+const GATHERED_HOSTS: usize = 15;
+
+/// Time of the loans to a home, which is how long tokens are missing after it died.
+const GATHER_LOAN: Duration = Duration::from_secs(3);
+
+/// Interval at which a home renews its loans; one lost message does not end them.
+const GATHER_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time before the end of a loan at which the next one is asked for.
 const RENEW_AHEAD: Duration = Duration::from_secs(3);
 
@@ -30,6 +40,67 @@
     for need in state.shares.shortages(now, RENEW_AHEAD) {
         ask(state, now, &need, LoanKind::Lasting, outputs);
     }
+    for customer in state.shares.small_in_use(now) {
+        gather(state, now, customer, outputs);
+    }
+}
+
+/// Borrows the base shares of a customer from all hosts, if this host is the customer's home. Shares
+/// of one or two tokens overflow at some hosts while others lack tokens; one bucket does not.
+fn gather(
+    state: &mut HostState,
+    now: Instant,
+    customer: CustomerName,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let resource = ShareResource::CustomerRate(customer);
+    if !state.shares.pace(&resource, LoanKind::Lasting).may_ask(now) {
+        return;
+    }
+    let peers = live_peers(state, now);
+    if home(state, &peers, &resource).as_ref() != Some(&state.profile.identity.host) {
+        return;
+    }
+    state.shares.pace(&resource, LoanKind::Lasting).begin_regular(now, GATHER_INTERVAL);
+    let units = state.shares.base_units(now);
+    for host in peers {
+        send(state, now, (host, &resource), (units, GATHER_LOAN), LoanKind::Lasting, outputs);
+    }
+}
+
+fn live_peers(state: &HostState, now: Instant) -> Vec<HostName> {
+    state.hosts.live_peers(now).into_iter().map(|(host, _)| host.clone()).collect()
+}
+
+/// The host that gathers the base shares of a resource, by rendezvous hashing; none in a fleet in
+/// which it would have to ask too many hosts.
+fn home(state: &HostState, peers: &[HostName], resource: &ShareResource) -> Option<HostName> {
+    let ShareResource::CustomerRate(customer) = resource else { return None };
+    let own = &state.profile.identity.host;
+    let hosts = peers.iter().chain([own]);
+    let first = hosts.min_by_key(|host| host_rank(customer.as_str(), host.as_str()));
+    first.filter(|_| peers.len() < GATHERED_HOSTS).cloned()
+}
+
+fn send(
+    state: &mut HostState,
+    now: Instant,
+    (host, resource): (HostName, &ShareResource),
+    (units, valid): (u64, Duration),
+    pace: LoanKind,
+    outputs: &mut Vec<HostOutput>,
+) {
+    let request = PeerRequest::Borrow(BorrowRequest {
+        resource: resource.clone(),
+        units,
+        valid_ms: u64::try_from(valid.as_millis()).unwrap_or(u64::MAX),
+        borrower: state.profile.identity.host.clone(),
+        incarnation: state.profile.identity.incarnation,
+    });
+    if state.hosts.send(&host, request, now + BORROW_TIMEOUT, outputs).is_some() {
+        state.counters.peer_calls += 1;
+        state.shares.pace(resource, pace).ask(now, host);
+    }
 }
 
 /// Borrows of a customer's rate at once because a request waits for it; tells whether an answer is
@@ -76,12 +147,16 @@
     if !state.shares.pace(resource, pace).may_ask(now) {
         return;
     }
-    let mut peers: Vec<HostName> =
-        state.hosts.live_peers(now).into_iter().map(|(host, _)| host.clone()).collect();
+    let mut peers = live_peers(state, now);
+    let home = home(state, &peers, resource).filter(|_| pace == LoanKind::Brief);
     peers.retain(|host| state.shares.pace(resource, pace).may_ask_host(now, host));
     if peers.is_empty() {
         return;
     }
+    // The home has most tokens. After an answer that brought too little, or none, others are asked.
+    if let Some(home) = home.filter(|home| peers.contains(home)) {
+        peers = vec![home];
+    }
     let first = state.random.random_range(0..peers.len());
     peers.rotate_left(first);
     peers.truncate(ASKED_AT_ONCE);
@@ -90,7 +165,7 @@
         LoanKind::Brief => peers.len().min(BRIEF_PARTS),
     };
     let units = need.units.div_ceil(parts as u64);
-    let valid_ms = state.shares.loan_time(need.kind).as_millis();
+    let valid = state.shares.loan_time(need.kind);
     state.shares.pace(resource, pace).begin_round(now, units);
     for host in peers {
         // Units that last longer than the need are asked for again, because loans of one lender do
@@ -99,16 +174,6 @@
             LoanKind::Lasting => state.shares.taken_from(now + RENEW_AHEAD, &host, resource),
             LoanKind::Brief => 0,
         };
-        let request = PeerRequest::Borrow(BorrowRequest {
-            resource: resource.clone(),
-            units: kept + units,
-            valid_ms: u64::try_from(valid_ms).unwrap_or(u64::MAX),
-            borrower: state.profile.identity.host.clone(),
-            incarnation: state.profile.identity.incarnation,
-        });
-        if state.hosts.send(&host, request, now + BORROW_TIMEOUT, outputs).is_some() {
-            state.counters.peer_calls += 1;
-            state.shares.pace(resource, pace).ask(now, host);
-        }
+        send(state, now, (host, resource), (kept + units, valid), pace, outputs);
     }
 }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -294,6 +294,8 @@
                     holding.is_some_and(|holding| holding.is_full(loan.millitokens, units))
                 });
             }
+            // The home of a customer asks all hosts at fixed intervals.
+            ShareResource::CustomerRate(customer) if self.is_small(customer) => {}
             resource => {
                 let brought = loan.units.max(loan.millitokens);
                 self.pace(resource, LoanKind::Lasting).answer(now, brought);
--- a/crates/core/src/share/adopt.rs
+++ b/crates/core/src/share/adopt.rs
@@ -166,6 +166,20 @@
         self.paces.entry((resource.clone(), kind)).or_default()
     }
 
+    /// Customers with small shares whose tokens were asked for lately.
+    pub(crate) fn small_in_use(&self, now: Instant) -> Vec<CustomerName> {
+        let base = self.rate_base(now);
+        let is_listed =
+            |holding: &RateHolding| base > 0 && holding.is_small(base) && holding.is_used(now);
+        let listed = self.rates.iter().filter(|(_, holding)| is_listed(holding));
+        listed.map(|(customer, _)| customer.clone()).collect()
+    }
+
+    /// Units of each host's base share of a rate.
+    pub(crate) fn base_units(&self, now: Instant) -> u64 {
+        self.rate_base(now)
+    }
+
     /// Whether a customer's base share is too small for loans of units, so that its tokens are
     /// borrowed one by one and at a pace of their own.
     pub(crate) fn is_small(&self, customer: &CustomerName) -> bool {
--- a/crates/core/src/share/demand.rs
+++ b/crates/core/src/share/demand.rs
@@ -125,6 +125,11 @@
         self.asked.retain(|_, at| now < *at + PEER_PAUSE);
     }
 
+    /// Notes that a round to all hosts begins, with the next one after a fixed interval.
+    pub(crate) fn begin_regular(&mut self, now: Instant, interval: Duration) {
+        self.next_round = Some(now + interval);
+    }
+
     /// Notes that a host was asked.
     pub(crate) fn ask(&mut self, now: Instant, host: HostName) {
         self.asked.insert(host, now);
--- a/crates/core/src/share/holding.rs
+++ b/crates/core/src/share/holding.rs
@@ -1,6 +1,6 @@
 //! What this host holds of one customer's rate, and of one endpoint's connections.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tanagerdeal_wire::value_type;
 
@@ -27,6 +27,12 @@
 const SMALL_BURST: u64 = 4 * REQUEST_TOKENS;
 const SMALL_RATE: u64 = 8 * REQUEST_TOKENS;
 
+/// Microtokens that are asked for in addition, because each of two lenders rounds down.
+const ROUNDING: u64 = 2 * MILLITOKEN;
+
+/// Time after the last request for tokens for which the home of a customer goes on borrowing.
+const USE_KEPT: Duration = Duration::from_secs(30);
+
 /// Requests a second below which a host counts as idle.
 const LEAST_DEMAND: f64 = 0.01;
 
@@ -46,6 +52,8 @@
     pub(super) ledger: EscrowLedger,
     pub(super) demand: DemandMeter,
     bucket: TokenBucket,
+    /// When tokens were asked for last, here or by another host.
+    used_at: Option<Instant>,
     /// Tokens lent, whose capacity is withheld until they can no longer be used elsewhere.
     lent: TokenLoans,
     /// Tokens taken beyond the capacity of the share.
@@ -67,7 +75,7 @@
         let bucket = TokenBucket::new(now, rate);
         let (lent, fetched) = (TokenLoans::default(), TokenLoans::default());
         let (ledger, demand) = (EscrowLedger::default(), DemandMeter::default());
-        Self { ledger, demand, bucket, lent, fetched }
+        Self { ledger, demand, bucket, used_at: None, lent, fetched }
     }
 
     /// Adds tokens up to now for the units that were held all the time, and returns the units held.
@@ -108,7 +116,10 @@
     /// part of two buckets, and a loan costs the lender nothing else.
     pub(super) fn lend_tokens(&mut self, now: Instant, base: u64, term: &LoanTerm) -> u64 {
         self.settle(now, base);
-        let free = self.bucket.capacity(base.saturating_sub(self.ledger.given(now)));
+        self.used_at = Some(now);
+        // Units taken from others count if they last as long as the loan.
+        let lasting = base + self.ledger.taken(term.until);
+        let free = self.bucket.capacity(lasting.saturating_sub(self.ledger.given(now)));
         let free = free.saturating_sub(self.lent.sum(now));
         let millitokens =
             self.bucket.withdraw(self.bucket.capacity(term.units).min(free) / MILLITOKEN);
@@ -137,7 +148,9 @@
         self.settle(now, base);
         let burst = u64::from(self.bucket.rate().burst).max(1);
         let there = self.bucket.tokens() + self.fetched.sum(now);
-        (requests * REQUEST_TOKENS).saturating_sub(there).div_ceil(burst).min(RATE_UNITS)
+        let missing = (requests * REQUEST_TOKENS).saturating_sub(there);
+        let rounding = if missing > 0 { ROUNDING } else { 0 };
+        (missing + rounding).div_ceil(burst).min(RATE_UNITS)
     }
 
     /// Whether a loan has all the tokens that were asked for as units.
@@ -151,6 +164,11 @@
         self.bucket.capacity(base) < SMALL_BURST || per_s < SMALL_RATE
     }
 
+    /// Whether tokens were asked for lately.
+    pub(super) fn is_used(&self, now: Instant) -> bool {
+        self.used_at.is_some_and(|at| now < at + USE_KEPT)
+    }
+
     /// Takes the tokens of one request, borrowed ones first.
     fn take(&mut self, now: Instant) -> bool {
         let borrowed = self.fetched.sum(now).min(REQUEST_TOKENS);
@@ -179,6 +197,7 @@
         ahead: u64,
     ) -> Result<(), Option<Instant>> {
         let held = self.settle(now, base);
+        self.used_at = Some(now);
         match ahead == 0 && self.take(now) {
             true => Ok(()),
             false => Err(self.bucket.ready_at(held, ahead + 1)),
@@ -196,7 +215,11 @@
     /// carries no more tokens than its additional units can hold.
     pub(super) fn lend(&mut self, now: Instant, base: u64, wanted: LoanTerm) -> (u64, u64) {
         let held = self.settle(now, base);
-        let needed = self.units_for(self.demand.lasting_rate(now)).max(self.floor(base));
+        // A small share is lent to the home of its customer, which lends the tokens back.
+        let needed = match self.is_small(base) {
+            true => self.floor(base),
+            false => self.units_for(self.demand.lasting_rate(now)).max(self.floor(base)),
+        };
         let free = base.saturating_sub(self.withheld(now));
         let units = lendable(&self.ledger, now, (free, needed), &wanted);
         if units == 0 {
