Lend tokens for 120 ms

Cause: the capacity of tokens lent was withheld for 300 ms, at 12/12 about a quarter of the burst at a time, of which 100 ms were the margin for clocks. The margin of short loans is now a tenth of their time.

--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -25,9 +25,16 @@
 /// Part of a loan's time that the borrower does not use, because clocks run at different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(100);
 
-/// Time of a loan for one request: it covers [`demand::BORROW_TIMEOUT`] and the margin for clocks.
-/// Loans of a customer's rate for at most this time move tokens and no units.
-const BRIEF_LOAN: Duration = Duration::from_millis(300);
+/// Part of a loan's time, as a divisor, that is enough of a margin when it is less than
+/// [`CLOCK_MARGIN`].
+const MARGIN_DIVISOR: u32 = 10;
+
+/// Longest time of a loan of a customer's rate that moves tokens and no units.
+const TOKEN_LOAN: Duration = Duration::from_millis(300);
+
+/// Time of a loan for one request, for which its lender withholds capacity. A request waits no longer
+/// for a token.
+const BRIEF_LOAN: Duration = Duration::from_millis(120);
 
 /// Interval at which holdings are compared with demand. It is far below the time before the end of a
 /// loan at which its connections get no new work.
@@ -239,7 +246,7 @@
         let wanted = LoanTerm { party, units: request.units, until };
         let (units, millitokens) = match &resource {
             _ if !is_lending => (0, 0),
-            ShareResource::CustomerRate(customer) if wanted_for <= BRIEF_LOAN => {
+            ShareResource::CustomerRate(customer) if wanted_for <= TOKEN_LOAN => {
                 let base = self.rate_base(now);
                 let holding = self.rates.get_mut(customer);
                 (0, holding.map_or(0, |holding| holding.lend_tokens(now, base, &wanted)))
@@ -285,7 +292,7 @@
         loan: &ShareLoan,
         valid_until: Instant,
     ) {
-        let is_brief = Duration::from_millis(loan.valid_ms) <= BRIEF_LOAN;
+        let is_brief = Duration::from_millis(loan.valid_ms) <= TOKEN_LOAN;
         match &loan.resource {
             ShareResource::CustomerRate(customer) if is_brief && self.is_small(customer) => {
                 let holding = self.rates.get(customer);
@@ -302,7 +309,8 @@
             }
         }
         self.is_changed = true;
-        let until = valid_until.checked_sub(CLOCK_MARGIN).unwrap_or(now);
+        let margin = CLOCK_MARGIN.min(Duration::from_millis(loan.valid_ms) / MARGIN_DIVISOR);
+        let until = valid_until.checked_sub(margin).unwrap_or(now);
         if loan.units.max(loan.millitokens) == 0 || until <= now {
             return;
         }
