--- a/crates/core/src/share/adopt.rs
+++ b/crates/core/src/share/adopt.rs
@@ -55,7 +55,7 @@
     /// they hold changes with the base share only, which settles all.
     pub(crate) fn settle_loans(&mut self, now: Instant) {
         let base = self.rate_base(now);
-        let with_loans = self.rates.values_mut().filter(|holding| !holding.ledger.is_empty());
+        let with_loans = self.rates.values_mut().filter(|holding| !holding.is_idle());
         with_loans.for_each(|holding| {
             holding.settle(now, base);
         });
@@ -70,7 +70,7 @@
     ) {
         let mut is_done = true;
         self.rates.retain(|customer, holding| {
-            let is_lent = !holding.ledger.is_empty();
+            let is_lent = !holding.is_idle();
             let is_known = is_known(customer);
             is_done &= is_known || !is_lent;
             is_known || is_lent
@@ -189,8 +189,41 @@
     }
 
     /// Requests for loans of a resource.
-    pub(crate) fn pace(&mut self, resource: &ShareResource) -> &mut BorrowPace {
-        self.paces.entry(resource.clone()).or_default()
+    pub(crate) fn pace(&mut self, resource: &ShareResource, kind: LoanKind) -> &mut BorrowPace {
+        self.paces.entry((resource.clone(), kind)).or_default()
+    }
+
+    /// Customers with small shares whose tokens were asked for lately.
+    pub(crate) fn small_in_use(&self, now: Instant) -> Vec<CustomerName> {
+        let base = self.rate_base(now);
+        let is_listed =
+            |holding: &RateHolding| base > 0 && holding.is_small(base) && holding.is_used(now);
+        let listed = self.rates.iter().filter(|(_, holding)| is_listed(holding));
+        listed.map(|(customer, _)| customer.clone()).collect()
+    }
+
+    /// Units of each host's base share of a rate.
+    pub(crate) fn base_units(&self, now: Instant) -> u64 {
+        self.rate_base(now)
+    }
+
+    /// Whether a customer's base share is too small for loans of units, so that its tokens are
+    /// borrowed one by one and at a pace of their own.
+    pub(crate) fn is_small(&self, customer: &CustomerName) -> bool {
+        let base = self.base.map_or(0, |base| base.rate_units());
+        self.rates.get(customer).is_some_and(|holding| holding.is_small(base))
+    }
+
+    /// Units whose capacity holds the tokens that a number of waiting requests lack.
+    pub(crate) fn missing_units(
+        &mut self,
+        now: Instant,
+        customer: &CustomerName,
+        requests: u64,
+    ) -> u64 {
+        let base = self.rate_base(now);
+        let holding = self.rates.get_mut(customer);
+        holding.map_or(0, |holding| holding.missing_units(now, base, requests))
     }
 
     /// Forgets requests for loans without an answer.
--- a/crates/core/src/share/tests/fleet.rs
+++ b/crates/core/src/share/tests/fleet.rs
@@ -34,6 +34,14 @@
         valid_ms: u64,
         is_rate: bool,
     },
+    /// A host asks another one for tokens, which arrive after some time.
+    AskTokens {
+        from: usize,
+        to: usize,
+        units: u64,
+        valid_ms: u64,
+        delay_ms: u64,
+    },
     /// A message arrives.
     Deliver(usize),
     /// A request for a loan arrives, and will arrive once more.
@@ -83,13 +91,17 @@
 pub(super) fn any_step() -> impl Strategy<Value = FleetStep> {
     let host = 0..4usize;
     prop_oneof![
-           6 => prop_oneof![0..50u64, 0..3_000u64, 9_000..12_000u64].prop_map(FleetStep::Advance),
+           6 => prop_oneof![0..50u64, 0..300u64, 0..3_000u64, 9_000..12_000u64].prop_map(FleetStep::Advance),
            6 => (host.clone(), 1..60u32)
                .prop_map(|(host, requests)| FleetStep::Take { host, requests }),
            3 => Just(FleetStep::TakeAll),
            6 => (host.clone(), host.clone(), 1..700_000u64, 400..12_000u64, any::<bool>()).prop_map(
                |(from, to, units, valid_ms, is_rate)| {
     FleetStep::Ask { from, to, units, valid_ms, is_rate } }
+           ),
+           4 => (host.clone(), host.clone(), 1..700_000u64, 100..=300u64, 0..250u64).prop_map(
+               |(from, to, units, valid_ms, delay_ms)| {
+    FleetStep::AskTokens { from, to, units, valid_ms, delay_ms } }
            ),
            8 => (0..20usize).prop_map(FleetStep::Deliver),
            1 => (0..20usize).prop_map(FleetStep::Repeat),
@@ -174,7 +186,13 @@
             FleetStep::Ask { from, to, units, valid_ms, is_rate } if from != to => {
                 self.ask((*from, *to), *units, *valid_ms, *is_rate);
             }
-            FleetStep::Ask { .. } => {}
+            FleetStep::AskTokens { from, to, units, valid_ms, delay_ms } if from != to => {
+                self.ask((*from, *to), *units, *valid_ms, true);
+                self.deliver(self.messages.len() - 1, false);
+                self.run(&FleetStep::Advance(*delay_ms));
+                self.deliver(self.messages.len() - 1, false);
+            }
+            FleetStep::Ask { .. } | FleetStep::AskTokens { .. } => {}
             FleetStep::Deliver(index) => self.deliver(*index, false),
             FleetStep::Repeat(index) => self.deliver(*index, true),
             FleetStep::Lose(index) => {
