Pass on only own hosts' states between failure domains, heartbeats in short form

Cause: a relay passed every state it held to every relay it exchanged pulls with, except back over the link it came by. With 11 failure domains each state reached it over up to 20 links, in full, although mostly nothing in it but the version had changed.

Ruled out: summaries per failure domain. Shares are raised only when every host of the views has reported the epoch, and borrowing needs addresses, so states of single hosts are needed elsewhere; passing them over one link is enough. Rarer heartbeats alone: they lengthen the time until a silent host is noticed, which is 3.5 s + 120 ms per host already.

Change: between failure domains a relay passes on its own hosts' states. Of a third failure domain it passes on what the receiver says it does not hear, so that hosts separated by a partition still know of each other, and states that report the store failing, which count for 2 s only. A state that differs from the version before in the last contact with the store only is sent as a heartbeat. It names the version it refers to; a receiver that holds an older one ignores it, so no epoch or suspicion is attributed to a version that did not have it. Relays pull from 4 other failure domains at a time instead of 2, so that all 10 are visited in 3 s.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -81,7 +81,11 @@
     pub fn new(profile: HostProfile) -> Self {
         let mut random = SmallRng::seed_from_u64(profile.seed);
         let first_sequence = u64::from(random.random::<u32>()) << 24;
-        let hosts = HostTable::new(profile.identity.host.clone(), first_sequence);
+        let hosts = HostTable::new(
+            profile.identity.host.clone(),
+            profile.identity.domain.clone(),
+            first_sequence,
+        );
         Self {
             random,
             profile,
--- a/crates/core/src/host/fleet/peer.rs
+++ b/crates/core/src/host/fleet/peer.rs
@@ -4,7 +4,7 @@
 
 use tanagerdeal_wire::HostName;
 use tanagerdeal_wire::peer::{
-    PeerReply, PeerRequest, PeerState, PullReply, PullRequest, ShareHandover,
+    PeerBeat, PeerReply, PeerRequest, PeerState, PullReply, PullRequest, ShareHandover,
 };
 
 use super::{HostState, pull};
@@ -93,7 +93,8 @@
     request: PullRequest,
     outputs: &mut Vec<HostOutput>,
 ) {
-    adopt_states(state, now, now, request.states, from);
+    state.hosts.link(from).unheard = request.unheard;
+    adopt_states(state, now, now, (request.states, request.beats), from);
     groups::adopt_announcements(state, now, &request.groups);
     let (revision, seen) = (request.revision, request.seen);
     let held = HeldPull { tag, since: now, revision, seen };
@@ -130,7 +131,8 @@
         state.catalog.confirm(at);
     }
     let sent_at = now.checked_sub(on_wire).unwrap_or(now);
-    adopt_states(state, now, sent_at, reply.states, &ended.host);
+    state.hosts.link(&ended.host).unheard = reply.unheard;
+    adopt_states(state, now, sent_at, (reply.states, reply.beats), &ended.host);
     groups::adopt_announcements(state, now, &reply.groups);
 }
 
@@ -150,10 +152,13 @@
     state: &mut HostState,
     now: Instant,
     sent_at: Instant,
-    states: Vec<PeerState>,
+    (states, beats): (Vec<PeerState>, Vec<PeerBeat>),
     source: &HostName,
 ) {
-    for peer in states.into_iter().filter(|peer| peer.host != state.profile.identity.host) {
+    let expanded: Vec<_> = beats.into_iter().filter_map(|beat| state.hosts.expand(beat)).collect();
+    for peer in
+        states.into_iter().chain(expanded).filter(|peer| peer.host != state.profile.identity.host)
+    {
         let age = Duration::from_millis(u64::from(peer.age_ms));
         let Some(made_at) = sent_at.checked_sub(age) else { continue };
         state.hosts.adopt_state(now, made_at, peer, Some(source));
--- a/crates/core/src/host/fleet/publish.rs
+++ b/crates/core/src/host/fleet/publish.rs
@@ -44,7 +44,9 @@
     let interval = if is_urgent { interval.min(FAILING_INTERVAL) } else { interval };
     state.own.heartbeat_due = Some(now + interval);
     state.own.version += 1;
-    let fresh = PeerState { version: state.own.version, ..fresh };
+    let before = state.own.state.as_ref().filter(|_| !is_changed);
+    let unchanged = before.map_or(0, |old| old.unchanged + 1);
+    let fresh = PeerState { version: state.own.version, unchanged, ..fresh };
     state.own.state = Some(fresh.clone());
     state.hosts.adopt_state(now, now, fresh, None);
 }
@@ -58,6 +60,7 @@
         domain: identity.domain.clone(),
         incarnation: identity.incarnation,
         version: state.own.version,
+        unchanged: 0,
         age_ms: 0,
         peer_address: identity.peer_address.clone(),
         leaving: state.drain.phase != DrainPhase::Serving,
@@ -71,6 +74,6 @@
 
 /// Whether a state differs in more than the age of the last contact with the store.
 fn is_changed(old: &PeerState, fresh: &PeerState) -> bool {
-    let (version, store_reached_ms) = (fresh.version, fresh.store_reached_ms);
-    PeerState { version, store_reached_ms, ..old.clone() } != *fresh
+    let PeerState { version, unchanged, store_reached_ms, .. } = *fresh;
+    PeerState { version, unchanged, store_reached_ms, ..old.clone() } != *fresh
 }
--- a/crates/core/src/host/fleet/pull.rs
+++ b/crates/core/src/host/fleet/pull.rs
@@ -25,7 +25,7 @@
 const REFRESH_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Failure domains from which a relay pulls at the same time.
-const FOREIGN_PULLS: usize = 2;
+const FOREIGN_PULLS: usize = 4;
 
 /// Time after which a relay goes on to other failure domains.
 const ROTATION: Duration = Duration::from_secs(1);
@@ -59,7 +59,7 @@
     has_entries
         || waited >= state.profile.timing.pull_hold
         || (is_confirmed && is_awaited)
-        || state.hosts.has_urgent(host, held.seen, None)
+        || state.hosts.has_urgent(host, held.seen)
         || newest_announcement > state.hosts.current_or_zero(held.seen)
         || (waited >= ORDINARY_HOLD && (is_confirmed || state.hosts.sequence() != held.seen))
 }
@@ -75,6 +75,8 @@
             .filter(|_| !state.catalog.has_news(held.revision)),
         held_us: to_micros(held_for),
         states: Vec::new(),
+        beats: Vec::new(),
+        unheard: state.hosts.unheard(),
         groups: Vec::new(),
     }
 }
@@ -83,13 +85,16 @@
     let page = state.catalog.entries_after(held.revision, MAX_ENTRY_BYTES);
     let is_complete = page.as_ref().is_some_and(|page| page.1 == state.catalog.revision());
     let (entries, revision) = page.unwrap_or((Vec::new(), held.revision));
+    let (states, beats) = state.hosts.news_after(now, held.seen, host);
     PullReply {
         seen: state.hosts.sequence(),
         revision,
         entries,
         catalog_age_us: confirmed_age(state, now).filter(|_| is_complete),
         held_us: to_micros(now.saturating_duration_since(held.since)),
-        states: state.hosts.states_after(now, held.seen, host),
+        states,
+        beats,
+        unheard: state.hosts.unheard(),
         groups: state.own.announcements_after(state.hosts.current_or_zero(held.seen)),
     }
 }
@@ -165,15 +170,12 @@
 fn push_urgent(state: &mut HostState, now: Instant, outputs: &mut Vec<HostOutput>) {
     let newest = state.hosts.urgent_sequence();
     let plan = state.hosts.current_plan().clone();
-    let home = state.profile.identity.domain.clone();
-    let near = plan.parents.iter().map(|host| (host, None));
-    let far = plan.foreign.iter().flatten().map(|host| (host, Some(&home)));
-    for (host, scope) in near.chain(far) {
+    for host in plan.parents.iter().chain(plan.foreign.iter().flatten()) {
         let considered = state.hosts.link(host).considered;
         if considered >= newest {
             continue;
         }
-        let has_urgent = state.hosts.has_urgent(host, considered, scope);
+        let has_urgent = state.hosts.has_urgent(host, considered);
         if has_urgent || state.own.newest_announcement() > considered {
             pull_from(state, now, host, outputs);
         }
@@ -189,10 +191,13 @@
         (link.incarnation, link.sent, link.seen) = (incarnation, 0, 0);
     }
     let (seen, sent) = (link.seen, link.sent);
+    let (states, beats) = state.hosts.news_after(now, sent, host);
     let request = PullRequest {
         revision: state.catalog.revision(),
         seen,
-        states: state.hosts.states_after(now, sent, host),
+        states,
+        beats,
+        unheard: state.hosts.unheard(),
         groups: state.own.announcements_after(sent),
     };
     let deadline = now + state.profile.timing.pull_hold + PULL_GRACE;
--- a/crates/core/src/host/fleet/tests.rs
+++ b/crates/core/src/host/fleet/tests.rs
@@ -3,6 +3,7 @@
 mod catalog;
 mod harness;
 mod member;
+mod news;
 mod share;
 
 use std::time::Duration;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,5 +1,6 @@
 //! Hosts of the fleet as this host knows them, and the requests in flight to them.
 
+mod news;
 mod peer;
 mod rank;
 
@@ -58,6 +59,8 @@
         touched_at: Instant,
         sequence: u64,
         urgent_sequence: u64,
+        /// Sequence number of the last change other than a heartbeat.
+        content_sequence: u64,
         source: Option<HostName>,
     }
 
@@ -81,21 +84,23 @@
     calls: SlotMap<PeerCallKey, PeerCall>,
     links: BTreeMap<HostName, PeerLink>,
     own: Option<HostName>,
+    home: Option<DomainName>,
     sequence: u64,
     first_sequence: u64,
     urgent_sequence: u64,
     is_listed: bool,
     plan: PullPlan,
     plan_due: Option<Instant>,
+    unheard: Vec<DomainName>,
 }
 
 impl HostTable {
     /// An empty table of a host; sequence numbers start at a random point, so that those of an earlier
     /// incarnation are recognised.
-    pub(crate) fn new(own: HostName, first_sequence: u64) -> Self {
+    pub(crate) fn new(own: HostName, home: DomainName, first_sequence: u64) -> Self {
         let sequence = first_sequence;
-        let own = Some(own);
-        Self { own, sequence, first_sequence, urgent_sequence: sequence, ..Self::default() }
+        let (own, home) = (Some(own), Some(home));
+        Self { own, home, sequence, first_sequence, urgent_sequence: sequence, ..Self::default() }
     }
 
     /// Number of hosts known.
@@ -160,8 +165,7 @@
 
     /// Whether a host was heard of recently, or, if never heard of, is in the platform's list.
     pub(crate) fn is_heard(&self, now: Instant, host: &KnownHost) -> bool {
-        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
-        let live_for = LIVE_FOR + LIVE_PER_HOST.saturating_mul(hosts);
+        let live_for = self.live_for();
         let is_within = |at: Instant, limit| now.saturating_duration_since(at) <= limit;
         match (host.made_at, host.listed_at) {
             (Some(at), _) => is_within(at, live_for),
@@ -170,6 +174,12 @@
         }
     }
 
+    /// Time after which a host that was not heard of is silent.
+    fn live_for(&self) -> Duration {
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        LIVE_FOR + LIVE_PER_HOST.saturating_mul(hosts)
+    }
+
     /// Failure domains of all hosts known.
     pub(crate) fn domains(&self) -> BTreeSet<&DomainName> {
         self.hosts.values().map(|host| &host.domain).collect()
@@ -191,20 +201,13 @@
         self.urgent_sequence
     }
 
-    /// Whether a host lacks an urgent change that did not come from it. With `home`, only changes of
-    /// hosts of that failure domain count.
-    pub(crate) fn has_urgent(
-        &self,
-        receiver: &HostName,
-        seen: u64,
-        home: Option<&DomainName>,
-    ) -> bool {
+    /// Whether a host lacks an urgent change that did not come from it and that is passed on to it.
+    pub(crate) fn has_urgent(&self, receiver: &HostName, seen: u64) -> bool {
         let seen = self.current_or_zero(seen);
         self.urgent_sequence > seen
             && self.hosts.iter().any(|(name, host)| {
-                let is_foreign = home.is_some_and(|home| host.domain != *home);
                 let is_known = name == receiver || host.source.as_ref() == Some(receiver);
-                host.urgent_sequence > seen && !is_known && !is_foreign
+                host.urgent_sequence > seen && !is_known && self.is_in_scope(receiver, host)
             })
     }
 
@@ -213,11 +216,17 @@
         &self.plan
     }
 
+    /// Failure domains that were not heard of lately, as of the last run of the systems.
+    pub(crate) fn unheard(&self) -> Vec<DomainName> {
+        self.unheard.clone()
+    }
+
     /// Computes the plan again when it is due; ranking all hosts on every run would cost too much in a
     /// large fleet.
     pub(crate) fn refresh_plan(&mut self, now: Instant, own: (&HostName, &DomainName)) {
         if self.plan_due.is_none_or(|due| now >= due) {
             self.plan = self.plan(now, own);
+            self.unheard = self.find_unheard(now);
             self.plan_due = Some(now + PLAN_INTERVAL);
         }
     }
@@ -274,6 +283,10 @@
         let is_urgent =
             old.map_or(!state.suspicions.is_empty(), |old| is_urgent_change(old, &state));
         let urgent_before = held.map_or(0, |host| host.urgent_sequence);
+        let is_beat = old.is_some_and(|old| {
+            old.incarnation == state.incarnation && content_version(old) == content_version(&state)
+        });
+        let content_before = held.filter(|_| is_beat).map(|host| host.content_sequence);
         self.sequence += 1;
         if is_urgent {
             self.urgent_sequence = self.sequence;
@@ -288,6 +301,7 @@
             touched_at: now,
             sequence: self.sequence,
             urgent_sequence: if is_urgent { self.sequence } else { urgent_before },
+            content_sequence: content_before.unwrap_or(self.sequence),
             source: source.cloned(),
             state: Some(state.clone()),
         };
@@ -295,22 +309,6 @@
         true
     }
 
-    /// States that changed after a sequence number, for a host; 0 or a number of an earlier
-    /// incarnation of this host gives all.
-    pub(crate) fn states_after(
-        &self,
-        now: Instant,
-        seen: u64,
-        receiver: &HostName,
-    ) -> Vec<PeerState> {
-        let seen = self.current_or_zero(seen);
-        let is_wanted = |name: &HostName, host: &KnownHost| {
-            host.sequence > seen && name != receiver && host.source.as_ref() != Some(receiver)
-        };
-        let wanted = self.hosts.iter().filter(|(name, host)| is_wanted(name, host));
-        wanted.filter_map(|(_, host)| host.aged_state(now)).collect()
-    }
-
     /// A sequence number that another host sent back, or 0 when it is of an earlier incarnation.
     pub(crate) fn current_or_zero(&self, seen: u64) -> u64 {
         if (self.first_sequence..=self.sequence).contains(&seen) { seen } else { 0 }
@@ -378,6 +376,7 @@
             touched_at: now,
             sequence: 0,
             urgent_sequence: 0,
+            content_sequence: 0,
             source: None,
         }
     }
@@ -394,6 +393,11 @@
     }
 }
 
+/// Version at which the state last changed other than by a heartbeat.
+fn content_version(state: &PeerState) -> u64 {
+    state.version.saturating_sub(state.unchanged)
+}
+
 /// Whether other hosts must learn of a change at once: suspicions drive failover, and a host that
 /// leaves must not be chosen as a parent. Everything else can wait for the next answer.
 pub(crate) fn is_urgent_change(old: &PeerState, new: &PeerState) -> bool {
--- a/crates/core/src/membership/peer.rs
+++ b/crates/core/src/membership/peer.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use tanagerdeal_wire::peer::{GroupAnnouncement, PeerState};
-use tanagerdeal_wire::{GroupName, value_type};
+use tanagerdeal_wire::{DomainName, GroupName, value_type};
 
 use crate::message::{CallTag, PeerCallKey};
 
@@ -73,6 +73,8 @@
         pub incarnation: u64,
         /// Confirmation of the catalog that the other host was last told.
         pub told_confirmed_at: Option<Instant>,
+        /// Failure domains that the other host has not heard of lately, as it said.
+        pub unheard: Vec<DomainName>,
         /// Pulls that failed since the last answer.
         pub failures: u32,
         /// When the next pull may be sent after failures.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -40,6 +40,11 @@
         pub seen: u64,
         /// The sender's own state and the states it relays.
         pub states: Vec<PeerState>,
+        /// Heartbeats of hosts whose states have not changed otherwise.
+        pub beats: Vec<PeerBeat>,
+        /// Failure domains that the sender has not heard of lately; relayed states of others are left
+        /// out between failure domains.
+        pub unheard: Vec<DomainName>,
         /// Announcements of primaries known to the sender.
         pub groups: Vec<GroupAnnouncement>,
     }
@@ -58,6 +63,10 @@
         pub held_us: u64,
         /// States of hosts.
         pub states: Vec<PeerState>,
+        /// Heartbeats of hosts whose states have not changed otherwise.
+        pub beats: Vec<PeerBeat>,
+        /// Failure domains that the sender has not heard of lately.
+        pub unheard: Vec<DomainName>,
         /// Announcements of primaries.
         pub groups: Vec<GroupAnnouncement>,
     }
@@ -82,6 +91,9 @@
         pub incarnation: u64,
         /// Rises with each new state of this incarnation.
         pub version: u64,
+        /// Number of versions since anything but the version and the last contact with the store
+        /// changed.
+        pub unchanged: u64,
         /// Age of the state in milliseconds when it was sent.
         pub age_ms: u32,
         /// Address of the peer listener, `ip:port`.
@@ -100,6 +112,23 @@
         pub suspicions: Vec<GroupSuspicion>,
     }
 
+    /// A newer version of a [`PeerState`] that differs only in what is given here.
+    pub struct PeerBeat {
+        /// The host.
+        pub host: HostName,
+        /// Lower half of the incarnation.
+        pub incarnation: u32,
+        /// Version of the state.
+        pub version: u64,
+        /// Number of versions since the rest of the state changed; a receiver that holds an older
+        /// version than that ignores the heartbeat.
+        pub unchanged: u64,
+        /// Age of the state in milliseconds when it was sent.
+        pub age_ms: u32,
+        /// Milliseconds since the host last reached the store; absent when never.
+        pub store_reached_ms: Option<u64>,
+    }
+
     /// A host's suspicion that a primary has failed.
     pub struct GroupSuspicion {
         /// The group.
@@ -182,6 +211,8 @@
     ///     catalog_age_us: Some(100),
     ///     held_us: 900,
     ///     states: Vec::new(),
+    ///     beats: Vec::new(),
+    ///     unheard: Vec::new(),
     ///     groups: Vec::new(),
     /// };
     /// assert_eq!(reply.age_on_arrival_us(1_000), Some(200));
