Probe only watched and used groups in fleets above 15 hosts

Cause: every host probed every member, so that both the probes of a host and those that a member answers grew with the size of the fleet.

Change: with more than 15 live hosts, 5 watchers per group are chosen by rendezvous hashing, taken in turn from the failure domains of its members, because agreement needs a majority of these. Only watchers suspect, promote and redirect, and only watchers count in agreement and ranks. Another host probes a group from its first request on it (at once, not at the next tick) until 10 s after the last one; it learns primary and term from announcements. To stop probing drops suspicions as a pause of the host does. A request on a group whose first answers are still to come now waits: before, the first of three answers led to a refusal.

When all five watchers die, others take over only after the dead hosts are no longer counted as live (3.5 s and 0.12 s per host known), not within the suspicion time.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -5,6 +5,7 @@
 mod rank;
 #[cfg(test)]
 mod tests;
+mod watchers;
 
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,7 @@
 pub(crate) use agreement::{PeerView, is_agreed};
 pub(crate) use promotion::{PhaseOutcome, Promotion, PromotionPhase, choose_target};
 pub(crate) use rank::rank_among;
+pub(crate) use watchers::WatchPlan;
 
 /// Successful probes that clear a suspicion. A link that loses every second packet would otherwise
 /// raise and clear it several times a second.
@@ -31,6 +33,8 @@
 #[derive(Default)]
 pub struct FailoverTable {
     pub(crate) watches: SecondaryMap<GroupKey, GroupWatch>,
+    /// Which hosts watch which groups.
+    pub(crate) plan: WatchPlan,
     ran_at: Option<Instant>,
     /// Promotions started, which makes each attempt's id unique.
     pub(crate) attempts: u64,
--- a/crates/core/src/failover/tests.rs
+++ b/crates/core/src/failover/tests.rs
@@ -7,6 +7,7 @@
 use tanagerdeal_wire::member::{LogPosition, MemberRole, MemberStatus, TermReply, TermRequest};
 use tanagerdeal_wire::{DomainName, EndpointName, GroupName, HostName};
 
+use super::watchers::choose_watchers;
 use super::{GroupWatch, PeerView, PhaseOutcome, Promotion, PromotionPhase, is_agreed};
 use crate::message::EndpointKey;
 
@@ -139,3 +140,32 @@
     let late = now + Duration::from_millis(250);
     assert_that!(promotion.outcome(late, 2, 2), eq(PhaseOutcome::Failed));
 }
+
+/// Guards against watchers outside of the failure domains that have to agree, and against a change
+/// of all watchers when one of them dies.
+#[gtest]
+fn watchers_are_in_the_members_domains_and_seldom_change() {
+    let host = |number: usize| {
+        (HostName::new(&format!("h{number}")).unwrap(), domain(&format!("d{}", number % 11)))
+    };
+    let hosts: Vec<_> = (0..110).map(host).collect();
+    let domains = [domain("d1"), domain("d4"), domain("d7")];
+    let domains: BTreeSet<_> = domains.iter().collect();
+    for number in 0..50 {
+        let group = GroupName::new(&format!("g{number}")).unwrap();
+        let watchers = choose_watchers(&group, &hosts, &domains);
+        assert_that!(watchers.len(), eq(5));
+        for domain in &domains {
+            let inside =
+                hosts.iter().filter(|(name, home)| home == *domain && watchers.contains(name));
+            assert_that!(inside.count(), ge(1));
+        }
+        let lost = watchers.first().unwrap().clone();
+        let rest: Vec<_> = hosts.iter().filter(|(name, _)| *name != lost).cloned().collect();
+        let after = choose_watchers(&group, &rest, &domains);
+        assert_that!(watchers.intersection(&after).count(), ge(3));
+        let far: Vec<_> =
+            hosts.iter().filter(|(_, home)| !domains.contains(home)).cloned().collect();
+        assert_that!(choose_watchers(&group, &far, &domains).len(), eq(5));
+    }
+}
--- a/crates/core/src/host/groups.rs
+++ b/crates/core/src/host/groups.rs
@@ -7,6 +7,7 @@
 #[cfg(test)]
 mod tests;
 mod watch;
+mod watched;
 
 use std::time::Instant;
 
@@ -60,6 +61,7 @@
     outputs: &mut Vec<HostOutput>,
 ) {
     watch::note_run(state, now);
+    watched::run(state, now);
     probe::send_periodic(state, now, outputs);
     watch::run(state, now, view, outputs);
     settle_waits(state, now, outputs);
@@ -73,6 +75,16 @@
     }
 }
 
+/// Notes a request on a group; its members are probed at once when they were not probed before.
+pub(super) fn note_use(
+    state: &mut HostState,
+    now: Instant,
+    group: GroupKey,
+    outputs: &mut Vec<HostOutput>,
+) {
+    watched::note_use(state, now, group, outputs);
+}
+
 /// Adopts services, failure domain states and endpoint states after a catalog change.
 pub(super) fn adopt_catalog(state: &mut HostState, now: Instant) {
     let HostState { catalog, endpoints, profile, .. } = state;
@@ -123,7 +135,9 @@
         let is_news = term > group.term || (term == group.term && group.primary.is_none());
         if is_news && primary.is_some() {
             group.set_primary(now, term, primary);
-            state.endpoints.want_probes(key);
+            if state.endpoints.groups[key].is_probed {
+                state.endpoints.want_probes(key);
+            }
         }
     }
 }
--- a/crates/core/src/host/groups/probe.rs
+++ b/crates/core/src/host/groups/probe.rs
@@ -22,7 +22,8 @@
         let rest = if is_late { interval / 2 } else { interval };
         let has_passed = sent_at.is_none_or(|sent_at| now >= sent_at + rest);
         let is_doubted = member.is_in_doubt() && sent_at < member.lost_at;
-        has_passed || is_doubted || member.probe.is_wanted
+        let is_probed = || state.endpoints.groups.get(member.group).is_some_and(|g| g.is_probed);
+        (has_passed || is_doubted || member.probe.is_wanted) && is_probed()
     };
     let due = state.endpoints.members.iter().filter(|(_, member)| is_due(member));
     let due: Vec<_> = due.map(|(key, _)| key).collect();
--- a/crates/core/src/host/groups/tests.rs
+++ b/crates/core/src/host/groups/tests.rs
@@ -5,4 +5,5 @@
 mod model;
 mod random;
 mod switchover;
+mod watched;
 mod world;
--- a/crates/core/src/host/groups/tests/world.rs
+++ b/crates/core/src/host/groups/tests/world.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use tanagerdeal_wire::member::LogPosition;
-use tanagerdeal_wire::peer::{GroupAnnouncement, GroupSuspicion};
+use tanagerdeal_wire::peer::{GroupAnnouncement, GroupSuspicion, PeerState};
 use tanagerdeal_wire::record::{
     DomainPhase, EndpointPhase, GroupRecord, MemberRecord, ServiceRecord,
 };
@@ -63,6 +63,7 @@
     peers: Vec<BTreeMap<usize, (Instant, Vec<GroupSuspicion>)>>,
     peers_at: Instant,
     pub(super) writes: u64,
+    version: u64,
 }
 
 fn domain(index: usize) -> DomainName {
@@ -73,6 +74,24 @@
     HostName::new(&format!("h{index}")).unwrap()
 }
 
+/// What a host tells others about itself, apart from its suspicions.
+fn peer_state(host: usize, version: u64) -> PeerState {
+    PeerState {
+        host: host_name(host),
+        domain: domain(host),
+        incarnation: 1,
+        version,
+        age_ms: 0,
+        peer_address: String::new(),
+        leaving: false,
+        store_reached_ms: None,
+        store_failing: false,
+        view_epoch: 0,
+        fleet_epoch: 0,
+        suspicions: Vec::new(),
+    }
+}
+
 impl World {
     pub(super) fn new(hosts: usize, seed: u64) -> Self {
         let now = Instant::now();
@@ -100,6 +119,7 @@
             peers: vec![BTreeMap::new(); hosts],
             peers_at: now,
             writes: 0,
+            version: 0,
         };
         world.hosts = (0..hosts).map(|index| world.new_host(index)).collect();
         for _ in 0..hosts {
@@ -180,6 +200,9 @@
             for (sender, suspicions, groups) in &states {
                 if *sender != receiver {
                     self.peers[receiver].insert(*sender, (self.now, suspicions.clone()));
+                    self.version += 1;
+                    let state = peer_state(*sender, self.version);
+                    self.hosts[receiver].hosts.adopt_state(self.now, self.now, state, None);
                     super::super::adopt_announcements(&mut self.hosts[receiver], self.now, groups);
                 }
             }
@@ -272,6 +295,12 @@
         }
     }
 
+    /// The member that a host has seen or heard to be the primary, whether it probes it or not.
+    pub(super) fn known_primary(&self, host: usize) -> Option<usize> {
+        let group = &self.hosts[host].endpoints.groups[self.group(host)];
+        group.primary.map(|primary| self.index(host, primary))
+    }
+
     /// Checks what must hold after any schedule.
     pub(super) fn check_safety(&self) {
         let terms: BTreeSet<_> = self.promotions.iter().map(|(_, term, _)| term).collect();
--- a/crates/core/src/host/groups/tests/world/delivery.rs
+++ b/crates/core/src/host/groups/tests/world/delivery.rs
@@ -103,6 +103,14 @@
         self.carry_out(host, outputs);
     }
 
+    /// Has a host begin a request on the group.
+    pub(in super::super) fn use_group(&mut self, host: usize) {
+        let mut outputs = Vec::new();
+        let group = self.group(host);
+        super::super::super::note_use(&mut self.hosts[host], self.now, group, &mut outputs);
+        self.carry_out(host, outputs);
+    }
+
     /// Where a host would place a request.
     pub(in super::super) fn choose(
         &self,
--- a/crates/core/src/host/groups/watch.rs
+++ b/crates/core/src/host/groups/watch.rs
@@ -54,6 +54,12 @@
 ) {
     let keys: Vec<_> = state.endpoints.groups.keys().collect();
     for key in keys {
+        let is_watcher = state.failovers.plan.is_watcher(key, &state.profile.identity.host);
+        let watch = state.failovers.watches.get(key);
+        if !is_watcher && watch.is_none_or(|watch| watch.promotion.is_none()) {
+            state.failovers.watches.remove(key);
+            continue;
+        }
         judge_primary(state, now, key);
         promote::step(state, now, key, outputs);
         let group = &state.endpoints.groups[key];
@@ -67,6 +73,7 @@
             continue;
         }
         let view = view(state, &group.name, group.term);
+        let view = state.failovers.plan.restrict(key, view);
         judge_agreement(state, now, key, &view);
         if let Some(reason) = find_reason(state, now, key, &view) {
             start(state, now, key, reason);
--- a/crates/core/src/host/traffic/place.rs
+++ b/crates/core/src/host/traffic/place.rs
@@ -6,7 +6,7 @@
 use tanagerdeal_wire::record::RouteRecord;
 
 use super::{admit, finish, refuse, rights, settings};
-use crate::host::HostState;
+use crate::host::{HostState, groups};
 use crate::message::caller::RequestRecord;
 use crate::message::{CallTag, DrainPhase, GroupKey, HostOutput, SessionKey};
 use crate::schedule::WorkLane;
@@ -31,10 +31,12 @@
 ) {
     match prepare(state, now, tag, session, (class, is_retry)) {
         Ok(request) => {
+            let group = request.group;
             if let Some(entry) = state.sessions.entries.get_mut(session) {
                 entry.attempt = Some(request.attempt.clone());
                 entry.waiting = Some(request);
             }
+            groups::note_use(state, now, group, outputs);
             admit::admit(state, now, session, !is_retry, outputs);
         }
         Err(refusal) => {
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -253,16 +253,14 @@
         soonest: Option<Instant>,
     ) -> RouteChoice {
         let has_place = self.members_of(group).any(|(_, member)| !self.is_withheld(member));
-        let is_hopeless = !has_place || self.count_reachable(now, group) < group.majority();
-        // Before its first probes a host knows nothing about a group.
-        let is_new = self
-            .members_of(group)
-            .all(|(_, member)| member.view.is_none() && !member.probe.has_failed);
+        // Members that have not been asked yet, or whose first answer is still to come, may answer.
+        let is_unknown = |member: &MemberState| member.view.is_none() && !member.probe.has_failed;
+        let unknown = self.members_of(group).filter(|(_, member)| is_unknown(member)).count();
+        let reachable = self.count_reachable(now, group);
+        let is_hopeless = !has_place || reachable + unknown < group.majority();
         match soonest {
             _ if now >= query.deadline => RouteChoice::Unavailable(now + RETRY_LATER),
-            _ if is_hopeless && !(is_new && has_place) => {
-                RouteChoice::Unavailable(now + RETRY_LATER)
-            }
+            _ if is_hopeless => RouteChoice::Unavailable(now + RETRY_LATER),
             Some(at) => RouteChoice::WaitUntil(at.min(now + SHORT_WAIT)),
             None => RouteChoice::WaitUntil((now + SHORT_WAIT).min(query.deadline)),
         }
--- a/crates/core/src/routing/group.rs
+++ b/crates/core/src/routing/group.rs
@@ -27,6 +27,10 @@
     pub(crate) term_since: Option<Instant>,
     /// Term history of the highest term, from a member's status.
     pub(crate) history: Vec<TermStart>,
+    /// Whether this host sends periodic probes to its members.
+    pub(crate) is_probed: bool,
+    /// When this host last had a request on it.
+    pub(crate) used_at: Option<Instant>,
     /// Greatest position that this host has acknowledged.
     pub(crate) acknowledged: LogPosition,
     /// Offsets of confirmed primaries, with the time at which the log ended at or before them.
@@ -42,6 +46,8 @@
             primary: None,
             term_since: None,
             history: Vec::new(),
+            is_probed: true,
+            used_at: None,
             acknowledged: LogPosition::default(),
             sightings: VecDeque::new(),
         }
--- a/crates/core/src/routing/tests/choice.rs
+++ b/crates/core/src/routing/tests/choice.rs
@@ -5,6 +5,7 @@
 
 use super::{Table, position};
 use crate::profile::ReadPolicy;
+use crate::routing::member::ProbeState;
 use crate::routing::{PositionCheck, RouteChoice, RouteQuery};
 
 /// Guards against writes at a member that is not the primary of the highest term known.
@@ -192,6 +193,29 @@
     assert_that!(at, gt(table.now));
 }
 
+/// Guards against refusals on a group that this host has just begun to probe: its members answer
+/// one after another.
+#[gtest]
+fn request_waits_for_the_first_answers() {
+    let mut table = Table::new();
+    for index in 0..3 {
+        let key = table.key(index);
+        let member = &mut table.endpoints.members[key];
+        (member.view, member.probe) = (None, ProbeState::default());
+        member.probe.begin(table.now);
+    }
+    assert_that!(table.write(), matches_pattern!(RouteChoice::WaitUntil(_)));
+    table.answer(1, 10);
+    assert_that!(table.write(), matches_pattern!(RouteChoice::WaitUntil(_)));
+    for index in [0, 2] {
+        let key = table.key(index);
+        table.endpoints.members[key].probe.fail(table.now);
+    }
+    assert_that!(table.write(), matches_pattern!(RouteChoice::Unavailable(_)));
+    table.answer(0, 10);
+    assert_that!(table.write(), matches_pattern!(RouteChoice::Endpoint { .. }));
+}
+
 /// Guards against a key that changes with an address, which would end requests in flight.
 #[gtest]
 fn changed_address_keeps_the_key() {
--- a/crates/testbed/src/bin/capacity.rs
+++ b/crates/testbed/src/bin/capacity.rs
@@ -12,6 +12,10 @@
 const WIDE: CapacityCase =
     CapacityCase { domains: 11, hosts: 55, groups: 3, customers: 8, changes: 0 };
 
+/// A fleet in which each group is watched by some hosts only.
+const SHARED: CapacityCase =
+    CapacityCase { domains: 3, hosts: 30, groups: 30, customers: 8, changes: 0 };
+
 /// Without an argument, runs every fleet in a process of its own, so that memory is counted from
 /// the same start; with a number, runs that fleet only.
 fn main() -> ExitCode {
@@ -52,6 +56,7 @@
     let mut cases = vec![TODAY];
     cases.extend([22, 55, 110, 220, 440].map(|hosts| CapacityCase { hosts, ..WIDE }));
     cases.extend([30, 100, 300].map(|groups| CapacityCase { groups, ..TODAY }));
+    cases.extend([30, 100, 300].map(|groups| CapacityCase { groups, ..SHARED }));
     cases.extend([80, 400, 1_600].map(|customers| CapacityCase { customers, ..TODAY }));
     cases.extend([5, 20, 80].map(|changes| CapacityCase { changes, ..WIDE }));
     cases
