--- a/crates/testbed/src/measure/direct.rs
+++ b/crates/testbed/src/measure/direct.rs
@@ -18,6 +18,9 @@
 /// Connections at moderate load and at full load.
 const LOADS: [usize; 2] = [2, 12];
 
+/// Connections that the member takes.
+const DIRECT_CONNECTIONS: u32 = 100;
+
 /// Statement that all connections repeat.
 const STATEMENT: &str = "SELECT item, amount FROM items WHERE item = 'sleeper'";
 
@@ -43,6 +46,8 @@
 pub async fn compare(options: &MeasureOptions) -> Result<DirectReport, DirectError> {
     let mut plan = DeploymentPlan { hosts: 1, groups: 1, ..options.deployment_plan() };
     plan.relayed = false;
+    // Both paths are open at the same time.
+    plan.connections = DIRECT_CONNECTIONS;
     plan.policies = vec![("reads".to_owned(), "primary".to_owned())];
     for customer in &mut plan.customers {
         (customer.record.rate_per_s, customer.record.burst) = (100_000, 100_000);
