--- a/crates/core/src/host/groups/tests/world.rs
+++ b/crates/core/src/host/groups/tests/world.rs
@@ -81,6 +81,7 @@
         domain: domain(host),
         incarnation: 1,
         version,
+        unchanged: 0,
         age_ms: 0,
         peer_address: String::new(),
         leaving: false,
