Gather shares of up to 64 tokens a second at the home, and keep half of the larger ones

Cause: customers of 200/400 lost tokens wherever loans of units began and ended, and a share lent whole left nothing to find when its home died.

Change: where customers have a home, shares below 64 tokens a second count as small. A share that holds four tokens keeps half. The home gathers only while tokens have been lacking within 30 s.

--- a/crates/core/src/host/traffic/loans.rs
+++ b/crates/core/src/host/traffic/loans.rs
@@ -37,10 +37,12 @@
     if state.profile.policies.limits == LimitPolicy::EqualSplit {
         return;
     }
+    let peers = state.hosts.others(now).count();
+    state.shares.set_gathered((1..GATHERED_HOSTS).contains(&peers));
     for need in state.shares.shortages(now, RENEW_AHEAD) {
         ask(state, now, &need, LoanKind::Lasting, outputs);
     }
-    for customer in state.shares.small_in_use(now) {
+    for customer in state.shares.small_lacking(now) {
         gather(state, now, customer, outputs);
     }
 }
--- a/crates/core/src/share/adopt.rs
+++ b/crates/core/src/share/adopt.rs
@@ -166,15 +166,20 @@
         self.paces.entry((resource.clone(), kind)).or_default()
     }
 
-    /// Customers with small shares whose tokens were asked for lately.
-    pub(crate) fn small_in_use(&self, now: Instant) -> Vec<CustomerName> {
+    /// Customers with small shares whose tokens were lacking somewhere lately.
+    pub(crate) fn small_lacking(&self, now: Instant) -> Vec<CustomerName> {
         let base = self.rate_base(now);
         let is_listed =
-            |holding: &RateHolding| base > 0 && holding.is_small(base) && holding.is_used(now);
+            |holding: &RateHolding| base > 0 && holding.is_small(base) && holding.is_lacking(now);
         let listed = self.rates.iter().filter(|(_, holding)| is_listed(holding));
         listed.map(|(customer, _)| customer.clone()).collect()
     }
 
+    /// Notes whether the fleet is small enough for customers to have a home.
+    pub(crate) fn set_gathered(&mut self, is_gathered: bool) {
+        self.rates.values_mut().for_each(|holding| holding.is_gathered = is_gathered);
+    }
+
     /// Units of each host's base share of a rate.
     pub(crate) fn base_units(&self, now: Instant) -> u64 {
         self.rate_base(now)
--- a/crates/core/src/share/holding.rs
+++ b/crates/core/src/share/holding.rs
@@ -27,11 +27,18 @@
 const SMALL_BURST: u64 = 4 * REQUEST_TOKENS;
 const SMALL_RATE: u64 = 8 * REQUEST_TOKENS;
 
+/// The same where a home gathers the shares. A loan of units then costs more messages than tokens.
+const GATHERED_RATE: u64 = 64 * REQUEST_TOKENS;
+
 /// Microtokens that are asked for in addition, because each of two lenders rounds down.
 const ROUNDING: u64 = 2 * MILLITOKEN;
 
-/// Time after the last request for tokens for which the home of a customer goes on borrowing.
-const USE_KEPT: Duration = Duration::from_secs(30);
+/// Time after a token was lacking for which the home of a customer goes on borrowing.
+const LACK_KEPT: Duration = Duration::from_secs(30);
+
+/// Part of a base share, as a divisor, that a host keeps from the home if it holds some tokens. They
+/// are what can be found when the home has died.
+const KEPT_DIVISOR: u64 = 2;
 
 /// Requests a second below which a host counts as idle.
 const LEAST_DEMAND: f64 = 0.01;
@@ -52,8 +59,10 @@
     pub(super) ledger: EscrowLedger,
     pub(super) demand: DemandMeter,
     bucket: TokenBucket,
-    /// When tokens were asked for last, here or by another host.
-    used_at: Option<Instant>,
+    /// Whether a home gathers the shares of the customer.
+    pub(super) is_gathered: bool,
+    /// When a token was lacking last, here or at a host that asked for it.
+    lacked_at: Option<Instant>,
     /// Tokens lent, whose capacity is withheld until they can no longer be used elsewhere.
     lent: TokenLoans,
     /// Tokens taken beyond the capacity of the share.
@@ -75,7 +84,7 @@
         let bucket = TokenBucket::new(now, rate);
         let (lent, fetched) = (TokenLoans::default(), TokenLoans::default());
         let (ledger, demand) = (EscrowLedger::default(), DemandMeter::default());
-        Self { ledger, demand, bucket, used_at: None, lent, fetched }
+        Self { ledger, demand, bucket, is_gathered: false, lacked_at: None, lent, fetched }
     }
 
     /// Adds tokens up to now for the units that were held all the time, and returns the units held.
@@ -116,7 +125,7 @@
     /// part of two buckets, and a loan costs the lender nothing else.
     pub(super) fn lend_tokens(&mut self, now: Instant, base: u64, term: &LoanTerm) -> u64 {
         self.settle(now, base);
-        self.used_at = Some(now);
+        self.lacked_at = Some(now);
         // Units taken from others count if they last as long as the loan.
         let lasting = base + self.ledger.taken(term.until);
         let free = self.bucket.capacity(lasting.saturating_sub(self.ledger.given(now)));
@@ -161,12 +170,13 @@
     /// Whether the base share is too small for loans of units.
     pub(super) fn is_small(&self, base: u64) -> bool {
         let per_s = u64::from(self.bucket.rate().rate_per_s) * base;
-        self.bucket.capacity(base) < SMALL_BURST || per_s < SMALL_RATE
+        let most = if self.is_gathered { GATHERED_RATE } else { SMALL_RATE };
+        self.bucket.capacity(base) < SMALL_BURST || per_s < most
     }
 
-    /// Whether tokens were asked for lately.
-    pub(super) fn is_used(&self, now: Instant) -> bool {
-        self.used_at.is_some_and(|at| now < at + USE_KEPT)
+    /// Whether a token was lacking lately.
+    pub(super) fn is_lacking(&self, now: Instant) -> bool {
+        self.lacked_at.is_some_and(|at| now < at + LACK_KEPT)
     }
 
     /// Takes the tokens of one request, borrowed ones first.
@@ -197,11 +207,11 @@
         ahead: u64,
     ) -> Result<(), Option<Instant>> {
         let held = self.settle(now, base);
-        self.used_at = Some(now);
-        match ahead == 0 && self.take(now) {
-            true => Ok(()),
-            false => Err(self.bucket.ready_at(held, ahead + 1)),
+        if ahead == 0 && self.take(now) {
+            return Ok(());
         }
+        self.lacked_at = Some(now);
+        Err(self.bucket.ready_at(held, ahead + 1))
     }
 
     pub(super) fn accept(&mut self, now: Instant, base: u64, (loan, millitokens): (LoanTerm, u64)) {
@@ -216,8 +226,9 @@
     pub(super) fn lend(&mut self, now: Instant, base: u64, wanted: LoanTerm) -> (u64, u64) {
         let held = self.settle(now, base);
         // A small share is lent to the home of its customer, which lends the tokens back.
-        let needed = match self.is_small(base) {
-            true => 0,
+        let needed = match self.is_gathered && self.is_small(base) {
+            true if self.bucket.capacity(base) < SMALL_BURST => 0,
+            true => base / KEPT_DIVISOR,
             false => self.units_for(self.demand.lasting_rate(now)).max(self.floor(base)),
         };
         let free = base.saturating_sub(self.withheld(now));
