--- a/crates/core/src/host/fleet/peer.rs
+++ b/crates/core/src/host/fleet/peer.rs
@@ -34,7 +34,7 @@
         PeerRequest::Pull(request) => return pull_asked(state, now, tag, from, request, outputs),
         PeerRequest::Borrow(request) if request.borrower == *from => {
             let loan = state.shares.lend(now, &request);
-            state.counters.loans_given += u64::from(loan.units > 0);
+            state.counters.loans_given += u64::from(loan.units.max(loan.millitokens) > 0);
             PeerReply::Loan(loan)
         }
         PeerRequest::Handover(handover) if handover.host == *from => {
@@ -68,7 +68,7 @@
         Some(PeerReply::Loan(loan)) => {
             let granted = Duration::from_millis(loan.valid_ms);
             let valid_until = asked_at + granted.min(state.profile.timing.loan_valid);
-            state.counters.loans_taken += u64::from(loan.units > 0);
+            state.counters.loans_taken += u64::from(loan.units.max(loan.millitokens) > 0);
             state.shares.accept(now, &ended.host, &loan, valid_until);
         }
         _ if ended.is_pull => pull_failed(state, now, call, &ended),
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -1,6 +1,7 @@
 //! Escrow of shared resources: base shares, loans given and loans taken.
 
 mod adopt;
+mod base;
 pub(crate) mod demand;
 pub(crate) mod escrow;
 mod holding;
@@ -14,9 +15,8 @@
 use tanagerdeal_wire::peer::{BorrowRequest, ShareLoan, ShareResource};
 use tanagerdeal_wire::{CustomerName, EndpointName, HostName, value_type};
 
-use crate::limit::RATE_UNITS;
 use crate::profile::HostTiming;
-use crate::session::placement::stable_hash;
+pub use base::BaseShare;
 use demand::BorrowPace;
 use escrow::{LoanParty, LoanTerm};
 pub(crate) use holding::LoanKind;
@@ -40,27 +40,6 @@
 /// loan at which its connections get no new work.
 const ADOPT_INTERVAL: Duration = Duration::from_millis(100);
 
-value_type! {
-    /// Base share of this host under the share views in effect.
-    ///
-    /// The host owns `numerator / denominator` of every customer's rate, and of an endpoint's
-    /// connections the units that fall to `rank` when they are dealt out to `denominator` hosts.
-    #[derive(Copy)]
-    pub struct BaseShare {
-        /// 1 while the host has a share, 0 while it has none.
-        pub numerator: u64,
-        /// Failure domains times hosts of this host's view.
-        pub denominator: u64,
-        /// Place of this host among the holders, below `denominator`: the place of its failure
-        /// domain, plus failure domains times its place in the view. In this order the connections
-        /// of a failure domain do not depend on the number of hosts in its view. `denominator`
-        /// itself stands for no place: only the connections that every place gets.
-        pub rank: u64,
-        /// When the share ends unless the lease is renewed.
-        pub valid_until: Instant,
-    }
-}
-
 value_type! {
     /// Units that this host lacks.
     pub(crate) struct ShareNeed {
@@ -101,50 +80,6 @@
     }
 }
 
-impl BaseShare {
-    /// Millionths of a customer's rate.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// use tanagerdeal_core::share::BaseShare;
-    ///
-    /// let valid_until = Instant::now();
-    /// let base = BaseShare { numerator: 1, denominator: 9, rank: 0, valid_until };
-    /// assert_eq!(base.rate_units(), 111_111);
-    /// ```
-    pub fn rate_units(&self) -> u64 {
-        RATE_UNITS * self.numerator / self.denominator.max(1)
-    }
-
-    /// Connections of an endpoint that has `total` of them.
-    ///
-    /// Each endpoint is dealt from another place, so that no host gets the larger part of all.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    ///
-    /// use tanagerdeal_core::share::BaseShare;
-    /// use tanagerdeal_wire::EndpointName;
-    ///
-    /// let endpoint = EndpointName::new("e1").unwrap();
-    /// let valid_until = Instant::now();
-    /// let dealt = |rank| {
-    ///     BaseShare { numerator: 1, denominator: 9, rank, valid_until }.connections(&endpoint, 20)
-    /// };
-    /// assert_eq!((0..9).map(dealt).sum::<u64>(), 20);
-    /// assert_eq!(dealt(9), 2);
-    /// ```
-    pub fn connections(&self, endpoint: &EndpointName, total: u32) -> u64 {
-        let denominator = self.denominator.max(1);
-        let (each, rest) = (u64::from(total) / denominator, u64::from(total) % denominator);
-        let first = stable_hash(&[endpoint.as_str()]) % denominator;
-        let place = (self.rank + denominator - first) % denominator;
-        let has_more = self.rank < denominator && place < rest;
-        self.numerator.min(1) * (each + u64::from(has_more))
-    }
-}
-
 impl ShareTable {
     /// Replaces the base share; a smaller one is in effect at once, added units have no tokens.
     ///
@@ -245,12 +180,17 @@
         let party = LoanParty { host, incarnation };
         let wanted = LoanTerm { party, units: request.units, until };
         let (units, millitokens) = match &resource {
-            _ if !is_lending => (0, 0),
+            // Tokens of the base share fit any view that is to come, because the share is lowered
+            // before lending stops; those of loans taken might not.
             ShareResource::CustomerRate(customer) if wanted_for <= TOKEN_LOAN => {
                 let base = self.rate_base(now);
                 let holding = self.rates.get_mut(customer);
-                (0, holding.map_or(0, |holding| holding.lend_tokens(now, base, &wanted)))
+                let lend = |holding: &mut RateHolding| {
+                    holding.lend_tokens(now, (base, is_lending), &wanted)
+                };
+                (0, holding.map_or(0, lend))
             }
+            _ if !is_lending => (0, 0),
             ShareResource::CustomerRate(customer) => {
                 let base = self.rate_base(now);
                 let holding = self.rates.get_mut(customer);
--- a/crates/core/src/share/holding.rs
+++ b/crates/core/src/share/holding.rs
@@ -123,11 +123,17 @@
     /// Lends tokens until an instant, as many as some units hold at most. Until then their capacity
     /// is withheld from the base share, but the lender keeps its rate: tokens lent are thereby never
     /// part of two buckets, and a loan costs the lender nothing else.
-    pub(super) fn lend_tokens(&mut self, now: Instant, base: u64, term: &LoanTerm) -> u64 {
+    pub(super) fn lend_tokens(
+        &mut self,
+        now: Instant,
+        (base, lends_taken): (u64, bool),
+        term: &LoanTerm,
+    ) -> u64 {
         self.settle(now, base);
         self.lacked_at = Some(now);
         // Units taken from others count if they last as long as the loan.
-        let lasting = base + self.ledger.taken(term.until);
+        let taken = if lends_taken { self.ledger.taken(term.until) } else { 0 };
+        let lasting = base + taken;
         let free = self.bucket.capacity(lasting.saturating_sub(self.ledger.given(now)));
         let free = free.saturating_sub(self.lent.sum(now));
         let millitokens =
--- a/crates/core/src/share/tests.rs
+++ b/crates/core/src/share/tests.rs
@@ -352,6 +352,26 @@
     expect_that!(take_all(&mut borrower, after(now, 20_270)), eq(25));
 }
 
+/// Guards against hosts that find no tokens while a view changes, and against tokens lent that do not
+/// fit the next view, which others may already use.
+#[gtest]
+fn tokens_are_lent_while_a_view_changes() {
+    let start = Instant::now();
+    let mut shares = table(start, 2, 0);
+    let now = after(start, 10_000);
+    let loan = ShareLoan { resource: rate(), units: 400_000, millitokens: 0, valid_ms: 10_000 };
+    shares.accept(now, &lender_name(), &loan, after(now, 10_000));
+    let now = after(now, 5_000);
+    shares.set_lending(false);
+    shares.set_base(now, base(now, 4, 0));
+    let brief = BorrowRequest { valid_ms: 300, ..request(rate(), 1_000_000) };
+    let lent = shares.lend(now, &brief);
+    expect_that!((lent.units, lent.millitokens), eq((0, 12_500)));
+    expect_true!(shares.loans_fit(now, &base(now, 4, 0)));
+    expect_false!(shares.loans_fit(now, &base(now, 5, 0)));
+    expect_true!(shares.loans_fit(after(now, 300), &base(now, 5, 0)));
+}
+
 /// Guards against a model in which nothing is ever lent or used, so that the property above would
 /// hold for any code.
 #[gtest]
