--- a/crates/core/src/host/traffic/admit.rs
+++ b/crates/core/src/host/traffic/admit.rs
@@ -72,11 +72,12 @@
 }
 
 /// The customer of a session, and whether its next request takes a token. Open routes have no
-/// customer, and a rollback only frees what the transaction holds.
+/// customer, and the end of a transaction only frees what the transaction holds.
 fn customer_of(state: &HostState, session: SessionKey) -> Option<(CustomerName, bool)> {
     let entry = state.sessions.entries.get(session)?;
     let request = entry.waiting.as_ref()?;
-    let is_end = request.in_transaction && request.attempt.class == StatementClass::Rollback;
+    let is_end = request.in_transaction
+        && matches!(request.attempt.class, StatementClass::Commit | StatementClass::Rollback);
     Some((entry.account.clone(), entry.credential.is_some() && !is_end))
 }
 
@@ -105,7 +106,8 @@
     }
     // Loans bring no more than the whole rate yields in this time.
     let most = rate.rate_per_s as usize / PATIENCES_PER_S + LEAST_LINE;
-    let may_come = now < until && ahead < most && loans::ask_now(state, now, customer, outputs);
+    let line = (customer, ahead + 1);
+    let may_come = now < until && ahead < most && loans::ask_now(state, now, line, until, outputs);
     if may_come { TokenOutcome::Waits } else { TokenOutcome::Refused(ready_at) }
 }
 
@@ -342,11 +344,15 @@
 /// Takes over rates of customers, so that buckets fill from when the customer is known.
 pub(super) fn adopt_customers(state: &mut HostState, now: Instant) {
     state.shares.set_loan_valid(state.profile.timing.loan_valid);
-    for (name, record) in state.catalog.customers() {
+    state.shares.settle_loans(now);
+    let (catalog, version) = (&state.catalog, state.catalog.version());
+    if !state.shares.is_new_version(version) {
+        return;
+    }
+    for (name, record) in catalog.customers() {
         state.shares.set_rate(now, name, rate_of(record));
     }
-    let catalog = &state.catalog;
-    state.shares.retain_customers(now, |name| catalog.customer(name).is_some());
+    state.shares.retain_customers(version, |name| catalog.customer(name).is_some());
     let sessions = &state.sessions;
     state.retries.retain(|name| catalog.customer(name).is_some() || sessions.count(name) > 0);
 }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -6,6 +6,7 @@
 mod holding;
 #[cfg(test)]
 mod tests;
+mod tokens;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -24,8 +25,16 @@
 /// Part of a loan's time that the borrower does not use, because clocks run at different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(100);
 
-/// Time of a loan for one request: it covers the way of the loan and the margin for clocks.
-const BRIEF_LOAN: Duration = Duration::from_millis(500);
+/// Part of a loan's time, as a divisor, that is enough of a margin when it is less than
+/// [`CLOCK_MARGIN`].
+const MARGIN_DIVISOR: u32 = 10;
+
+/// Longest time of a loan of a customer's rate that moves tokens and no units.
+const TOKEN_LOAN: Duration = Duration::from_millis(300);
+
+/// Time of a loan for one request, for which its lender withholds capacity. A request waits no longer
+/// for a token.
+const BRIEF_LOAN: Duration = Duration::from_millis(120);
 
 /// Interval at which holdings are compared with demand. It is far below the time before the end of a
 /// loan at which its connections get no new work.
@@ -70,10 +79,12 @@
     loan_valid: Duration,
     rates: HashMap<CustomerName, RateHolding>,
     connections: HashMap<EndpointName, ConnectionHolding>,
-    paces: HashMap<ShareResource, BorrowPace>,
+    paces: HashMap<(ShareResource, LoanKind), BorrowPace>,
     /// Whether holdings of connections have changed since they were adopted.
     is_changed: bool,
     adopted_at: Option<Instant>,
+    /// Version of the catalog whose customers were adopted.
+    catalog_version: Option<u64>,
 }
 
 impl Default for ShareTable {
@@ -88,6 +99,7 @@
             paces: HashMap::new(),
             is_changed: false,
             adopted_at: None,
+            catalog_version: None,
         }
     }
 }
@@ -187,8 +199,7 @@
     /// assert!(ShareTable::default().loans_fit(now, &base));
     /// ```
     pub fn loans_fit(&self, now: Instant, base: &BaseShare) -> bool {
-        let rates_fit =
-            self.rates.values().all(|holding| holding.ledger.given(now) <= base.rate_units());
+        let rates_fit = self.rates.values().all(|holding| holding.given(now) <= base.rate_units());
         let connections_fit = self.connections.iter().all(|(endpoint, holding)| {
             let base = base.connections(endpoint, holding.total);
             holding.ledger.given(now) <= base && holding.in_use <= holding.ledger.held(now, base)
@@ -238,6 +249,11 @@
         let wanted = LoanTerm { party, units: request.units, until };
         let (units, millitokens) = match &resource {
             _ if !is_lending => (0, 0),
+            ShareResource::CustomerRate(customer) if wanted_for <= TOKEN_LOAN => {
+                let base = self.rate_base(now);
+                let holding = self.rates.get_mut(customer);
+                (0, holding.map_or(0, |holding| holding.lend_tokens(now, base, &wanted)))
+            }
             ShareResource::CustomerRate(customer) => {
                 let base = self.rate_base(now);
                 let holding = self.rates.get_mut(customer);
@@ -279,14 +295,36 @@
         loan: &ShareLoan,
         valid_until: Instant,
     ) {
-        self.paces.entry(loan.resource.clone()).or_default().answer(now, loan.units);
+        let is_brief = Duration::from_millis(loan.valid_ms) <= TOKEN_LOAN;
+        match &loan.resource {
+            ShareResource::CustomerRate(customer) if is_brief && self.is_small(customer) => {
+                let holding = self.rates.get(customer);
+                let pace = self.paces.entry((loan.resource.clone(), LoanKind::Brief)).or_default();
+                pace.answer_tokens(now, lender, |units| {
+                    holding.is_some_and(|holding| holding.is_full(loan.millitokens, units))
+                });
+            }
+            // The home of a customer asks all hosts at fixed intervals.
+            ShareResource::CustomerRate(customer) if self.is_small(customer) => {}
+            resource => {
+                let brought = loan.units.max(loan.millitokens);
+                self.pace(resource, LoanKind::Lasting).answer(now, brought);
+            }
+        }
         self.is_changed = true;
-        let until = valid_until.checked_sub(CLOCK_MARGIN).unwrap_or(now);
-        if loan.units == 0 || until <= now {
+        let margin = CLOCK_MARGIN.min(Duration::from_millis(loan.valid_ms) / MARGIN_DIVISOR);
+        let until = valid_until.checked_sub(margin).unwrap_or(now);
+        if loan.units.max(loan.millitokens) == 0 || until <= now {
             return;
         }
         let term = LoanTerm { party: lender_party(lender), units: loan.units, until };
         match &loan.resource {
+            ShareResource::CustomerRate(customer) if loan.units == 0 => {
+                let base = self.rate_base(now);
+                if let Some(holding) = self.rates.get_mut(customer) {
+                    holding.accept_tokens(now, base, (until, loan.millitokens));
+                }
+            }
             ShareResource::CustomerRate(customer) => {
                 let base = self.rate_base(now);
                 if let Some(holding) = self.rates.get_mut(customer) {
--- a/crates/core/src/share/adopt.rs
+++ b/crates/core/src/share/adopt.rs
@@ -46,14 +46,36 @@
         }
     }
 
-    /// Forgets customers that no longer exist, other than those with loans.
+    /// Whether the customers of a version of the catalog have yet to be adopted.
+    pub(crate) fn is_new_version(&self, version: u64) -> bool {
+        self.catalog_version != Some(version)
+    }
+
+    /// Settles holdings with loans. The others lose nothing when they are settled later, because what
+    /// they hold changes with the base share only, which settles all.
+    pub(crate) fn settle_loans(&mut self, now: Instant) {
+        let base = self.rate_base(now);
+        let with_loans = self.rates.values_mut().filter(|holding| !holding.is_idle());
+        with_loans.for_each(|holding| {
+            holding.settle(now, base);
+        });
+    }
+
+    /// Forgets customers that do not exist in a version of the catalog, other than those with loans,
+    /// for which this is tried again.
     pub(crate) fn retain_customers(
         &mut self,
-        now: Instant,
+        version: u64,
         is_known: impl Fn(&CustomerName) -> bool,
     ) {
-        self.settle_all(now);
-        self.rates.retain(|customer, holding| is_known(customer) || !holding.ledger.is_empty());
+        let mut is_done = true;
+        self.rates.retain(|customer, holding| {
+            let is_lent = !holding.is_idle();
+            let is_known = is_known(customer);
+            is_done &= is_known || !is_lent;
+            is_known || is_lent
+        });
+        self.catalog_version = is_done.then_some(version);
     }
 
     /// Takes the token of one request; fails with the time at which the one after `ahead` others
@@ -124,11 +146,16 @@
     pub(crate) fn shortages(&mut self, now: Instant, ahead: Duration) -> Vec<ShareNeed> {
         let then = now + ahead;
         let base = self.rate_base(now);
-        let rates = self.rates.iter_mut().map(|(customer, holding)| {
+        let rates = self.rates.iter_mut().filter_map(|(customer, holding)| {
             let (units, kind) = holding.shortage(now, then, (base, false));
-            ShareNeed { resource: ShareResource::CustomerRate(customer.clone()), units, kind }
+            let need = || ShareNeed {
+                resource: ShareResource::CustomerRate(customer.clone()),
+                units,
+                kind,
+            };
+            (units > 0).then(need)
         });
-        let mut needs: Vec<ShareNeed> = rates.filter(|need| need.units > 0).collect();
+        let mut needs: Vec<ShareNeed> = rates.collect();
         for (endpoint, holding) in &self.connections {
             let base = self.connection_base(now, endpoint);
             let units = holding.peak.peak().saturating_sub(holding.ledger.held(then, base));
@@ -162,8 +189,41 @@
     }
 
     /// Requests for loans of a resource.
-    pub(crate) fn pace(&mut self, resource: &ShareResource) -> &mut BorrowPace {
-        self.paces.entry(resource.clone()).or_default()
+    pub(crate) fn pace(&mut self, resource: &ShareResource, kind: LoanKind) -> &mut BorrowPace {
+        self.paces.entry((resource.clone(), kind)).or_default()
+    }
+
+    /// Customers with small shares whose tokens were asked for lately.
+    pub(crate) fn small_in_use(&self, now: Instant) -> Vec<CustomerName> {
+        let base = self.rate_base(now);
+        let is_listed =
+            |holding: &RateHolding| base > 0 && holding.is_small(base) && holding.is_used(now);
+        let listed = self.rates.iter().filter(|(_, holding)| is_listed(holding));
+        listed.map(|(customer, _)| customer.clone()).collect()
+    }
+
+    /// Units of each host's base share of a rate.
+    pub(crate) fn base_units(&self, now: Instant) -> u64 {
+        self.rate_base(now)
+    }
+
+    /// Whether a customer's base share is too small for loans of units, so that its tokens are
+    /// borrowed one by one and at a pace of their own.
+    pub(crate) fn is_small(&self, customer: &CustomerName) -> bool {
+        let base = self.base.map_or(0, |base| base.rate_units());
+        self.rates.get(customer).is_some_and(|holding| holding.is_small(base))
+    }
+
+    /// Units whose capacity holds the tokens that a number of waiting requests lack.
+    pub(crate) fn missing_units(
+        &mut self,
+        now: Instant,
+        customer: &CustomerName,
+        requests: u64,
+    ) -> u64 {
+        let base = self.rate_base(now);
+        let holding = self.rates.get_mut(customer);
+        holding.map_or(0, |holding| holding.missing_units(now, base, requests))
     }
 
     /// Forgets requests for loans without an answer.
