--- a/crates/core/src/host/traffic/admit.rs
+++ b/crates/core/src/host/traffic/admit.rs
@@ -18,13 +18,13 @@
 
 /// Longest time for which a request outside a transaction waits for a token. It covers a request
 /// for a loan and evens out bursts that the whole rate would have admitted.
-const TOKEN_PATIENCE: Duration = Duration::from_millis(100);
+const TOKEN_WAIT_LIMIT: Duration = Duration::from_millis(100);
 
-/// Parts of a second that [`TOKEN_PATIENCE`] is.
-const PATIENCES_PER_S: usize = 10;
+/// Parts of a second that [`TOKEN_WAIT_LIMIT`] is.
+const TOKEN_WAITS_PER_S: usize = 10;
 
 /// Requests that may wait for a loan, in addition to what the rate yields meanwhile.
-const LEAST_LINE: usize = 8;
+const MIN_QUEUE: usize = 8;
 
 /// When a client should come back if its customer's share here is too small for any token.
 const NO_SHARE_RETRY: Duration = Duration::from_millis(500);
@@ -98,14 +98,14 @@
         Err(ready_at) => ready_at,
     };
     let Some(request) = waiting(state, session) else { return TokenOutcome::Refused(None) };
-    let patience = request.arrived + TOKEN_PATIENCE;
+    let wait_until = request.arrived + TOKEN_WAIT_LIMIT;
     let deadline = request.attempt.deadline - LEAST_REMAINING;
-    let until = if request.in_transaction { deadline } else { patience.min(deadline) };
+    let until = if request.in_transaction { deadline } else { wait_until.min(deadline) };
     if ready_at.is_some_and(|at| at <= until) {
         return TokenOutcome::Waits;
     }
     // Loans bring no more than the whole rate yields in this time.
-    let most = rate.rate_per_s as usize / PATIENCES_PER_S + LEAST_LINE;
+    let most = rate.rate_per_s as usize / TOKEN_WAITS_PER_S + MIN_QUEUE;
     let line = (customer, ahead + 1);
     let may_come = now < until && ahead < most && loans::ask_now(state, now, line, until, outputs);
     if may_come { TokenOutcome::Waits } else { TokenOutcome::Refused(ready_at) }
--- a/crates/core/src/host/traffic/tests.rs
+++ b/crates/core/src/host/traffic/tests.rs
@@ -2,8 +2,8 @@
 
 mod borrowing;
 mod commits;
-mod desk;
 mod fairness;
+mod harness;
 mod limits;
 mod rights;
 mod sessions;
--- a/crates/core/src/host/traffic/tests/borrowing.rs
+++ b/crates/core/src/host/traffic/tests/borrowing.rs
@@ -8,7 +8,7 @@
 use tanagerdeal_wire::HostName;
 use tanagerdeal_wire::peer::{PeerReply, PeerRequest};
 
-use super::desk::Desk;
+use super::harness::TestHost;
 use crate::limit::{CustomerRate, RATE_UNITS, TokenBucket};
 use crate::message::caller::{CallerAnswer, RequestEnding};
 use crate::message::fleet::PeerEvent;
@@ -31,7 +31,7 @@
 }
 
 struct LoanFleet {
-    desks: Vec<Desk>,
+    hosts: Vec<TestHost>,
     sessions: Vec<Vec<SessionKey>>,
     waiting: Vec<(usize, CallTag, SessionKey, (Instant, bool))>,
     parcels: Vec<(Instant, Parcel)>,
@@ -53,20 +53,20 @@
     fn new(rate: u32, burst: u32, limits: LimitPolicy) -> Self {
         let start = Instant::now();
         let policies = HostPolicies { limits, ..HostPolicies::default() };
-        let mut desks: Vec<Desk> = (0..HOSTS)
-            .map(|index| Desk::start(start, &format!("h{index}"), policies.clone()))
+        let mut hosts: Vec<TestHost> = (0..HOSTS)
+            .map(|index| TestHost::start(start, &format!("h{index}"), policies.clone()))
             .collect();
-        for (index, desk) in desks.iter_mut().enumerate() {
+        for (index, host) in hosts.iter_mut().enumerate() {
             let record = json!({"schema": 1, "rate_per_s": rate, "burst": burst});
-            desk.put("records/customer/quarry", Some(record));
-            desk.hold_connections(900);
-            let valid_until = desk.now + Duration::from_secs(3_600);
+            host.put("records/customer/quarry", Some(record));
+            host.hold_connections(900);
+            let valid_until = host.now + Duration::from_secs(3_600);
             let (denominator, rank) = (HOSTS as u64, index as u64);
             let base = BaseShare { numerator: 1, denominator, rank, valid_until };
-            desk.state.shares.set_base(desk.now, base);
+            host.state.shares.set_base(host.now, base);
         }
         let mut fleet = Self {
-            desks,
+            hosts,
             sessions: vec![Vec::new(); HOSTS],
             waiting: Vec::new(),
             parcels: Vec::new(),
@@ -91,7 +91,7 @@
                 self.list_hosts();
             }
             for index in 0..HOSTS {
-                self.desks[index].run(1);
+                self.hosts[index].run(1);
                 self.post(index);
             }
             self.deliver();
@@ -102,12 +102,12 @@
 
     fn list_hosts(&mut self) {
         let names: Vec<String> = (0..HOSTS).map(|index| format!("h{index}")).collect();
-        self.desks.iter_mut().for_each(|desk| desk.list_hosts(&names));
+        self.hosts.iter_mut().for_each(|host| host.list_hosts(&names));
     }
 
     fn post(&mut self, from: usize) {
-        let now = self.desks[from].now;
-        for notice in std::mem::take(&mut self.desks[from].notices) {
+        let now = self.hosts[from].now;
+        for notice in std::mem::take(&mut self.hosts[from].notices) {
             match notice {
                 HostOutput::SendPeer {
                     call,
@@ -134,7 +134,7 @@
     }
 
     fn deliver(&mut self) {
-        let now = self.desks[0].now;
+        let now = self.hosts[0].now;
         let (due, later) = self.parcels.drain(..).partition(|(at, _)| *at <= now);
         self.parcels = later;
         let due: Vec<(Instant, Parcel)> = due;
@@ -146,16 +146,16 @@
         for (_, parcel) in due.into_iter().filter(|(_, parcel)| !is_cut && !is_lost(parcel)) {
             match parcel {
                 Parcel::Request { from, to, call, sent, request } => {
-                    let tag = self.desks[to].next_tag();
+                    let tag = self.hosts[to].next_tag();
                     self.asked.push((to, tag, from, call, sent));
                     let from = HostName::new(&format!("h{from}")).unwrap();
                     let event = PeerEvent::Asked { tag, from, request };
-                    self.desks[to].input(HostInput::Peer(event));
+                    self.hosts[to].input(HostInput::Peer(event));
                     self.post(to);
                 }
                 Parcel::Reply { to, call, sent, reply } => {
                     let event = PeerEvent::Answered { call, asked_at: sent, reply: Some(reply) };
-                    self.desks[to].input(HostInput::Peer(event));
+                    self.hosts[to].input(HostInput::Peer(event));
                 }
             }
         }
@@ -163,10 +163,10 @@
 
     fn send(&mut self, index: usize) {
         let session = self.sessions[index].pop().unwrap_or_else(|| {
-            self.desks[index].open_with(("quarry", "stale", Some("k1.x")), &[]).unwrap()
+            self.hosts[index].open_with(("quarry", "stale", Some("k1.x")), &[]).unwrap()
         });
-        let tag = self.desks[index].place_tag(session, StatementClass::Read);
-        let now = self.desks[index].now;
+        let tag = self.hosts[index].place_tag(session, StatementClass::Read);
+        let now = self.hosts[index].now;
         self.reference.settle(now, RATE_UNITS);
         let is_inside = self.reference.take();
         self.waiting.push((index, tag, session, (now, is_inside)));
@@ -175,11 +175,11 @@
     fn take_answers(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
         for (index, tag, session, (arrived, is_inside)) in waiting {
-            match self.desks[index].answer(tag) {
+            match self.hosts[index].answer(tag) {
                 Some(CallerAnswer::RequestPlaced(plan)) => {
-                    self.desks[index].end(plan.dispatch, RequestEnding::Answered, false);
+                    self.hosts[index].end(plan.dispatch, RequestEnding::Answered, false);
                     self.served += 1;
-                    let wait = self.desks[index].now - arrived;
+                    let wait = self.hosts[index].now - arrived;
                     self.longest_wait = self.longest_wait.max(wait);
                 }
                 Some(_) => {
--- a/crates/core/src/host/traffic/tests/commits.rs
+++ b/crates/core/src/host/traffic/tests/commits.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use tanagerdeal_wire::member::MemberRole;
 
-use super::desk::{Desk, at};
+use super::harness::{TestHost, at};
 use crate::message::HostOutput;
 use crate::message::caller::{CallerAnswer, CallerCall, RequestEnding};
 use crate::statement::StatementClass;
@@ -16,68 +16,68 @@
 /// Guards against a commit that is acknowledged without a majority.
 #[gtest]
 fn a_commit_waits_for_a_majority() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    let plan = desk.place(session, WRITE);
-    desk.members[1].is_reachable = false;
-    desk.members[2].is_reachable = false;
-    desk.members[0].applied = at(1, 101);
+    let mut host = TestHost::new();
+    let session = host.open();
+    let plan = host.place(session, WRITE);
+    host.members[1].is_reachable = false;
+    host.members[2].is_reachable = false;
+    host.members[0].applied = at(1, 101);
     let (dispatch, position) = (plan.dispatch, at(1, 101));
-    let tag = desk.call(CallerCall::ConfirmCommit { dispatch, position });
-    desk.run(900);
-    expect_that!(desk.answer(tag), none());
-    desk.members[1].is_reachable = true;
-    desk.members[1].applied = at(1, 101);
-    desk.run(600);
-    expect_that!(desk.answer(tag), some(matches_pattern!(CallerAnswer::CommitConfirmed { .. })));
+    let tag = host.call(CallerCall::ConfirmCommit { dispatch, position });
+    host.run(900);
+    expect_that!(host.answer(tag), none());
+    host.members[1].is_reachable = true;
+    host.members[1].applied = at(1, 101);
+    host.run(600);
+    expect_that!(host.answer(tag), some(matches_pattern!(CallerAnswer::CommitConfirmed { .. })));
 }
 
 /// Guards against an acknowledgement by a replaced primary, and against a client that is kept
 /// waiting when that is known.
 #[gtest]
 fn a_commit_of_a_replaced_primary_may_have_run() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    let plan = desk.place(session, WRITE);
-    for member in &mut desk.members[1..] {
+    let mut host = TestHost::new();
+    let session = host.open();
+    let plan = host.place(session, WRITE);
+    for member in &mut host.members[1..] {
         member.promised = 2;
         member.role = MemberRole::Fenced;
     }
-    let before = desk.now;
-    let refusal = desk.commit(plan.dispatch, at(1, 101)).unwrap_err();
+    let before = host.now;
+    let refusal = host.commit(plan.dispatch, at(1, 101)).unwrap_err();
     expect_that!(refusal.verdict, eq(RunVerdict::MayHaveRun));
     expect_that!(refusal.code, eq(RefusalCode::OutcomeUnknown));
-    expect_that!(desk.now - before, lt(Duration::from_millis(500)));
-    expect_that!(desk.state.counters.commits_fenced, eq(1));
+    expect_that!(host.now - before, lt(Duration::from_millis(500)));
+    expect_that!(host.state.counters.commits_fenced, eq(1));
 }
 
 /// Guards against a lack of connections while commits wait for replicas that are far behind.
 #[gtest]
 fn a_commit_that_waits_holds_no_connection() {
-    let mut desk = Desk::new();
-    let sessions: Vec<_> = (0..3).map(|_| desk.open()).collect();
+    let mut host = TestHost::new();
+    let sessions: Vec<_> = (0..3).map(|_| host.open()).collect();
     for (number, session) in (101..).zip(sessions) {
-        let plan = desk.place(session, WRITE);
+        let plan = host.place(session, WRITE);
         let (dispatch, position) = (plan.dispatch, at(1, number));
-        desk.call(CallerCall::ConfirmCommit { dispatch, position });
-        expect_that!(desk.state.queues.held(plan.endpoint), eq(0));
+        host.call(CallerCall::ConfirmCommit { dispatch, position });
+        expect_that!(host.state.queues.held(plan.endpoint), eq(0));
     }
 }
 
 /// Guards against a client that never gets an answer because its request ended early.
 #[gtest]
 fn a_request_that_ends_before_its_confirmation_may_have_run() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    let plan = desk.place(session, WRITE);
-    desk.members.iter_mut().for_each(|member| member.is_reachable = false);
+    let mut host = TestHost::new();
+    let session = host.open();
+    let plan = host.place(session, WRITE);
+    host.members.iter_mut().for_each(|member| member.is_reachable = false);
     let (dispatch, position) = (plan.dispatch, at(1, 101));
-    let tag = desk.call(CallerCall::ConfirmCommit { dispatch, position });
-    desk.end(dispatch, RequestEnding::Lost, false);
-    let Some(CallerAnswer::Refused(refusal)) = desk.answer(tag) else { panic!("no answer") };
+    let tag = host.call(CallerCall::ConfirmCommit { dispatch, position });
+    host.end(dispatch, RequestEnding::Lost, false);
+    let Some(CallerAnswer::Refused(refusal)) = host.answer(tag) else { panic!("no answer") };
     expect_that!(refusal.verdict, eq(RunVerdict::MayHaveRun));
-    let tag = desk.call(CallerCall::ConfirmCommit { dispatch, position });
-    let Some(CallerAnswer::Refused(refusal)) = desk.answer(tag) else { panic!("no answer") };
+    let tag = host.call(CallerCall::ConfirmCommit { dispatch, position });
+    let Some(CallerAnswer::Refused(refusal)) = host.answer(tag) else { panic!("no answer") };
     expect_that!(refusal.verdict, eq(RunVerdict::MayHaveRun));
 }
 
@@ -85,20 +85,20 @@
 /// it is replaced, they may still be answered.
 #[gtest]
 fn connections_to_a_lost_primary_are_closed_after_its_replacement() {
-    let mut desk = Desk::new();
-    desk.run(500);
-    desk.members[0].is_reachable = false;
-    desk.notices.clear();
-    desk.run(2_000);
-    expect_that!(closed_limits(&desk), is_empty());
-    desk.fail_over(100);
-    expect_that!(closed_limits(&desk), elements_are![eq("e0")]);
+    let mut host = TestHost::new();
+    host.run(500);
+    host.members[0].is_reachable = false;
+    host.notices.clear();
+    host.run(2_000);
+    expect_that!(closed_limits(&host), is_empty());
+    host.fail_over(100);
+    expect_that!(closed_limits(&host), elements_are![eq("e0")]);
 }
 
 /// Endpoints to which no connection may be held from now on.
-fn closed_limits(desk: &Desk) -> Vec<String> {
-    let closed = desk.notices.iter().filter_map(|notice| match notice {
-        HostOutput::LimitConnections { name, limit: 0, close_by, .. } if *close_by <= desk.now => {
+fn closed_limits(host: &TestHost) -> Vec<String> {
+    let closed = host.notices.iter().filter_map(|notice| match notice {
+        HostOutput::LimitConnections { name, limit: 0, close_by, .. } if *close_by <= host.now => {
             Some(name.to_string())
         }
         _ => None,
--- a/crates/core/src/host/traffic/tests/fairness.rs
+++ b/crates/core/src/host/traffic/tests/fairness.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use serde_json::json;
 
-use super::desk::Desk;
+use super::harness::TestHost;
 use crate::message::caller::{CallerAnswer, RequestEnding};
 use crate::message::{CallTag, DispatchKey, SessionKey};
 use crate::profile::{HostPolicies, SchedulerPolicy};
@@ -32,29 +32,30 @@
 }
 
 struct LoadModel {
-    desk: Desk,
+    host: TestHost,
     accounts: BTreeMap<&'static str, LoadAccount>,
     running: Vec<(Instant, DispatchKey, SessionKey, &'static str)>,
 }
 
 impl LoadModel {
     fn new(scheduler: SchedulerPolicy) -> Self {
-        let mut desk = Desk::with_policies(HostPolicies { scheduler, ..HostPolicies::default() });
+        let mut host =
+            TestHost::with_policies(HostPolicies { scheduler, ..HostPolicies::default() });
         for name in CUSTOMERS {
             let record = json!({"schema": 1, "rate_per_s": 1_000, "burst": 1_000});
-            desk.put(&format!("records/customer/{name}"), Some(record));
+            host.put(&format!("records/customer/{name}"), Some(record));
             let digest = tanagerdeal_wire::key::digest_secret("s", "x");
             let key = json!({"schema": 1, "customer": name, "salt": "s", "digest": digest});
-            desk.put(&format!("records/key/key-{name}"), Some(key));
+            host.put(&format!("records/key/key-{name}"), Some(key));
         }
         let accounts = CUSTOMERS.map(|name| (name, LoadAccount::default())).into();
-        Self { desk, accounts, running: Vec::new() }
+        Self { host, accounts, running: Vec::new() }
     }
 
     /// Sends at a customer's rate for some seconds, in steps of a millisecond.
     fn run(&mut self, seconds: u64, rate_of: impl Fn(&str) -> u64) {
         for step in 0..seconds * 1_000 {
-            self.desk.run(1);
+            self.host.run(1);
             self.end_requests();
             for name in CUSTOMERS {
                 let rate = rate_of(name);
@@ -70,16 +71,16 @@
         let session = account.idle.pop().unwrap_or_else(|| {
             let password = format!("key-{name}.x");
             let settings = [("deadline_ms", "500")];
-            self.desk.open_with((name, "main", Some(&password)), &settings).unwrap()
+            self.host.open_with((name, "main", Some(&password)), &settings).unwrap()
         });
-        let tag = self.desk.place_tag(session, StatementClass::Write);
-        account.waiting.push((tag, session, self.desk.now));
+        let tag = self.host.place_tag(session, StatementClass::Write);
+        account.waiting.push((tag, session, self.host.now));
     }
 
     fn take_answers(&mut self) {
-        let now = self.desk.now;
+        let now = self.host.now;
         for (name, account) in &mut self.accounts {
-            account.waiting.retain(|(tag, session, sent)| match self.desk.answer(*tag) {
+            account.waiting.retain(|(tag, session, sent)| match self.host.answer(*tag) {
                 Some(CallerAnswer::RequestPlaced(plan)) => {
                     self.running.push((now + SERVICE, plan.dispatch, *session, name));
                     false
@@ -97,12 +98,12 @@
     }
 
     fn end_requests(&mut self) {
-        let now = self.desk.now;
+        let now = self.host.now;
         let (ended, running) = self.running.drain(..).partition(|(end, ..)| *end <= now);
         self.running = running;
         let ended: Vec<(Instant, DispatchKey, SessionKey, &'static str)> = ended;
         for (_, dispatch, session, name) in ended {
-            self.desk.end(dispatch, RequestEnding::Answered, false);
+            self.host.end(dispatch, RequestEnding::Answered, false);
             let account = self.accounts.get_mut(name).unwrap();
             account.served += 1;
             account.idle.push(session);
--- a/crates/core/src/host/traffic/tests/desk.rs
+++ b/crates/core/src/host/traffic/tests/harness.rs
@@ -27,7 +27,7 @@
 
 const TICK: Duration = Duration::from_millis(20);
 
-pub(super) struct DeskMember {
+pub(super) struct TestMember {
     pub(super) role: MemberRole,
     pub(super) promised: u64,
     pub(super) applied: LogPosition,
@@ -35,10 +35,10 @@
     pub(super) is_reachable: bool,
 }
 
-pub(super) struct Desk {
+pub(super) struct TestHost {
     pub(super) now: Instant,
     pub(super) state: HostState,
-    pub(super) members: Vec<DeskMember>,
+    pub(super) members: Vec<TestMember>,
     next_tick: Instant,
     /// Whether the catalog is confirmed as time passes.
     pub(super) has_store: bool,
@@ -99,31 +99,31 @@
     ]
 }
 
-impl Desk {
+impl TestHost {
     /// A host that has served for a while: its buckets are full and its members are known.
     pub(super) fn new() -> Self {
         Self::with_policies(HostPolicies::default())
     }
 
     pub(super) fn with_policies(policies: HostPolicies) -> Self {
-        let mut desk = Self::start(Instant::now(), "h1", policies);
-        let valid_until = desk.now + Duration::from_secs(3_600);
+        let mut host = Self::start(Instant::now(), "h1", policies);
+        let valid_until = host.now + Duration::from_secs(3_600);
         let base = BaseShare { numerator: 1, denominator: 1, rank: 0, valid_until };
-        desk.state.shares.set_base(desk.now, base);
-        desk.run(5_000);
-        desk
+        host.state.shares.set_base(host.now, base);
+        host.run(5_000);
+        host
     }
 
     /// A host that has just got its records, and holds no share yet.
     pub(super) fn start(now: Instant, name: &str, policies: HostPolicies) -> Self {
-        let member = |index| DeskMember {
+        let member = |index| TestMember {
             role: if index == 0 { MemberRole::Primary } else { MemberRole::Replica },
             promised: 1,
             applied: at(1, 100),
             history: vec![TermStart { term: 1, offset: 0 }],
             is_reachable: true,
         };
-        let mut desk = Self {
+        let mut host = Self {
             now,
             state: HostState::new(profile(name, policies)),
             members: (0..3).map(member).collect(),
@@ -135,9 +135,9 @@
             tags: 0,
         };
         for (key, value) in records() {
-            desk.put(key, Some(value));
+            host.put(key, Some(value));
         }
-        desk
+        host
     }
 
     pub(super) fn put(&mut self, key: &str, value: Option<Value>) {
--- a/crates/core/src/host/traffic/tests/limits.rs
+++ b/crates/core/src/host/traffic/tests/limits.rs
@@ -8,7 +8,7 @@
 use tanagerdeal_wire::peer::{BorrowRequest, PeerRequest, ShareLoan, ShareResource};
 use tanagerdeal_wire::{EndpointName, HostName};
 
-use super::desk::Desk;
+use super::harness::TestHost;
 use crate::message::caller::{CallerAnswer, CallerCall, RequestEnding};
 use crate::message::{HostOutput, SessionKey};
 use crate::share::BaseShare;
@@ -22,114 +22,114 @@
     ShareResource::CustomerRate(CustomerName::new("quarry").unwrap())
 }
 
-fn set_rate(desk: &mut Desk, rate_per_s: u32, burst: u32) {
+fn set_rate(host: &mut TestHost, rate_per_s: u32, burst: u32) {
     let record = json!({"schema": 1, "rate_per_s": rate_per_s, "burst": burst});
-    desk.put("records/customer/quarry", Some(record));
-    desk.run(10_000);
+    host.put("records/customer/quarry", Some(record));
+    host.run(10_000);
 }
 
-fn serve(desk: &mut Desk, session: SessionKey, count: usize) {
+fn serve(host: &mut TestHost, session: SessionKey, count: usize) {
     for _ in 0..count {
-        let plan = desk.place(session, READ);
-        desk.answered(plan.dispatch);
+        let plan = host.place(session, READ);
+        host.answered(plan.dispatch);
     }
 }
 
 /// Guards against requests beyond rate and burst, and against a refusal without a usable time.
 #[gtest]
 fn a_customer_over_its_rate_is_refused_with_a_time() {
-    let mut desk = Desk::new();
-    set_rate(&mut desk, 2, 5);
-    let session = desk.open();
-    let plan = desk.place(session, READ);
-    desk.answered(plan.dispatch);
-    serve(&mut desk, session, 4);
-    let refusal = desk.try_place(session, READ).unwrap_err();
+    let mut host = TestHost::new();
+    set_rate(&mut host, 2, 5);
+    let session = host.open();
+    let plan = host.place(session, READ);
+    host.answered(plan.dispatch);
+    serve(&mut host, session, 4);
+    let refusal = host.try_place(session, READ).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::RateExceeded));
     expect_that!(refusal.verdict, eq(RunVerdict::NotRun));
-    let wait = refusal.retry_at.unwrap() - desk.now;
+    let wait = refusal.retry_at.unwrap() - host.now;
     expect_that!(wait, le(Duration::from_millis(501)));
-    desk.run(u64::try_from(wait.as_millis()).unwrap() + 1);
-    expect_that!(desk.try_place(session, READ), ok(anything()));
+    host.run(u64::try_from(wait.as_millis()).unwrap() + 1);
+    expect_that!(host.try_place(session, READ), ok(anything()));
 }
 
 /// Guards against a transaction that is broken because its customer is out of tokens for a moment.
 #[gtest]
 fn a_statement_of_a_transaction_waits_for_a_token() {
-    let mut desk = Desk::new();
-    set_rate(&mut desk, 2, 2);
-    let session = desk.open();
-    let begin = desk.place(session, StatementClass::Begin { read_only: false });
-    desk.end(begin.dispatch, RequestEnding::Answered, true);
-    let write = desk.place(session, WRITE);
-    desk.end(write.dispatch, RequestEnding::Answered, true);
-    let tag = desk.place_tag(session, WRITE);
-    desk.run(400);
-    expect_that!(desk.answer(tag), none());
-    desk.run(120);
-    let Some(CallerAnswer::RequestPlaced(plan)) = desk.answer(tag) else { panic!("not placed") };
-    desk.end(plan.dispatch, RequestEnding::Answered, true);
-    desk.set(session, "deadline_ms", "300");
-    let refusal = desk.try_place(session, WRITE).unwrap_err();
+    let mut host = TestHost::new();
+    set_rate(&mut host, 2, 2);
+    let session = host.open();
+    let begin = host.place(session, StatementClass::Begin { read_only: false });
+    host.end(begin.dispatch, RequestEnding::Answered, true);
+    let write = host.place(session, WRITE);
+    host.end(write.dispatch, RequestEnding::Answered, true);
+    let tag = host.place_tag(session, WRITE);
+    host.run(400);
+    expect_that!(host.answer(tag), none());
+    host.run(120);
+    let Some(CallerAnswer::RequestPlaced(plan)) = host.answer(tag) else { panic!("not placed") };
+    host.end(plan.dispatch, RequestEnding::Answered, true);
+    host.set(session, "deadline_ms", "300");
+    let refusal = host.try_place(session, WRITE).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::RateExceeded));
-    expect_that!(desk.try_place(session, StatementClass::Rollback), ok(anything()));
+    expect_that!(host.try_place(session, StatementClass::Rollback), ok(anything()));
 }
 
 /// Guards against more work on an endpoint than it has connections for, and against a queue that
 /// does not go on when one is free.
 #[gtest]
 fn connections_bound_the_work_and_the_queue_goes_on() {
-    let mut desk = Desk::new();
-    desk.put(
+    let mut host = TestHost::new();
+    host.put(
         "records/customer/quarry",
         Some(json!({"schema": 1, "rate_per_s": 900, "burst": 900})),
     );
-    let sessions: Vec<_> = (0..6).map(|_| desk.open()).collect();
-    let tags: Vec<_> = sessions.iter().map(|session| desk.place_tag(*session, WRITE)).collect();
-    let placed: Vec<_> = tags.iter().map(|tag| desk.answer(*tag)).collect();
+    let sessions: Vec<_> = (0..6).map(|_| host.open()).collect();
+    let tags: Vec<_> = sessions.iter().map(|session| host.place_tag(*session, WRITE)).collect();
+    let placed: Vec<_> = tags.iter().map(|tag| host.answer(*tag)).collect();
     expect_that!(placed.iter().flatten().count(), eq(4));
-    desk.call(CallerCall::AbandonRequest { session: sessions[4] });
+    host.call(CallerCall::AbandonRequest { session: sessions[4] });
     let Some(CallerAnswer::RequestPlaced(plan)) = &placed[0] else { panic!("not placed") };
-    desk.answered(plan.dispatch);
-    expect_that!(desk.answer(tags[5]), some(matches_pattern!(CallerAnswer::RequestPlaced(_))));
-    expect_that!(desk.answer(tags[4]), none());
-    desk.call(CallerCall::CloseSession { session: sessions[1] });
-    expect_that!(desk.state.queues.held(plan.endpoint), eq(3));
-    expect_that!(desk.place_tag(sessions[4], WRITE), not(eq(tags[4])));
-    expect_that!(desk.state.sessions.running(), eq(4));
+    host.answered(plan.dispatch);
+    expect_that!(host.answer(tags[5]), some(matches_pattern!(CallerAnswer::RequestPlaced(_))));
+    expect_that!(host.answer(tags[4]), none());
+    host.call(CallerCall::CloseSession { session: sessions[1] });
+    expect_that!(host.state.queues.held(plan.endpoint), eq(3));
+    expect_that!(host.place_tag(sessions[4], WRITE), not(eq(tags[4])));
+    expect_that!(host.state.sessions.running(), eq(4));
 }
 
 /// Guards against a request that is held until its deadline although it cannot be on time.
 #[gtest]
 fn a_request_that_cannot_be_on_time_is_refused_at_once() {
-    let mut desk = Desk::new();
-    desk.put(
+    let mut host = TestHost::new();
+    host.put(
         "records/customer/quarry",
         Some(json!({"schema": 1, "rate_per_s": 900, "burst": 900})),
     );
-    let sessions: Vec<_> = (0..30).map(|_| desk.open()).collect();
+    let sessions: Vec<_> = (0..30).map(|_| host.open()).collect();
     for session in &sessions {
-        desk.set(*session, "deadline_ms", "2000");
+        host.set(*session, "deadline_ms", "2000");
     }
-    let tags: Vec<_> = sessions.iter().map(|session| desk.place_tag(*session, WRITE)).collect();
+    let tags: Vec<_> = sessions.iter().map(|session| host.place_tag(*session, WRITE)).collect();
     let mut refused = 0;
     let mut open = Vec::new();
     // One write ends every 200 ms, so that about ten of the waiting ones can be on time.
     for _ in 0..5 {
         for tag in &tags {
-            match desk.answer(*tag) {
+            match host.answer(*tag) {
                 Some(CallerAnswer::RequestPlaced(plan)) => open.push(plan.dispatch),
                 Some(CallerAnswer::Refused(refusal)) => {
                     expect_that!(refusal.code, eq(RefusalCode::Overloaded));
-                    expect_that!(refusal.retry_at, some(gt(desk.now)));
+                    expect_that!(refusal.retry_at, some(gt(host.now)));
                     refused += 1;
                 }
                 _ => {}
             }
         }
-        desk.run(200);
+        host.run(200);
         let dispatch = open.remove(0);
-        desk.answered(dispatch);
+        host.answered(dispatch);
     }
     expect_that!(refused, all!(ge(8), le(22)));
 }
@@ -137,21 +137,21 @@
 /// Guards against a share that is used after it was lent, and connections that stay open with it.
 #[gtest]
 fn lent_connections_are_not_used() {
-    let mut desk = Desk::new();
+    let mut host = TestHost::new();
     let resource = ShareResource::EndpointConnections(EndpointName::new("e0").unwrap());
     let borrower = HostName::new("h2").unwrap();
     let request = BorrowRequest { resource, units: 4, valid_ms: 10_000, borrower, incarnation: 1 };
-    desk.notices.clear();
-    let loan = desk.state.shares.lend(desk.now, &request);
+    host.notices.clear();
+    let loan = host.state.shares.lend(host.now, &request);
     expect_that!(loan.units, eq(2));
-    desk.run(20);
-    let limits: Vec<_> = desk.notices.iter().filter_map(limit_of).collect();
+    host.run(20);
+    let limits: Vec<_> = host.notices.iter().filter_map(limit_of).collect();
     expect_that!(limits, elements_are![eq(&("e0".to_owned(), 2))]);
-    let sessions: Vec<_> = (0..3).map(|_| desk.open()).collect();
-    let tags: Vec<_> = sessions.iter().map(|session| desk.place_tag(*session, WRITE)).collect();
-    expect_that!(tags.iter().filter_map(|tag| desk.answer(*tag)).count(), eq(2));
-    desk.run(10_000);
-    let limits: Vec<_> = desk.notices.iter().filter_map(limit_of).collect();
+    let sessions: Vec<_> = (0..3).map(|_| host.open()).collect();
+    let tags: Vec<_> = sessions.iter().map(|session| host.place_tag(*session, WRITE)).collect();
+    expect_that!(tags.iter().filter_map(|tag| host.answer(*tag)).count(), eq(2));
+    host.run(10_000);
+    let limits: Vec<_> = host.notices.iter().filter_map(limit_of).collect();
     expect_that!(limits.last(), some(eq(&("e0".to_owned(), 4))));
 }
 
@@ -166,26 +166,26 @@
 /// against borrowed ones that are used until the very end of the loan.
 #[gtest]
 fn connections_are_borrowed_and_given_up_in_time() {
-    let mut desk = Desk::new();
-    desk.join_peer();
-    desk.hold_ninth();
-    desk.run(40);
-    let sessions = [desk.open(), desk.open()];
-    let tags = sessions.map(|session| desk.place_tag(session, WRITE));
-    let Some(CallerAnswer::RequestPlaced(first)) = desk.answer(tags[0]) else { panic!("waits") };
-    desk.run(200);
-    expect_that!(desk.answer(tags[1]), none());
-    let (call, asked) = desk.borrow_asked().expect("a loan is asked for");
+    let mut host = TestHost::new();
+    host.join_peer();
+    host.hold_ninth();
+    host.run(40);
+    let sessions = [host.open(), host.open()];
+    let tags = sessions.map(|session| host.place_tag(session, WRITE));
+    let Some(CallerAnswer::RequestPlaced(first)) = host.answer(tags[0]) else { panic!("waits") };
+    host.run(200);
+    expect_that!(host.answer(tags[1]), none());
+    let (call, asked) = host.borrow_asked().expect("a loan is asked for");
     let resource = ShareResource::EndpointConnections(EndpointName::new("e0").unwrap());
     expect_that!((&asked.resource, asked.units), eq((&resource, 1)));
-    desk.notices.clear();
-    desk.lend(call, ShareLoan { resource, units: 1, millitokens: 0, valid_ms: 10_000 });
-    let Some(CallerAnswer::RequestPlaced(second)) = desk.answer(tags[1]) else { panic!("waits") };
-    let lent_at = desk.now;
-    desk.answered(first.dispatch);
-    desk.answered(second.dispatch);
-    desk.run(9_000);
-    let last = desk.notices.iter().rev().find_map(|notice| match notice {
+    host.notices.clear();
+    host.lend(call, ShareLoan { resource, units: 1, millitokens: 0, valid_ms: 10_000 });
+    let Some(CallerAnswer::RequestPlaced(second)) = host.answer(tags[1]) else { panic!("waits") };
+    let lent_at = host.now;
+    host.answered(first.dispatch);
+    host.answered(second.dispatch);
+    host.run(9_000);
+    let last = host.notices.iter().rev().find_map(|notice| match notice {
         HostOutput::LimitConnections { name, limit, close_by, .. } if name.as_str() == "e0" => {
             Some((*limit, *close_by))
         }
@@ -199,71 +199,71 @@
 /// Guards against a holder that was paused and places work on connections whose loan has ended.
 #[gtest]
 fn a_paused_host_does_not_use_ended_connections() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    let valid_until = desk.now + Duration::from_secs(3);
+    let mut host = TestHost::new();
+    let session = host.open();
+    let valid_until = host.now + Duration::from_secs(3);
     let base = BaseShare { numerator: 1, denominator: 1, rank: 0, valid_until };
-    desk.state.shares.set_base(desk.now, base);
-    expect_that!(desk.try_place(session, WRITE).map(|plan| desk.answered(plan.dispatch)), ok(()));
-    desk.now += Duration::from_secs(4);
-    let public = desk.open_with(("anyone", "public", None), &[]).unwrap();
-    let tag = desk.place_tag(public, WRITE);
-    expect_that!(desk.answer(tag), none());
+    host.state.shares.set_base(host.now, base);
+    expect_that!(host.try_place(session, WRITE).map(|plan| host.answered(plan.dispatch)), ok(()));
+    host.now += Duration::from_secs(4);
+    let public = host.open_with(("anyone", "public", None), &[]).unwrap();
+    let tag = host.place_tag(public, WRITE);
+    expect_that!(host.answer(tag), none());
 }
 
 /// Guards against requests within the rate that are refused because they came to a host with a
 /// small share, and against requests that wait when nothing can be borrowed.
 #[gtest]
 fn a_request_waits_for_a_loan() {
-    let mut desk = Desk::new();
-    set_rate(&mut desk, 20, 4);
-    desk.join_peer();
-    desk.hold_ninth();
-    let session = desk.open();
-    let tag = desk.place_tag(session, WRITE);
-    expect_that!(desk.answer(tag), none());
-    let (call, asked) = desk.borrow_asked().expect("a loan is asked for");
+    let mut host = TestHost::new();
+    set_rate(&mut host, 20, 4);
+    host.join_peer();
+    host.hold_ninth();
+    let session = host.open();
+    let tag = host.place_tag(session, WRITE);
+    expect_that!(host.answer(tag), none());
+    let (call, asked) = host.borrow_asked().expect("a loan is asked for");
     expect_that!(asked.resource, eq(&rate()));
     let loan =
         ShareLoan { resource: rate(), units: asked.units, millitokens: 1_000, valid_ms: 10_000 };
-    desk.lend(call, loan);
-    expect_that!(desk.answer(tag), some(matches_pattern!(CallerAnswer::RequestPlaced(_))));
+    host.lend(call, loan);
+    expect_that!(host.answer(tag), some(matches_pattern!(CallerAnswer::RequestPlaced(_))));
 }
 
 /// Guards against a customer over its rate whose requests wait although nothing can be borrowed.
 #[gtest]
 fn without_a_loan_the_refusal_is_immediate() {
-    let mut desk = Desk::new();
-    set_rate(&mut desk, 1, 4);
-    desk.join_peer();
-    desk.hold_ninth();
-    let session = desk.open();
-    let tag = desk.place_tag(session, WRITE);
-    let (call, _) = desk.borrow_asked().expect("a loan is asked for");
-    desk.lend(call, ShareLoan { resource: rate(), units: 0, millitokens: 0, valid_ms: 0 });
-    let refusal = desk.result(tag).unwrap_err();
+    let mut host = TestHost::new();
+    set_rate(&mut host, 1, 4);
+    host.join_peer();
+    host.hold_ninth();
+    let session = host.open();
+    let tag = host.place_tag(session, WRITE);
+    let (call, _) = host.borrow_asked().expect("a loan is asked for");
+    host.lend(call, ShareLoan { resource: rate(), units: 0, millitokens: 0, valid_ms: 0 });
+    let refusal = host.result(tag).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::RateExceeded));
-    expect_that!(refusal.retry_at, some(gt(desk.now)));
+    expect_that!(refusal.retry_at, some(gt(host.now)));
 }
 
 /// Guards against a flood of requests for loans that bring nothing.
 #[gtest]
 fn requests_for_loans_are_paced() {
-    let mut desk = Desk::new();
-    set_rate(&mut desk, 1, 4);
-    desk.join_peer();
-    let session = desk.open();
-    desk.notices.clear();
+    let mut host = TestHost::new();
+    set_rate(&mut host, 1, 4);
+    host.join_peer();
+    let session = host.open();
+    host.notices.clear();
     let mut refused = 0;
     for _ in 0..200 {
         refused += u32::from(
-            desk.try_place(session, WRITE).map(|plan| desk.answered(plan.dispatch)).is_err(),
+            host.try_place(session, WRITE).map(|plan| host.answered(plan.dispatch)).is_err(),
         );
-        desk.run(10);
+        host.run(10);
     }
     let is_borrow = |notice: &&HostOutput| {
         matches!(notice, HostOutput::SendPeer { request: PeerRequest::Borrow(_), .. })
     };
     expect_that!(refused, gt(100));
-    expect_that!(desk.notices.iter().filter(is_borrow).count(), le(20));
+    expect_that!(host.notices.iter().filter(is_borrow).count(), le(20));
 }
--- a/crates/core/src/host/traffic/tests/rights.rs
+++ b/crates/core/src/host/traffic/tests/rights.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 
-use super::desk::{Desk, at};
+use super::harness::{TestHost, at};
 use crate::message::caller::{CallerAnswer, CallerCall, RequestEnding};
 use crate::message::{DrainPhase, HostOutput, SessionKey};
 use crate::statement::StatementClass;
@@ -12,8 +12,8 @@
 
 const OPEN_TRANSACTION: StatementClass = StatementClass::Begin { read_only: false };
 
-fn closed(desk: &Desk, session: SessionKey) -> Option<RefusalCode> {
-    desk.notices.iter().find_map(|notice| match notice {
+fn closed(host: &TestHost, session: SessionKey) -> Option<RefusalCode> {
+    host.notices.iter().find_map(|notice| match notice {
         HostOutput::CloseSession(key, refusal) if *key == session => Some(refusal.code),
         _ => None,
     })
@@ -23,7 +23,7 @@
 /// against a key that opens sessions of another customer.
 #[gtest]
 fn wrong_names_and_keys_get_one_same_refusal() {
-    let mut desk = Desk::new();
+    let mut host = TestHost::new();
     let openings = [
         ("quarry", "main", Some("k1.wrong")),
         ("quarry", "main", Some("k9.x")),
@@ -36,38 +36,38 @@
         ("quarry", "bad name", Some("k1.x")),
     ];
     let refusals: Vec<_> =
-        openings.iter().map(|opening| desk.open_with(*opening, &[]).unwrap_err()).collect();
+        openings.iter().map(|opening| host.open_with(*opening, &[]).unwrap_err()).collect();
     expect_that!(refusals[0].code, eq(RefusalCode::InvalidKey));
     expect_true!(refusals.iter().all(|refusal| *refusal == refusals[0]));
-    expect_that!(desk.state.counters.sessions_refused, eq(9));
+    expect_that!(host.state.counters.sessions_refused, eq(9));
     let asked = ["main", "nowhere"].map(|database| {
         let database = database.to_owned();
-        desk.ask(CallerCall::AskRoute { database })
+        host.ask(CallerCall::AskRoute { database })
     });
     expect_that!(asked[0], eq(&asked[1]));
-    expect_that!(desk.open_with(("mill", "closed", Some("k2.x")), &[]), ok(anything()));
+    expect_that!(host.open_with(("mill", "closed", Some("k2.x")), &[]), ok(anything()));
 }
 
 /// Guards against an open route that uses up the rate of a customer whose name is given without a
 /// key, or that reads that customer's tokens.
 #[gtest]
 fn an_open_route_gives_no_customers_rights() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    let token = desk.write(session, 101, true);
-    let open = desk.open_with(("quarry", "public", None), &[]).unwrap();
+    let mut host = TestHost::new();
+    let session = host.open();
+    let token = host.write(session, 101, true);
+    let open = host.open_with(("quarry", "public", None), &[]).unwrap();
     for _ in 0..300 {
-        let plan = desk.place(open, StatementClass::Read);
-        desk.answered(plan.dispatch);
+        let plan = host.place(open, StatementClass::Read);
+        host.answered(plan.dispatch);
     }
     expect_that!(
-        desk.set(open, "session_token", &token),
+        host.set(open, "session_token", &token),
         matches_pattern!(CallerAnswer::Refused(_))
     );
-    let plan = desk.place(session, StatementClass::Read);
+    let plan = host.place(session, StatementClass::Read);
     expect_that!(plan.record, none());
-    let open_token = desk.show(open, "session_token");
-    let answer = desk.set(session, "session_token", &open_token);
+    let open_token = host.show(open, "session_token");
+    let answer = host.set(session, "session_token", &open_token);
     expect_that!(answer, matches_pattern!(CallerAnswer::Refused(_)));
 }
 
@@ -75,37 +75,37 @@
 /// that was under way.
 #[gtest]
 fn a_revoked_key_stops_at_once_but_running_requests_end() {
-    let mut desk = Desk::new();
-    let (idle, busy, open) = (desk.open(), desk.open(), desk.open());
-    let begin = desk.place(open, OPEN_TRANSACTION);
-    desk.end(begin.dispatch, RequestEnding::Answered, true);
-    let plan = desk.place(busy, StatementClass::Write);
-    desk.put("records/key/k1", None);
-    let refusal = desk.try_place(open, StatementClass::Write).unwrap_err();
+    let mut host = TestHost::new();
+    let (idle, busy, open) = (host.open(), host.open(), host.open());
+    let begin = host.place(open, OPEN_TRANSACTION);
+    host.end(begin.dispatch, RequestEnding::Answered, true);
+    let plan = host.place(busy, StatementClass::Write);
+    host.put("records/key/k1", None);
+    let refusal = host.try_place(open, StatementClass::Write).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::InvalidKey));
-    desk.run(20);
+    host.run(20);
     for session in [idle, busy, open] {
-        expect_that!(closed(&desk, session), some(eq(RefusalCode::InvalidKey)));
+        expect_that!(closed(&host, session), some(eq(RefusalCode::InvalidKey)));
     }
-    expect_that!(desk.commit(plan.dispatch, at(1, 100)), ok(anything()));
-    desk.answered(plan.dispatch);
-    let rollback = desk.place(open, StatementClass::Rollback);
-    desk.answered(rollback.dispatch);
-    expect_true!(desk.state.sessions.is_empty());
-    expect_that!(desk.state.sessions.running(), eq(0));
+    expect_that!(host.commit(plan.dispatch, at(1, 100)), ok(anything()));
+    host.answered(plan.dispatch);
+    let rollback = host.place(open, StatementClass::Rollback);
+    host.answered(rollback.dispatch);
+    expect_true!(host.state.sessions.is_empty());
+    expect_that!(host.state.sessions.running(), eq(0));
 }
 
 /// Guards against a waiting request of a revoked key that is placed later.
 #[gtest]
 fn a_waiting_request_of_a_removed_customer_is_refused() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    desk.members.iter_mut().for_each(|member| member.is_reachable = false);
-    let tag = desk.place_tag(session, StatementClass::Read);
-    expect_that!(desk.answer(tag), none());
-    desk.put("records/customer/quarry", None);
-    desk.run(20);
-    let refusal = desk.result(tag).unwrap_err();
+    let mut host = TestHost::new();
+    let session = host.open();
+    host.members.iter_mut().for_each(|member| member.is_reachable = false);
+    let tag = host.place_tag(session, StatementClass::Read);
+    expect_that!(host.answer(tag), none());
+    host.put("records/customer/quarry", None);
+    host.run(20);
+    let refusal = host.result(tag).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::InvalidKey));
     expect_that!(refusal.verdict, eq(RunVerdict::NotRun));
 }
@@ -114,47 +114,47 @@
 /// stop with them.
 #[gtest]
 fn without_catalog_confirmation_only_open_routes_are_served() {
-    let mut desk = Desk::new();
-    let keyed = desk.open();
-    let open = desk.open_with(("anyone", "public", None), &[]).unwrap();
-    desk.has_store = false;
-    desk.run(4_500);
-    let refusal = desk.try_place(keyed, StatementClass::Write).unwrap_err();
+    let mut host = TestHost::new();
+    let keyed = host.open();
+    let open = host.open_with(("anyone", "public", None), &[]).unwrap();
+    host.has_store = false;
+    host.run(4_500);
+    let refusal = host.try_place(keyed, StatementClass::Write).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::Unavailable));
-    expect_that!(refusal.retry_at, some(gt(desk.now)));
-    let refusal = desk.open_with(("quarry", "main", Some("k1.x")), &[]).unwrap_err();
+    expect_that!(refusal.retry_at, some(gt(host.now)));
+    let refusal = host.open_with(("quarry", "main", Some("k1.x")), &[]).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::Unavailable));
-    desk.place(open, StatementClass::Write);
+    host.place(open, StatementClass::Write);
 }
 
 /// Guards against a customer that fills a host with sessions.
 #[gtest]
 fn sessions_of_a_customer_are_bounded() {
-    let mut desk = Desk::new();
-    let sessions: Vec<_> = (0..3).map(|_| desk.open()).collect();
-    let refusal = desk.open_with(("quarry", "main", Some("k1.x")), &[]).unwrap_err();
+    let mut host = TestHost::new();
+    let sessions: Vec<_> = (0..3).map(|_| host.open()).collect();
+    let refusal = host.open_with(("quarry", "main", Some("k1.x")), &[]).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::LimitExceeded));
-    desk.call(CallerCall::CloseSession { session: sessions[0] });
-    expect_that!(desk.open_with(("quarry", "main", Some("k1.x")), &[]), ok(anything()));
+    host.call(CallerCall::CloseSession { session: sessions[0] });
+    expect_that!(host.open_with(("quarry", "main", Some("k1.x")), &[]), ok(anything()));
 }
 
 /// Guards against a shutdown that interrupts a transaction, or waits for idle sessions.
 #[gtest]
 fn a_draining_host_closes_idle_sessions_and_finishes_transactions() {
-    let mut desk = Desk::new();
-    let (idle, open) = (desk.open(), desk.open());
-    let begin = desk.place(open, OPEN_TRANSACTION);
-    desk.end(begin.dispatch, RequestEnding::Answered, true);
-    desk.state.drain.phase = DrainPhase::Draining;
-    desk.state.drain.finish_by = Some(desk.now + Duration::from_secs(30));
-    desk.run(40);
-    expect_that!(closed(&desk, idle), some(eq(RefusalCode::ShuttingDown)));
-    expect_that!(closed(&desk, open), none());
-    let refusal = desk.open_with(("quarry", "main", Some("k1.x")), &[]).unwrap_err();
+    let mut host = TestHost::new();
+    let (idle, open) = (host.open(), host.open());
+    let begin = host.place(open, OPEN_TRANSACTION);
+    host.end(begin.dispatch, RequestEnding::Answered, true);
+    host.state.drain.phase = DrainPhase::Draining;
+    host.state.drain.finish_by = Some(host.now + Duration::from_secs(30));
+    host.run(40);
+    expect_that!(closed(&host, idle), some(eq(RefusalCode::ShuttingDown)));
+    expect_that!(closed(&host, open), none());
+    let refusal = host.open_with(("quarry", "main", Some("k1.x")), &[]).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::ShuttingDown));
-    let commit = desk.place(open, StatementClass::Commit);
+    let commit = host.place(open, StatementClass::Commit);
     expect_that!(commit.dispatch, eq(begin.dispatch));
-    desk.answered(commit.dispatch);
-    desk.run(20);
-    expect_that!(closed(&desk, open), some(eq(RefusalCode::ShuttingDown)));
+    host.answered(commit.dispatch);
+    host.run(20);
+    expect_that!(closed(&host, open), some(eq(RefusalCode::ShuttingDown)));
 }
--- a/crates/core/src/host/traffic/tests/sessions.rs
+++ b/crates/core/src/host/traffic/tests/sessions.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 
-use super::desk::{Desk, WALL_MS, at};
+use super::harness::{TestHost, WALL_MS, at};
 use crate::message::caller::{CallerAnswer, CallerCall, RequestEnding};
 use crate::statement::StatementClass;
 use crate::verdict::{RefusalCode, RunVerdict};
@@ -14,41 +14,41 @@
 /// Guards against a first read that misses what the client wrote through another session.
 #[gtest]
 fn a_first_read_waits_for_the_primarys_confirmed_position() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    desk.members[0].applied = at(1, 150);
-    let tag = desk.place_tag(session, READ);
-    let plan = desk.result(tag).unwrap();
+    let mut host = TestHost::new();
+    let session = host.open();
+    host.members[0].applied = at(1, 150);
+    let tag = host.place_tag(session, READ);
+    let plan = host.result(tag).unwrap();
     expect_that!(plan.required, ge(at(1, 150)));
-    expect_that!(desk.index(plan.endpoint), eq(0));
-    desk.answered(plan.dispatch);
-    let stale = desk.open_with(("quarry", "stale", Some("k1.x")), &[]).unwrap();
-    let tag = desk.place_tag(stale, READ);
-    expect_that!(desk.answer(tag), some(matches_pattern!(CallerAnswer::RequestPlaced(_))));
+    expect_that!(host.index(plan.endpoint), eq(0));
+    host.answered(plan.dispatch);
+    let stale = host.open_with(("quarry", "stale", Some("k1.x")), &[]).unwrap();
+    let tag = host.place_tag(stale, READ);
+    expect_that!(host.answer(tag), some(matches_pattern!(CallerAnswer::RequestPlaced(_))));
 }
 
 /// Guards against a session that does not read its own write, on this host or, with its token, on
 /// another one.
 #[gtest]
 fn a_session_reads_its_writes_here_and_elsewhere() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    let token = desk.write(session, 120, false);
-    let mut other = Desk::new();
+    let mut host = TestHost::new();
+    let session = host.open();
+    let token = host.write(session, 120, false);
+    let mut other = TestHost::new();
     other.members[0].applied = at(1, 120);
     other.run(1_000);
     let settings = [("session_token", token.as_str())];
     let roamed = other.open_with(("quarry", "main", Some("k1.x")), &settings).unwrap();
-    for (desk, session) in [(&mut desk, session), (&mut other, roamed)] {
-        let plan = desk.place(session, READ);
-        expect_that!(desk.index(plan.endpoint), eq(0));
+    for (host, session) in [(&mut host, session), (&mut other, roamed)] {
+        let plan = host.place(session, READ);
+        expect_that!(host.index(plan.endpoint), eq(0));
         expect_that!(plan.required, ge(at(1, 120)));
         let (dispatch, position) = (plan.dispatch, at(1, 119));
-        let answer = desk.ask(CallerCall::CheckRead { dispatch, position });
+        let answer = host.ask(CallerCall::CheckRead { dispatch, position });
         let CallerAnswer::Refused(refusal) = answer else { panic!("read too old accepted") };
         expect_that!(refusal.verdict, eq(RunVerdict::Ran));
         let position = at(1, 120);
-        let answer = desk.ask(CallerCall::CheckRead { dispatch, position });
+        let answer = host.ask(CallerCall::CheckRead { dispatch, position });
         expect_that!(answer, eq(&CallerAnswer::ReadAccepted));
     }
     let foreign = other.open_with(("mill", "main", Some("k2.x")), &settings).unwrap_err();
@@ -58,138 +58,138 @@
 /// Guards against a read that is older than an earlier read of the same session.
 #[gtest]
 fn reads_of_a_session_never_go_back() {
-    let mut desk = Desk::new();
-    let session = desk.open_with(("quarry", "stale", Some("k1.x")), &[]).unwrap();
-    let plan = desk.place(session, READ);
+    let mut host = TestHost::new();
+    let session = host.open_with(("quarry", "stale", Some("k1.x")), &[]).unwrap();
+    let plan = host.place(session, READ);
     let (dispatch, seen) = (plan.dispatch, Some(at(1, 140)));
     let (ending, in_transaction) = (RequestEnding::Answered, false);
-    desk.call(CallerCall::EndRequest { dispatch, ending, seen, in_transaction });
-    desk.members[0].applied = at(1, 140);
-    desk.run(1_000);
-    let plan = desk.place(session, READ);
+    host.call(CallerCall::EndRequest { dispatch, ending, seen, in_transaction });
+    host.members[0].applied = at(1, 140);
+    host.run(1_000);
+    let plan = host.place(session, READ);
     expect_that!(plan.required, ge(at(1, 140)));
-    expect_that!(desk.index(plan.endpoint), eq(0));
-    desk.answered(plan.dispatch);
+    expect_that!(host.index(plan.endpoint), eq(0));
+    host.answered(plan.dispatch);
     // What was read at an age does not cover what the client may have written elsewhere.
-    desk.members[0].applied = at(1, 170);
-    desk.run(20);
-    desk.set(session, "max_read_age_ms", "0");
-    let plan = desk.place(session, READ);
+    host.members[0].applied = at(1, 170);
+    host.run(20);
+    host.set(session, "max_read_age_ms", "0");
+    let plan = host.place(session, READ);
     expect_that!(plan.required, ge(at(1, 170)));
 }
 
 /// Guards against a lost write that is never reported, or reported with every request.
 #[gtest]
 fn a_lost_write_is_reported_once() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    desk.write(session, 120, false);
-    desk.fail_over(110);
-    let refusal = desk.try_place(session, READ).unwrap_err();
+    let mut host = TestHost::new();
+    let session = host.open();
+    host.write(session, 120, false);
+    host.fail_over(110);
+    let refusal = host.try_place(session, READ).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::WriteLost));
     expect_that!(refusal.verdict, eq(RunVerdict::NotRun));
-    expect_that!(desk.place(session, READ).required, ge(at(2, 110)));
-    expect_that!(desk.state.counters.writes_lost, eq(1));
+    expect_that!(host.place(session, READ).required, ge(at(2, 110)));
+    expect_that!(host.state.counters.writes_lost, eq(1));
 }
 
 /// Guards against a token of a newer term that hides that an older write was lost.
 #[gtest]
 fn a_newer_token_does_not_hide_a_lost_write() {
-    let mut desk = Desk::new();
-    let (session, other) = (desk.open(), desk.open());
-    desk.write(session, 120, false);
-    desk.fail_over(110);
-    let token = desk.write_after_failover(other, 115);
-    desk.set(session, "session_token", &token);
-    let refusal = desk.try_place(session, WRITE).unwrap_err();
+    let mut host = TestHost::new();
+    let (session, other) = (host.open(), host.open());
+    host.write(session, 120, false);
+    host.fail_over(110);
+    let token = host.write_after_failover(other, 115);
+    host.set(session, "session_token", &token);
+    let refusal = host.try_place(session, WRITE).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::WriteLost));
-    expect_that!(desk.try_place(session, READ).map(|plan| plan.required), ok(ge(&at(2, 115))));
+    expect_that!(host.try_place(session, READ).map(|plan| plan.required), ok(ge(&at(2, 115))));
 }
 
 /// Guards against statements of a transaction on several connections, and against a session that
 /// moves to another group in the middle of one.
 #[gtest]
 fn a_transaction_keeps_its_endpoint() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    let begin = desk.place(session, BEGIN);
-    let refusal = desk.try_place(session, READ).unwrap_err();
+    let mut host = TestHost::new();
+    let session = host.open();
+    let begin = host.place(session, BEGIN);
+    let refusal = host.try_place(session, READ).unwrap_err();
     expect_that!(refusal.code, eq(RefusalCode::Unsupported));
-    desk.end(begin.dispatch, RequestEnding::Answered, true);
-    expect_that!(desk.set(session, "shard_key", "b"), matches_pattern!(CallerAnswer::Refused(_)));
+    host.end(begin.dispatch, RequestEnding::Answered, true);
+    expect_that!(host.set(session, "shard_key", "b"), matches_pattern!(CallerAnswer::Refused(_)));
     for class in [READ, WRITE, StatementClass::InTransaction] {
-        let plan = desk.place(session, class);
+        let plan = host.place(session, class);
         expect_that!((plan.dispatch, plan.endpoint), eq((begin.dispatch, begin.endpoint)));
         expect_false!(plan.repeatable);
-        desk.end(plan.dispatch, RequestEnding::Answered, true);
+        host.end(plan.dispatch, RequestEnding::Answered, true);
     }
-    expect_that!(desk.state.sessions.running(), eq(1));
-    let commit = desk.place(session, StatementClass::Commit);
-    desk.answered(commit.dispatch);
-    expect_that!(desk.state.sessions.running(), eq(0));
-    expect_that!(desk.set(session, "shard_key", "b"), eq(&CallerAnswer::SettingChanged));
+    expect_that!(host.state.sessions.running(), eq(1));
+    let commit = host.place(session, StatementClass::Commit);
+    host.answered(commit.dispatch);
+    expect_that!(host.state.sessions.running(), eq(0));
+    expect_that!(host.set(session, "shard_key", "b"), eq(&CallerAnswer::SettingChanged));
 }
 
 /// Guards against an order that runs twice: an id that is used for another request, or is too old.
 #[gtest]
 fn a_request_id_belongs_to_the_next_write_only() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    desk.set(session, "request_id", "order-1");
-    let read = desk.place(session, READ);
+    let mut host = TestHost::new();
+    let session = host.open();
+    host.set(session, "request_id", "order-1");
+    let read = host.place(session, READ);
     expect_that!(read.record, none());
-    desk.answered(read.dispatch);
-    let write = desk.place(session, WRITE);
+    host.answered(read.dispatch);
+    let write = host.place(session, WRITE);
     let record = write.record.as_ref().unwrap();
     expect_that!((record.customer.as_str(), record.request_id.as_str()), eq(("quarry", "order-1")));
-    desk.answered(write.dispatch);
-    let next = desk.place(session, WRITE);
+    host.answered(write.dispatch);
+    let next = host.place(session, WRITE);
     expect_that!(next.record, none());
-    desk.answered(next.dispatch);
+    host.answered(next.dispatch);
     let made_ms = WALL_MS - 25 * 3_600_000;
     let id = format!("{:08x}-{:04x}-7000-8000-000000000000", made_ms >> 16, made_ms & 0xffff);
-    desk.set(session, "request_id", &id);
-    let refusal = desk.try_place(session, BEGIN).unwrap_err();
+    host.set(session, "request_id", &id);
+    let refusal = host.try_place(session, BEGIN).unwrap_err();
     expect_that!(refusal.verdict, eq(RunVerdict::MayHaveRun));
-    expect_that!(desk.place(session, BEGIN).record, none());
+    expect_that!(host.place(session, BEGIN).record, none());
 }
 
 /// Guards against a write that is sent twice, and against a lost read that is not repeated.
 #[gtest]
 fn only_repeatable_requests_are_placed_again() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    let read = desk.place(session, READ);
-    desk.end(read.dispatch, RequestEnding::Lost, false);
-    let again = desk.retry(session).unwrap();
+    let mut host = TestHost::new();
+    let session = host.open();
+    let read = host.place(session, READ);
+    host.end(read.dispatch, RequestEnding::Lost, false);
+    let again = host.retry(session).unwrap();
     expect_that!(again.endpoint, not(eq(read.endpoint)));
     expect_that!(again.deadline, eq(read.deadline));
-    desk.answered(again.dispatch);
-    desk.run(500);
-    let write = desk.place(session, WRITE);
+    host.answered(again.dispatch);
+    host.run(500);
+    let write = host.place(session, WRITE);
     expect_false!(write.repeatable);
-    desk.end(write.dispatch, RequestEnding::Lost, false);
-    let refusal = desk.retry(session).unwrap_err();
+    host.end(write.dispatch, RequestEnding::Lost, false);
+    let refusal = host.retry(session).unwrap_err();
     expect_that!(refusal.verdict, eq(RunVerdict::MayHaveRun));
-    desk.run(500);
-    desk.set(session, "request_id", "order-2");
-    let write = desk.place(session, WRITE);
-    desk.end(write.dispatch, RequestEnding::Lost, false);
-    desk.run(500);
-    let again = desk.retry(session).unwrap();
+    host.run(500);
+    host.set(session, "request_id", "order-2");
+    let write = host.place(session, WRITE);
+    host.end(write.dispatch, RequestEnding::Lost, false);
+    host.run(500);
+    let again = host.retry(session).unwrap();
     expect_that!(again.record, eq(&write.record));
 }
 
 /// Guards against a statement that leaves its transaction when it is placed again.
 #[gtest]
 fn a_part_of_a_transaction_is_not_placed_again() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    let begin = desk.place(session, BEGIN);
-    desk.end(begin.dispatch, RequestEnding::Answered, true);
-    let write = desk.place(session, WRITE);
-    desk.end(write.dispatch, RequestEnding::NotSent, false);
-    let refusal = desk.retry(session).unwrap_err();
+    let mut host = TestHost::new();
+    let session = host.open();
+    let begin = host.place(session, BEGIN);
+    host.end(begin.dispatch, RequestEnding::Answered, true);
+    let write = host.place(session, WRITE);
+    host.end(write.dispatch, RequestEnding::NotSent, false);
+    let refusal = host.retry(session).unwrap_err();
     expect_that!(refusal.verdict, eq(RunVerdict::NotRun));
 }
 
@@ -197,15 +197,15 @@
 /// ends.
 #[gtest]
 fn retries_end_with_the_budget_and_a_true_verdict() {
-    let mut desk = Desk::new();
-    let session = desk.open();
-    desk.set(session, "repeatable", "on");
-    let mut plan = desk.place(session, WRITE);
+    let mut host = TestHost::new();
+    let session = host.open();
+    host.set(session, "repeatable", "on");
+    let mut plan = host.place(session, WRITE);
     let mut retries = 0;
     let refusal = loop {
-        desk.end(plan.dispatch, RequestEnding::Lost, false);
-        desk.run(20);
-        match desk.retry(session) {
+        host.end(plan.dispatch, RequestEnding::Lost, false);
+        host.run(20);
+        match host.retry(session) {
             Ok(again) => plan = again,
             Err(refusal) => break refusal,
         }
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -128,12 +128,12 @@
         let is_excluded = query.excluded.contains(&key);
         let is_stale_term = query.watermark.term > group.term;
         let is_blocked = is_excluded || is_stale_term || self.is_withheld(member);
-        (!is_blocked && self.is_live(now, member) && self.is_in_office(group, member))
+        (!is_blocked && self.is_live(now, member) && self.is_current_primary(group, member))
             .then_some(key)
     }
 
     /// Whether nothing contradicts that a member is the primary of the group's term.
-    fn is_in_office(&self, group: &GroupState, member: &MemberState) -> bool {
+    fn is_current_primary(&self, group: &GroupState, member: &MemberState) -> bool {
         let is_older = |view: &MemberView| {
             group.term_since.is_some_and(|since| view.asked_at < since)
                 && view.status.promised_term <= group.term
--- a/crates/core/src/routing/group.rs
+++ b/crates/core/src/routing/group.rs
@@ -9,11 +9,11 @@
 use super::history::{Coverage, compare, is_truncated};
 use crate::message::EndpointKey;
 
-/// Shortest time between two sightings that are kept.
-const SIGHTING_SPAN: Duration = Duration::from_millis(25);
+/// Shortest time between two observations that are kept.
+const OBSERVATION_SPAN: Duration = Duration::from_millis(25);
 
 /// Sightings kept: at least 12 s at the shortest span, and far more after thinning.
-const MAX_SIGHTINGS: usize = 512;
+const MAX_OBSERVATIONS: usize = 512;
 
 /// A group of members.
 pub(crate) struct GroupState {
@@ -34,7 +34,7 @@
     /// Greatest position that this host has acknowledged.
     pub(crate) acknowledged: LogPosition,
     /// Offsets of confirmed primaries, with the time at which the log ended at or before them.
-    sightings: VecDeque<(Instant, u64)>,
+    observations: VecDeque<(Instant, u64)>,
 }
 
 impl GroupState {
@@ -49,7 +49,7 @@
             is_probed: true,
             used_at: None,
             acknowledged: LogPosition::default(),
-            sightings: VecDeque::new(),
+            observations: VecDeque::new(),
         }
     }
 
@@ -93,7 +93,7 @@
             self.acknowledged = position;
         }
         if let Some(start) = self.history.last() {
-            self.sightings.retain(|(_, offset)| *offset <= start.offset);
+            self.observations.retain(|(_, offset)| *offset <= start.offset);
         }
     }
 
@@ -109,19 +109,19 @@
     }
 
     /// Notes that a primary confirmed at `at` had no entry beyond `offset`.
-    pub(crate) fn sight(&mut self, at: Instant, offset: u64) {
-        let is_due = |last: &(Instant, u64)| at >= last.0 + SIGHTING_SPAN;
-        if !self.sightings.back().is_none_or(is_due) {
+    pub(crate) fn record_offset(&mut self, at: Instant, offset: u64) {
+        let is_due = |last: &(Instant, u64)| at >= last.0 + OBSERVATION_SPAN;
+        if !self.observations.back().is_none_or(is_due) {
             return;
         }
-        if self.sightings.len() >= MAX_SIGHTINGS {
+        if self.observations.len() >= MAX_OBSERVATIONS {
             let mut index = 0;
-            self.sightings.retain(|_| {
+            self.observations.retain(|_| {
                 index += 1;
-                index > MAX_SIGHTINGS / 2 || index % 2 == 0
+                index > MAX_OBSERVATIONS / 2 || index % 2 == 0
             });
         }
-        self.sightings.push_back((at, offset));
+        self.observations.push_back((at, offset));
     }
 
     /// Upper bound of the age of the data at a position; absent when it is unknown.
@@ -129,8 +129,8 @@
         if is_truncated(&self.history, position) {
             return None;
         }
-        let covered = |sighting: &&(Instant, u64)| sighting.1 <= position.offset;
-        let (at, _) = self.sightings.iter().rev().find(covered)?;
+        let covered = |observation: &&(Instant, u64)| observation.1 <= position.offset;
+        let (at, _) = self.observations.iter().rev().find(covered)?;
         Some(now.saturating_duration_since(*at))
     }
 
--- a/crates/core/src/routing/observe.rs
+++ b/crates/core/src/routing/observe.rs
@@ -30,15 +30,15 @@
         if member.observe(asked_at, status) {
             let status = member.status()?;
             group.observe(now, endpoint, status);
-            self.sight(key);
+            self.record_offset(key);
         }
         Some(key)
     }
 
     /// Notes the offset of a group's primary when a majority has confirmed it.
-    fn sight(&mut self, key: GroupKey) {
+    fn record_offset(&mut self, key: GroupKey) {
         if let Some((at, position)) = self.confirmed(key) {
-            self.groups[key].sight(at, position.offset);
+            self.groups[key].record_offset(at, position.offset);
         }
     }
 
--- a/crates/core/src/share/demand.rs
+++ b/crates/core/src/share/demand.rs
@@ -136,7 +136,8 @@
         self.pending.retain(|_, at| now < *at + SILENCE_KEPT);
     }
 
-    /// Whether a host owes an answer for so long that another one takes its place for a while.
+    /// Whether a host has left a request unanswered for so long that another one takes its place
+    /// for a while.
     pub(crate) fn is_silent(&self, now: Instant, host: &HostName) -> bool {
         let asked_at = self.pending.get(host).copied();
         asked_at.is_some_and(|at| now >= at + SILENCE_AFTER && now < at + SILENCE_KEPT)
--- a/crates/proxy/tests/proxy/process.rs
+++ b/crates/proxy/tests/proxy/process.rs
@@ -14,7 +14,7 @@
 use tokio_rustls::rustls::pki_types::{CertificateDer, ServerName};
 use tokio_rustls::rustls::{ClientConfig, RootCertStore};
 
-const PATIENCE: Duration = Duration::from_secs(30);
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 /// A process with its files; killed when the test ends.
 struct HostProcess {
@@ -43,7 +43,7 @@
 
     /// Waits for a log line and returns what follows the text.
     fn logged(&self, text: &str) -> String {
-        let end = Instant::now() + PATIENCE;
+        let end = Instant::now() + WAIT_LIMIT;
         loop {
             let log =
                 std::fs::read_to_string(self.directory.path().join("log")).unwrap_or_default();
@@ -62,7 +62,7 @@
     }
 
     fn wait(&mut self) -> ExitStatus {
-        let end = Instant::now() + PATIENCE;
+        let end = Instant::now() + WAIT_LIMIT;
         loop {
             if let Some(status) = self.child.try_wait().unwrap() {
                 return status;
--- a/crates/proxy/tests/proxy/support/mod.rs
+++ b/crates/proxy/tests/proxy/support/mod.rs
@@ -39,7 +39,7 @@
 /// Route that takes none.
 pub const OPEN_ROUTE: &str = "catalogue";
 
-const PATIENCE: Duration = Duration::from_secs(30);
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 /// Everything that a test talks to.
 pub struct TestFleet {
@@ -58,7 +58,7 @@
 pub async fn start_with(more: &str) -> TestFleet {
     let platform = tanagerdeal_testbed::platform::start("127.0.0.1:0").await.unwrap();
     let platform = platform.to_string();
-    let client = PlatformClient::new(&platform, "test", "d1", PATIENCE, None).unwrap();
+    let client = PlatformClient::new(&platform, "test", "d1", WAIT_LIMIT, None).unwrap();
     let log = Arc::new(Mutex::new(GroupLog { offset: 10, ..GroupLog::default() }));
     let mut endpoints = Vec::new();
     let mut members = Vec::new();
@@ -132,7 +132,7 @@
     }
 
     async fn wait_until_serving(&self) {
-        let end = Instant::now() + PATIENCE;
+        let end = Instant::now() + WAIT_LIMIT;
         loop {
             if let Ok(client) = connect_with(&self.config()).await
                 && client.simple_query("SELECT 'serving'").await.is_ok()
@@ -157,9 +157,9 @@
 
 /// Waits for a condition.
 pub async fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + WAIT_LIMIT;
     while !condition() {
-        assert!(Instant::now() < end, "not within {PATIENCE:?}: {what}");
+        assert!(Instant::now() < end, "not within {WAIT_LIMIT:?}: {what}");
         sleep(Duration::from_millis(5)).await;
     }
 }
--- a/crates/proxy/tests/proxy/support/raw.rs
+++ b/crates/proxy/tests/proxy/support/raw.rs
@@ -11,7 +11,7 @@
 
 use super::{CUSTOMER, KEY_SECRET, ROUTE, TestFleet};
 
-const PATIENCE: Duration = Duration::from_secs(30);
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 const LIMIT: usize = 1 << 24;
 
 /// A session whose replies are listed as type bytes, with rows and errors as text.
@@ -68,7 +68,7 @@
     /// The next message, other than parameter statuses.
     pub async fn next(&mut self) -> String {
         loop {
-            let frame = timeout(PATIENCE, self.stream.read()).await.unwrap().unwrap();
+            let frame = timeout(WAIT_LIMIT, self.stream.read()).await.unwrap().unwrap();
             match describe(frame.backend().unwrap()) {
                 Some(text) => return text,
                 None => continue,
--- a/crates/testbed/tests/check/good.rs
+++ b/crates/testbed/tests/check/good.rs
@@ -138,7 +138,7 @@
         }));
     }
 
-    /// Adds the sighting of a term's primary.
+    /// Adds the observation of a term's primary.
     pub fn promoted(&mut self, at_us: u64, term: u64) {
         let group = "orders-1".to_owned();
         self.files.observations.push(Observation::Promoted(TermSample { at_us, group, term }));
