--- a/crates/testbed/src/bin/capacity.rs
+++ b/crates/testbed/src/bin/capacity.rs
@@ -1,8 +1,10 @@
 //! Measures the cost of control over several sizes and prints one line of JSON per fleet.
 
+use std::error::Error;
 use std::process::{Command, ExitCode};
 
-use tanagerdeal_testbed::capacity::{CapacityCase, measure_sessions, run_case};
+use serde::Serialize;
+use tanagerdeal_testbed::capacity::{CapacityCase, measure_commits, measure_sessions, run_case};
 
 /// A fleet of today's size; each series changes one number of it.
 const TODAY: CapacityCase =
@@ -17,14 +19,17 @@
     CapacityCase { domains: 3, hosts: 30, groups: 30, customers: 8, changes: 0 };
 
 /// Without an argument, runs every fleet in a process of its own, so that memory is counted from
-/// the same start; with a number, runs that fleet only; with `sessions`, measures one host process.
+/// the same start; with a number, runs that fleet only; with `sessions`, measures one host process;
+/// with `commits`, the ways of confirming commits.
 fn main() -> ExitCode {
     let cases = cases();
     let Some(argument) = std::env::args().nth(1) else {
         return run_all(cases.len());
     };
-    if argument == "sessions" {
-        return run_sessions();
+    match argument.as_str() {
+        "sessions" => return run_async(async { Ok(vec![measure_sessions().await?]) }),
+        "commits" => return run_async(measure_commits()),
+        _ => {}
     }
     let case = argument.parse().ok().and_then(|number: usize| cases.get(number));
     match case.map(|case| serde_json::to_string(&run_case(case))) {
@@ -37,19 +42,25 @@
     }
 }
 
-fn run_sessions() -> ExitCode {
+/// Runs a measurement and prints one line of JSON per result.
+fn run_async<T: Serialize>(
+    measurement: impl Future<Output = Result<Vec<T>, Box<dyn Error>>>,
+) -> ExitCode {
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => return fail(&error.to_string()),
     };
-    match runtime.block_on(measure_sessions()).map(|cost| serde_json::to_string(&cost)) {
-        Ok(Ok(line)) => {
-            println!("{line}");
-            ExitCode::SUCCESS
+    let results = match runtime.block_on(measurement) {
+        Ok(results) => results,
+        Err(error) => return fail(&error.to_string()),
+    };
+    for result in &results {
+        match serde_json::to_string(result) {
+            Ok(line) => println!("{line}"),
+            Err(error) => return fail(&error.to_string()),
         }
-        Ok(Err(error)) => fail(&error.to_string()),
-        Err(error) => fail(&error.to_string()),
     }
+    ExitCode::SUCCESS
 }
 
 fn run_all(count: usize) -> ExitCode {
--- a/crates/testbed/src/capacity.rs
+++ b/crates/testbed/src/capacity.rs
@@ -3,6 +3,7 @@
 //! Several decision cores run in one process on virtual time. Messages between them are encoded as on
 //! the wire and counted; members and the table service are modelled as far as the cores need them.
 
+mod commit;
 mod cost;
 mod fleet;
 mod session;
@@ -15,6 +16,7 @@
 
 use fleet::CoreFleet;
 
+pub use commit::{CommitCost, measure_commits};
 pub use cost::HostCost;
 pub use session::{SessionCost, measure_sessions};
 
--- a/crates/testbed/src/capacity/session.rs
+++ b/crates/testbed/src/capacity/session.rs
@@ -102,7 +102,7 @@
 }
 
 /// Connects by the route that is open to all, which has no rate.
-async fn connect(address: SocketAddr) -> Result<Client, tokio_postgres::Error> {
+pub(super) async fn connect(address: SocketAddr) -> Result<Client, tokio_postgres::Error> {
     let mut config = Config::new();
     config.host(address.ip().to_string()).port(address.port()).user("anyone").dbname("catalogue");
     let (client, connection) = config.connect(NoTls).await?;
