--- a/crates/proxy/src/peer.rs
+++ b/crates/proxy/src/peer.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use quinn::{Endpoint, TransportConfig, VarInt};
+use tanagerdeal_wire::peer::PEER_ALPN;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::driver::{DriverHandle, PeerTask};
@@ -62,7 +63,7 @@
         let transport = Arc::new(transport()?);
         let mut server = quinn::ServerConfig::with_crypto(Arc::new(trust.server_crypto()?));
         server.transport_config(Arc::clone(&transport));
-        let mut client = quinn::ClientConfig::new(Arc::new(trust.client_crypto()?));
+        let mut client = quinn::ClientConfig::new(Arc::new(trust.client_crypto(PEER_ALPN)?));
         client.transport_config(transport);
         let mut endpoint = Endpoint::server(server, address)?;
         endpoint.set_default_client_config(client);
--- a/crates/proxy/src/peer/tests.rs
+++ b/crates/proxy/src/peer/tests.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use rcgen::{CertificateParams, CertifiedIssuer, IsCa, KeyPair};
 use tanagerdeal_core::message::{DrainPhase, PeerCallKey};
 use tanagerdeal_core::profile::{HostIdentity, HostPolicies, HostProfile, HostTiming};
-use tanagerdeal_wire::peer::{BorrowRequest, PeerRequest, ShareResource};
+use tanagerdeal_wire::peer::{BorrowRequest, PEER_ALPN, PeerRequest, ShareResource};
 use tanagerdeal_wire::{CustomerName, DomainName, HostName};
 use tempfile::TempDir;
 use tokio::sync::{mpsc, watch};
@@ -138,3 +139,21 @@
     let dialer = dialer(&trust(&folder, "h2", &authority, &authority));
     expect_that!(dialer.send_by_deadline(&borrow_task(address)).await, none());
 }
+
+/// Guards against a host of another protocol version, whose messages would be misread.
+#[gtest]
+#[tokio::test]
+async fn another_protocol_version_is_refused_in_the_handshake() {
+    let folder = TempDir::new().unwrap();
+    let authority = issuer();
+    let address = start_server(&trust(&folder, "h1", &authority, &authority)).await;
+    let trust = trust(&folder, "h2", &authority, &authority);
+    let connect = async |protocol: &[u8]| {
+        let mut endpoint = quinn::Endpoint::client("127.0.0.1:0".parse().unwrap()).unwrap();
+        let crypto = Arc::new(trust.client_crypto(protocol).unwrap());
+        endpoint.set_default_client_config(quinn::ClientConfig::new(crypto));
+        endpoint.connect(address, "h1").unwrap().await.map(|_| ())
+    };
+    expect_that!(connect(PEER_ALPN).await, ok(()));
+    expect_that!(connect(b"tanagerdeal/0").await, err(anything()));
+}
--- a/crates/proxy/src/peer/trust.rs
+++ b/crates/proxy/src/peer/trust.rs
@@ -53,14 +53,14 @@
         QuicServerConfig::try_from(config).map_err(config_error)
     }
 
-    pub(super) fn client_crypto(&self) -> Result<QuicClientConfig, PeerError> {
+    pub(super) fn client_crypto(&self, protocol: &[u8]) -> Result<QuicClientConfig, PeerError> {
         let mut config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(config_error)?
             .with_root_certificates(self.roots.clone())
             .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
             .map_err(config_error)?;
-        config.alpn_protocols = vec![PEER_ALPN.to_vec()];
+        config.alpn_protocols = vec![protocol.to_vec()];
         QuicClientConfig::try_from(config).map_err(config_error)
     }
 }
