Let one piece of code serve where logic stood twice

The stable hash of sessions and hosts, the run of the operators' tool, the reading of resident memory, the change of a record's fields and the table of the platform's stand-in each stood in two places.

--- a/crates/core/src/membership/rank.rs
+++ b/crates/core/src/membership/rank.rs
@@ -6,6 +6,7 @@
 use tanagerdeal_wire::{DomainName, HostName, value_type};
 
 use super::HostTable;
+use crate::hash::hash_bytes;
 
 /// Relays per failure domain.
 pub const RELAYS: usize = 2;
@@ -33,8 +34,7 @@
 
 /// Rank of a host within a scope; hosts with the lowest numbers are chosen.
 ///
-/// Rendezvous hashing (Thaler and Ravishankar, 1998) over 64-bit FNV-1a, with the finalizer of
-/// SplitMix64 (Steele, Lea and Flood, 2014), because FNV-1a alone hardly mixes the last bytes.
+/// Rendezvous hashing (Thaler and Ravishankar, 1998).
 ///
 /// ```
 /// use tanagerdeal_core::membership::host_rank;
@@ -43,13 +43,7 @@
 /// assert_ne!(host_rank("akl-a", "h1"), host_rank("akl-b", "h1"));
 /// ```
 pub fn host_rank(scope: &str, host: &str) -> u64 {
-    let bytes = scope.bytes().chain([0]).chain(host.bytes());
-    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    });
-    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
+    hash_bytes(scope.bytes().chain([0]).chain(host.bytes()))
 }
 
 impl HostTable {
--- a/crates/ctl/src/record.rs
+++ b/crates/ctl/src/record.rs
@@ -24,6 +24,20 @@
 /// Characters of a key's salt.
 const SALT_CHARACTERS: usize = 16;
 
+/// What an operator may state about a change.
+#[derive(Default)]
+struct ChangeOptions {
+    expected: Option<u64>,
+    change_id: Option<String>,
+}
+
+impl ChangeOptions {
+    fn of(arguments: &ArgMatches) -> Self {
+        let expected = arguments.get_one::<u64>("expect").copied();
+        Self { expected, change_id: arguments.get_one::<String>("change-id").cloned() }
+    }
+}
+
 /// Prints one record.
 pub async fn get(context: &ToolContext, arguments: &ArgMatches) -> Result<(), ToolError> {
     let key = key_argument(arguments)?;
@@ -54,7 +68,9 @@
         fields.insert(name.to_owned(), parse_value(value));
     }
     let name = name_argument(arguments)?;
-    put_fields(context, arguments, kind, &name, Value::Object(fields)).await.map(|_| ())
+    put_fields(context, ChangeOptions::of(arguments), kind, &name, Value::Object(fields))
+        .await
+        .map(|_| ())
 }
 
 /// Removes a record.
@@ -63,7 +79,7 @@
     if entry.value.is_none() && arguments.get_one::<String>("change-id").is_none() {
         return Err(ToolError::Missing(entry.key));
     }
-    let change = record_change(context, arguments, &entry, None);
+    let change = record_change(context, ChangeOptions::of(arguments), &entry, None);
     context.submit(&change).await.map(|_| ())
 }
 
@@ -75,7 +91,7 @@
     let (secret, salt) = (random_text(SECRET_CHARACTERS), random_text(SALT_CHARACTERS));
     let digest = digest_secret(&salt, &secret);
     let fields = json!({ "customer": customer, "salt": salt, "digest": digest });
-    put_fields(context, arguments, RecordKind::Key, &name, fields).await?;
+    put_fields(context, ChangeOptions::of(arguments), RecordKind::Key, &name, fields).await?;
     match context.json {
         true => print_line(format_args!("{}", json!({ "key": format!("{name}.{secret}") }))),
         false => print_line(format_args!("key {name}.{secret}")),
@@ -118,17 +134,7 @@
     name: &str,
     state: &str,
 ) -> Result<u64, ToolError> {
-    let entry = current_entry(context, &record_key(kind, name)).await?;
-    let fields = json!({ "schema": newest_schema(kind), "state": state });
-    let change = RecordChange {
-        change_id: Uuid::now_v7().to_string(),
-        actor: context.actor.clone(),
-        key: entry.key.clone(),
-        expected: entry.revision,
-        before: entry.value.clone(),
-        after: Some(merge_fields(entry.value.as_ref(), &fields)),
-    };
-    context.submit(&change).await
+    put_fields(context, ChangeOptions::default(), kind, name, json!({ "state": state })).await
 }
 
 async fn set_state(
@@ -138,12 +144,14 @@
 ) -> Result<(), ToolError> {
     let state = arguments.get_one::<String>("state").cloned().unwrap_or_default();
     let name = name_argument(arguments)?;
-    put_fields(context, arguments, kind, &name, json!({ "state": state })).await.map(|_| ())
+    put_fields(context, ChangeOptions::of(arguments), kind, &name, json!({ "state": state }))
+        .await
+        .map(|_| ())
 }
 
 async fn put_fields(
     context: &ToolContext,
-    arguments: &ArgMatches,
+    options: ChangeOptions,
     kind: RecordKind,
     name: &str,
     fields: Value,
@@ -155,22 +163,20 @@
     }
     Record::decode(kind, &merged)
         .map_err(|error| ToolError::Usage(format!("{}: {error}", entry.key)))?;
-    context.submit(&record_change(context, arguments, &entry, Some(merged))).await
+    context.submit(&record_change(context, options, &entry, Some(merged))).await
 }
 
 fn record_change(
     context: &ToolContext,
-    arguments: &ArgMatches,
+    options: ChangeOptions,
     entry: &TableEntry,
     after: Option<Value>,
 ) -> RecordChange {
-    let expected = arguments.get_one::<u64>("expect").copied().unwrap_or(entry.revision);
-    let change_id = arguments.get_one::<String>("change-id").cloned();
     RecordChange {
-        change_id: change_id.unwrap_or_else(|| Uuid::now_v7().to_string()),
+        change_id: options.change_id.unwrap_or_else(|| Uuid::now_v7().to_string()),
         actor: context.actor.clone(),
         key: entry.key.clone(),
-        expected,
+        expected: options.expected.unwrap_or(entry.revision),
         before: entry.value.clone(),
         after,
     }
--- a/crates/testbed/src/bin/quickstart.rs
+++ b/crates/testbed/src/bin/quickstart.rs
@@ -5,8 +5,7 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use tanagerdeal_testbed::deployment::{Deployment, DeploymentError, DeploymentPlan};
-use tokio::process::Command;
+use tanagerdeal_testbed::deployment::{Deployment, DeploymentPlan};
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
 
 /// Bound of the design page for the time until a revoked key stops working.
@@ -100,7 +99,7 @@
     let client = connect(deployment, host.caller, revoked, "").await?;
     client.simple_query("SELECT item FROM items").await?;
     let key = deployment.key_name(revoked);
-    operate(deployment, &["withdraw", "key", &key]).await?;
+    deployment.operate("quickstart", &["withdraw", "key", &key]).await?;
     let accepted_at = Instant::now();
     while client.simple_query("SELECT item FROM items").await.is_ok() {
         if accepted_at.elapsed() > REVOCATION_LIMIT {
@@ -176,21 +175,3 @@
     });
     value.ok_or_else(|| format!("{text:?} returned no value").into())
 }
-
-/// Runs the operators' tool.
-async fn operate(deployment: &Deployment, arguments: &[&str]) -> Result<(), Box<dyn Error>> {
-    let platform = deployment.operator()?;
-    let program = std::env::current_exe()?.with_file_name("tanagerctl");
-    let output = Command::new(program)
-        .args(["--actor", "quickstart", "--platform", platform.address()])
-        .args(arguments)
-        .output()
-        .await?;
-    match output.status.success() {
-        true => Ok(()),
-        false => Err(DeploymentError::Condition(
-            String::from_utf8_lossy(&output.stderr).trim().to_owned(),
-        )
-        .into()),
-    }
-}
--- a/crates/testbed/src/capacity.rs
+++ b/crates/testbed/src/capacity.rs
@@ -80,10 +80,10 @@
 /// assert!(run_case(&case).mean.bytes_per_s > 0);
 /// ```
 pub fn run_case(case: &CapacityCase) -> CapacityResult {
-    let memory_before = resident_kb();
+    let memory_before = resident_kb("self");
     let mut fleet = CoreFleet::new(case);
     fleet.run(WARM_UP);
-    let memory_after = resident_kb();
+    let memory_after = resident_kb("self");
     fleet.reset_costs();
     let slowest = run_changes(&mut fleet, case.changes);
     let seconds = fleet.measured().as_secs_f64().max(1.0);
@@ -121,9 +121,9 @@
     slowest
 }
 
-/// Resident memory of this process in KB; 0 where the system does not tell.
-fn resident_kb() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+/// Resident memory of a process, or of this one as `self`, in KB; 0 where the system does not tell.
+fn resident_kb(process: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let line = status.lines().find(|line| line.starts_with("VmRSS:"));
     line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
 }
--- a/crates/testbed/src/capacity/session.rs
+++ b/crates/testbed/src/capacity/session.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 use tokio_postgres::{Client, Config, NoTls};
 
+use super::resident_kb;
 use crate::deployment::{Deployment, DeploymentPlan};
 
 /// Numbers of idle sessions at which memory is read.
@@ -79,7 +80,7 @@
             }
         }
         tokio::time::sleep(SETTLE).await;
-        steps.push((count, resident_kb(process)?));
+        steps.push((count, resident_kb(&process.to_string())));
     }
     Ok(steps)
 }
@@ -110,12 +111,6 @@
     Ok(client)
 }
 
-fn resident_kb(process: u32) -> Result<u64, Box<dyn Error>> {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:")).ok_or("no VmRSS")?;
-    Ok(line.split_whitespace().nth(1).ok_or("no value")?.parse()?)
-}
-
 /// User and system time of a process.
 fn processor_ms(process: u32) -> Result<u64, Box<dyn Error>> {
     let stat = std::fs::read_to_string(format!("/proc/{process}/stat"))?;
--- a/crates/testbed/src/capacity/table.rs
+++ b/crates/testbed/src/capacity/table.rs
@@ -1,16 +1,15 @@
-//! Model of the table service and the records in it.
+//! The stand-in's table service without its listener and the records in it.
 
 use std::collections::BTreeMap;
 
 use serde_json::{Value, json};
 use tanagerdeal_core::message::fleet::StoreFault;
 use tanagerdeal_wire::HostName;
-use tanagerdeal_wire::platform::{
-    EntryPage, HostEntry, HostList, TableEntry, TxnConflict, TxnRequest,
-};
+use tanagerdeal_wire::platform::{EntryPage, HostEntry, HostList, TableWrite, TxnRequest};
 use tanagerdeal_wire::record::{RecordKind, record_key};
 
 use super::CapacityCase;
+use crate::platform::TableStore;
 
 /// Members of a group.
 pub(super) const MEMBERS: usize = 3;
@@ -18,8 +17,7 @@
 /// Table keys under one revision, and the host list.
 #[derive(Default)]
 pub(super) struct TableModel {
-    revision: u64,
-    entries: BTreeMap<String, TableEntry>,
+    store: TableStore,
     hosts: BTreeMap<HostName, HostEntry>,
     pub(super) reads: u64,
     pub(super) writes: u64,
@@ -53,35 +51,18 @@
     }
 
     fn write(&mut self, key: String, value: Option<Value>) -> u64 {
-        self.revision += 1;
-        let entry = TableEntry { key: key.clone(), revision: self.revision, value };
-        self.entries.insert(key, entry);
-        self.revision
+        let txn = TxnRequest { checks: Vec::new(), writes: vec![TableWrite { key, value }] };
+        self.store.transact(txn).map_or(0, |reply| reply.revision)
     }
 
     pub(super) fn changes(&mut self, after: u64) -> EntryPage {
         self.reads += 1;
-        let newer = self.entries.values().filter(|entry| entry.revision > after);
-        let mut entries: Vec<TableEntry> = newer.cloned().collect();
-        entries.sort_by_key(|entry| entry.revision);
-        EntryPage { revision: self.revision, entries }
+        self.store.changes(after, "", usize::MAX)
     }
 
     pub(super) fn transact(&mut self, txn: TxnRequest) -> Result<u64, StoreFault> {
         self.writes += 1;
-        for check in txn.checks {
-            let entry = self.entries.get(&check.key).filter(|entry| entry.value.is_some());
-            let revision = entry.map_or(0, |entry| entry.revision);
-            if revision != check.revision {
-                return Err(StoreFault::Conflict(TxnConflict { key: check.key, revision }));
-            }
-        }
-        self.revision += 1;
-        for write in txn.writes {
-            let (key, revision) = (write.key.clone(), self.revision);
-            self.entries.insert(write.key, TableEntry { key, revision, value: write.value });
-        }
-        Ok(self.revision)
+        self.store.transact(txn).map(|reply| reply.revision).map_err(StoreFault::Conflict)
     }
 
     pub(super) fn list(&mut self) -> HostList {
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -4,6 +4,7 @@
 mod hosts;
 mod members;
 mod observe;
+mod operator;
 mod plan;
 mod process;
 mod records;
@@ -17,7 +18,6 @@
 
 use rustix::process::Signal;
 use serde_json::json;
-use tanagerdeal_platform::PlatformClient;
 use tempfile::TempDir;
 
 pub use control::ControlClient;
@@ -190,26 +190,6 @@
         &self.relay_control
     }
 
-    /// Client with which operators call the platform, past the relay.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the HTTP client cannot be made.
-    ///
-    /// ```no_run
-    /// # use tanagerdeal_testbed::deployment::{Deployment, DeploymentError};
-    /// # async fn example(deployment: &mut Deployment) -> Result<(), DeploymentError> {
-    /// let page = deployment.operator()?.scan("records/").await;
-    /// assert!(page.is_ok());
-    /// # Ok(())
-    /// # }
-    /// ```
-    pub fn operator(&self) -> Result<PlatformClient, DeploymentError> {
-        let address = self.platform_control.address().to_string();
-        PlatformClient::new(&address, "operator", "operator", Duration::from_secs(2), None)
-            .map_err(|error| DeploymentError::Records(error.to_string()))
-    }
-
     /// Password with which a customer connects to a host.
     ///
     /// ```no_run
--- a/crates/testbed/src/measure/script.rs
+++ b/crates/testbed/src/measure/script.rs
@@ -7,7 +7,6 @@
 use tanagerdeal_testbed::clock::now_us;
 use tanagerdeal_testbed::deployment::{Deployment, PLATFORM_DOMAIN};
 use tanagerdeal_wire::wire_type;
-use tokio::process::Command;
 use tokio::time::sleep;
 
 use crate::options::{MeasureOptions, Scenario};
@@ -21,6 +20,9 @@
 /// Time between a repair and the next fault.
 const REPAIR_PHASE: Duration = Duration::from_secs(4);
 
+/// Name of this program in the audit trail.
+const ACTOR: &str = "measure";
+
 type ScriptResult = Result<(), Box<dyn Error + Send + Sync>>;
 
 wire_type! {
@@ -187,16 +189,16 @@
     async fn leave_and_return(&mut self) -> ScriptResult {
         let domain = self.deployment.plan().domains[0].name.clone();
         self.note(&format!("{domain} leaves"), Vec::new());
-        operate(self.deployment, &["domain", &domain, "out"]).await?;
+        self.deployment.operate(ACTOR, &["domain", &domain, "out"]).await?;
         sleep(Duration::from_secs(10)).await;
         self.note(&format!("{domain} returns"), Vec::new());
-        operate(self.deployment, &["domain", &domain, "in"]).await
+        Ok(self.deployment.operate(ACTOR, &["domain", &domain, "in"]).await?)
     }
 
     /// Takes a failure domain out, shuts its hosts down and kills its members.
     async fn remove_domain(&mut self, index: usize) -> ScriptResult {
         let domain = self.deployment.plan().domains[index].name.clone();
-        operate(self.deployment, &["domain", &domain, "out"]).await?;
+        self.deployment.operate(ACTOR, &["domain", &domain, "out"]).await?;
         let hosts = self.deployment.plan().host_names();
         let names = hosts.into_iter().filter(|(_, place)| *place == index);
         let names: Vec<String> = names.map(|(name, _)| name).collect();
@@ -214,18 +216,3 @@
         Ok(())
     }
 }
-
-/// Runs the operators' tool.
-async fn operate(deployment: &Deployment, arguments: &[&str]) -> ScriptResult {
-    let platform = deployment.operator()?;
-    let program = std::env::current_exe()?.with_file_name("tanagerctl");
-    let output = Command::new(program)
-        .args(["--actor", "measure", "--platform", platform.address()])
-        .args(arguments)
-        .output()
-        .await?;
-    match output.status.success() {
-        true => Ok(()),
-        false => Err(String::from_utf8_lossy(&output.stderr).trim().to_owned().into()),
-    }
-}
--- a/crates/testbed/src/platform.rs
+++ b/crates/testbed/src/platform.rs
@@ -26,7 +26,7 @@
 pub use faults::{CallCounts, PlatformFaults};
 use faults::{CallKind, CallLedger};
 use hosts::HostTable;
-use table::TableStore;
+pub(crate) use table::TableStore;
 
 use crate::control::merge_fields;
 
--- a/crates/testbed/src/platform/table.rs
+++ b/crates/testbed/src/platform/table.rs
@@ -6,17 +6,17 @@
 
 /// All keys ever written; a deleted key stays as an entry without a value for the change feed.
 #[derive(Default)]
-pub(super) struct TableStore {
+pub(crate) struct TableStore {
     revision: u64,
     entries: BTreeMap<String, TableEntry>,
 }
 
 impl TableStore {
-    pub(super) fn revision(&self) -> u64 {
+    pub(crate) fn revision(&self) -> u64 {
         self.revision
     }
 
-    pub(super) fn transact(&mut self, txn: TxnRequest) -> Result<TxnReply, TxnConflict> {
+    pub(crate) fn transact(&mut self, txn: TxnRequest) -> Result<TxnReply, TxnConflict> {
         let differing =
             txn.checks.iter().find(|check| self.key_revision(&check.key) != check.revision);
         if let Some(check) = differing {
@@ -32,12 +32,12 @@
         Ok(TxnReply { revision: self.revision })
     }
 
-    pub(super) fn read(&self, key: &str) -> EntryPage {
+    pub(crate) fn read(&self, key: &str) -> EntryPage {
         let entries = self.entries.get(key).filter(|entry| entry.value.is_some());
         EntryPage { revision: self.revision, entries: entries.cloned().into_iter().collect() }
     }
 
-    pub(super) fn scan(&self, prefix: &str) -> EntryPage {
+    pub(crate) fn scan(&self, prefix: &str) -> EntryPage {
         let entries = self.with_prefix(prefix).filter(|entry| entry.value.is_some());
         EntryPage { revision: self.revision, entries: entries.cloned().collect() }
     }
@@ -46,7 +46,7 @@
     ///
     /// A cut page ends between two revisions, so that no transaction is seen in part; a single
     /// transaction larger than the limit is returned whole.
-    pub(super) fn changes(&self, after: u64, prefix: &str, limit: usize) -> EntryPage {
+    pub(crate) fn changes(&self, after: u64, prefix: &str, limit: usize) -> EntryPage {
         let mut entries: Vec<&TableEntry> =
             self.with_prefix(prefix).filter(|entry| entry.revision > after).collect();
         entries.sort_by_key(|entry| entry.revision);
