Start a host again when its port was taken; wait until a paused process has stopped

Causes, from logs kept of two failed runs of unchanged checks: g13 waited for a host that had ended with 'Address already in use', because a port that is found free can go to an outgoing connection before the host binds it; and a member that was sent SIGSTOP answered once more, because the signal takes effect a moment after the call returns. No check or bound is changed.

--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -245,7 +245,9 @@
     /// # }
     /// ```
     pub fn pause(&self, name: &str) -> Result<(), DeploymentError> {
-        self.process(name)?.signal(Signal::STOP)
+        let process = self.process(name)?;
+        process.signal(Signal::STOP)?;
+        process.wait_stopped()
     }
 
     /// Continues a stopped process.
--- a/crates/testbed/src/deployment/hosts.rs
+++ b/crates/testbed/src/deployment/hosts.rs
@@ -8,6 +8,9 @@
 use super::settings::HostSettings;
 use super::{ControlClient, Deployment, DeploymentError, wait_until};
 
+/// Starts of one host that may end because a port was taken.
+const MAX_PORT_CONFLICTS: usize = 5;
+
 /// A host: one proxy process.
 pub struct HostNode {
     /// Its name.
@@ -69,13 +72,28 @@
         for (name, domain) in self.plan.host_names() {
             self.start_host(&name, domain).await?;
         }
-        for host in self.hosts.values() {
-            wait_until(&format!("{} is ready", host.name), async || Ok(host.is_ready().await))
-                .await?;
+        for (name, domain) in self.plan.host_names() {
+            self.wait_ready(&name, domain).await?;
         }
         Ok(())
     }
 
+    /// Waits until a host is ready. A host that found one of its ports taken is started again with
+    /// others: between the choice of a port and its use, an outgoing connection can get the same one.
+    async fn wait_ready(&mut self, name: &str, domain: usize) -> Result<(), DeploymentError> {
+        for conflicts in 0..MAX_PORT_CONFLICTS {
+            let host = self.host(name)?;
+            let has_conflict = || host.process.port_conflicts() > conflicts;
+            let ended = async || Ok(host.is_ready().await || has_conflict());
+            wait_until(&format!("{name} is ready"), ended).await?;
+            if !has_conflict() {
+                return Ok(());
+            }
+            self.start_host(name, domain).await?;
+        }
+        Err(DeploymentError::Condition(format!("{name} has ports of its own")))
+    }
+
     /// Starts, or starts again, one host in the failure domain of an index.
     ///
     /// # Errors
@@ -161,7 +179,7 @@
     }
 }
 
-/// A port that was free a moment ago; the kernel does not hand it out again soon.
+/// A port that was free a moment ago.
 fn free_tcp_port(address: &str) -> Result<SocketAddr, DeploymentError> {
     let listener = TcpListener::bind(format!("{address}:0"));
     let bound = listener.and_then(|listener| listener.local_addr());
--- a/crates/testbed/src/deployment/process.rs
+++ b/crates/testbed/src/deployment/process.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
@@ -13,6 +13,9 @@
 
 use super::DeploymentError;
 
+/// Longest wait for a process to stop after the signal.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+
 /// Longest wait for a process to print its addresses.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
@@ -93,6 +96,26 @@
         &self.name
     }
 
+    /// Waits until all threads have stopped: after the signal was sent, some may still run for a moment
+    /// and answer a request.
+    pub(super) fn wait_stopped(&self) -> Result<(), DeploymentError> {
+        let id = self.id().ok_or_else(|| self.error("the process has ended"))?;
+        let deadline = Instant::now() + STOP_LIMIT;
+        while !is_stopped(id).map_err(|error| self.error(&error.to_string()))? {
+            if Instant::now() >= deadline {
+                return Err(self.error("did not stop in time"));
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        Ok(())
+    }
+
+    /// How often a process of this name ended because a port was taken, by its log.
+    pub(super) fn port_conflicts(&self) -> usize {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        log.matches("Address already in use").count()
+    }
+
     /// Its process id, while it runs.
     pub(super) fn id(&self) -> Option<u32> {
         self.child.id()
@@ -131,6 +154,18 @@
     while let Ok(Some(_)) = lines.next_line().await {}
 }
 
+/// Whether all threads of a process are stopped.
+fn is_stopped(id: u32) -> io::Result<bool> {
+    for thread in std::fs::read_dir(format!("/proc/{id}/task"))? {
+        let stat = std::fs::read_to_string(thread?.path().join("stat")).unwrap_or_default();
+        // The state follows the name, which stands in parentheses and may hold spaces.
+        if stat.rsplit(')').next().is_some_and(|rest| !rest.trim_start().starts_with('T')) {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Path of a program of this workspace: next to the running test or one directory above it.
 pub(super) fn program(name: &str) -> Result<PathBuf, DeploymentError> {
     let missing = |reason: String| DeploymentError::Process { name: name.to_owned(), reason };
