Lend tokens of a customer's rate between hosts; keep the rest at one home

The parts of all hosts added up to the whole, as each kept room for irregular arrival. Ruled out: connections and endpoints, which refused nothing. Change: parts follow the demand closely, a home per customer holds the rest, and a host without a token borrows one by a datagram.

--- a/crates/core/src/ledger/lease.rs
+++ b/crates/core/src/ledger/lease.rs
@@ -4,6 +4,7 @@
 //! groups are the ones that the host knows. A host that changes a row therefore knows which hosts
 //! have taken the change over: those that have renewed since, and those whose lease has ended.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tanagerdeal_wire::wire_type;
@@ -30,6 +31,8 @@
         pub incarnation: u64,
         /// Failure domain.
         pub domain: String,
+        /// Address for messages of other hosts.
+        pub peers: SocketAddr,
         /// When the lease has ended for certain.
         pub until: StoreInstant,
         /// Identities of primaries that it cannot reach.
--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -11,26 +11,36 @@
 use tanagerdeal_wire::wire_type;
 
 use super::clock::BootInstant;
+use crate::hash::hash_bytes;
 use crate::limit::{CustomerRate, RATE_UNITS, TokenBucket};
 
 /// Time over which demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_millis(1_000);
 /// Weight of the newest window in the average demand.
 const DEMAND_WEIGHT: f64 = 0.4;
-/// Part of the demand that a share should exceed it by.
-const HEADROOM: f64 = 1.4;
-/// Operations a second that a share should have beside the headroom, for irregular arrival.
-const SPARE_RATE: f64 = 1.0;
-/// Tokens of burst that a useful share has at least.
-const MIN_BURST_TOKENS: f64 = 2.0;
-/// A share is lowered when it exceeds the wanted one by this factor.
-const EXCESS: f64 = 1.6;
-/// Time between two changes of one share by its host.
-const CHANGE_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Part of the free units that a host leaves for others when it raises its share.
-const FREE_RESERVE: f64 = 0.1;
-/// Hosts among which the first share is divided before any demand is known.
-const FIRST_DIVISOR: u64 = 12;
+/// Factor by which a share exceeds the demand of its host; what arrives irregularly is borrowed.
+const HEADROOM: f64 = 1.15;
+/// A share is changed when it is below the wanted one by this part, or exceeds it by it.
+const TOLERANCE: f64 = 0.3;
+/// Time between two changes of shares by one host.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(3_000);
+/// Part of a customer's rate that the home leaves free, for hosts whose demand rises.
+const FREE_RESERVE: u64 = RATE_UNITS / 8;
+/// Smallest and largest part that is free before the home changes its own.
+const MIN_FREE: u64 = RATE_UNITS / 16;
+const MAX_FREE: u64 = RATE_UNITS / 4;
+/// Share that a host takes before any demand is known.
+const FIRST_UNITS: u64 = RATE_UNITS / 50;
+/// Time whose expected demand a host borrows at once.
+const LOAN_SPAN: Duration = Duration::from_millis(300);
+/// Time in which tokens of a loan have to be spent, so that they cannot pile up beside the burst.
+const LOAN_TERM: Duration = Duration::from_millis(600);
+/// Most tokens of one loan.
+const MAX_LOAN: u64 = 8;
+/// Time without further loans after a lender had nothing to give.
+const DRY_PAUSE: Duration = Duration::from_millis(250);
+/// Hosts that are asked for one loan.
+const MAX_LENDERS: usize = 2;
 
 wire_type! {
     /// Part of one host.
@@ -63,6 +73,15 @@
     pub removed: Vec<String>,
 }
 
+/// A loan to ask for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LoanPlan {
+    /// Tokens.
+    pub tokens: u64,
+    /// Hosts to ask, in this order.
+    pub lenders: Vec<String>,
+}
+
 struct CustomerShare {
     version: u64,
     record: ShareRecord,
@@ -71,7 +90,10 @@
     demand: f64,
     arrived: u32,
     was_short: bool,
-    change_at: BootInstant,
+    dry_until: BootInstant,
+    /// Tokens of a loan, and until when they may be spent.
+    loaned: u64,
+    loan_until: BootInstant,
 }
 
 /// The shares of this host.
@@ -79,6 +101,7 @@
     host: String,
     epoch: Instant,
     window_ends: BootInstant,
+    change_at: BootInstant,
     shares: HashMap<String, CustomerShare>,
 }
 
@@ -106,7 +129,13 @@
     /// ```
     pub fn new(host: &str, now: BootInstant) -> Self {
         let (host, epoch) = (host.to_owned(), Instant::now());
-        Self { host, epoch, window_ends: now.after(DEMAND_WINDOW), shares: HashMap::new() }
+        Self {
+            host,
+            epoch,
+            window_ends: now.after(DEMAND_WINDOW),
+            change_at: now,
+            shares: HashMap::new(),
+        }
     }
 
     fn instant(&self, now: BootInstant) -> Instant {
@@ -124,7 +153,9 @@
             demand: 0.0,
             arrived: 0,
             was_short: false,
-            change_at: now,
+            dry_until: now,
+            loaned: 0,
+            loan_until: now,
         });
         if share.bucket.rate() != rate {
             share.bucket.settle(instant, share.units);
@@ -168,7 +199,7 @@
         let Some(share) = self.shares.get_mut(customer) else { return Err(None) };
         share.arrived += 1;
         share.bucket.settle(instant, share.units);
-        if share.bucket.take() {
+        if share.bucket.take() || share.take_loaned(now) {
             return Ok(());
         }
         share.was_short = true;
@@ -194,22 +225,28 @@
         }
     }
 
-    /// Changes of rows that this host wants now; `is_ended` tells whether a host's lease has ended.
+    /// Changes of rows that this host wants now; `is_ended` tells whether a host's lease has ended,
+    /// and `hosts` are the names of the live ones.
     ///
     /// A part that shrinks is used at its new size from this call on.
     pub fn changes(
         &mut self,
         now: BootInstant,
         is_ended: &dyn Fn(&str) -> bool,
+        hosts: &[&str],
     ) -> Vec<ShareChange> {
+        if now < self.change_at {
+            return Vec::new();
+        }
         let instant = self.instant(now);
         let host = self.host.as_str();
         let mut changes = Vec::new();
         for (customer, share) in &mut self.shares {
-            let Some((change, units)) = share.change(host, customer, now, is_ended) else {
+            let home = home(customer, hosts);
+            let planned = share.change(host, home, customer, is_ended);
+            let Some((change, units)) = planned else {
                 continue;
             };
-            share.change_at = now.after(CHANGE_INTERVAL);
             share.was_short = false;
             if units < share.units {
                 share.bucket.settle(instant, share.units);
@@ -218,13 +255,56 @@
             }
             changes.push(change);
         }
+        if !changes.is_empty() {
+            self.change_at = now.after(CHANGE_INTERVAL);
+        }
         changes
     }
 
     /// Plans the changes anew at the next call, because rows have changed under the last ones.
     pub fn retry_soon(&mut self, now: BootInstant) {
-        for share in self.shares.values_mut() {
-            share.change_at = share.change_at.min(now);
+        self.change_at = now;
+    }
+
+    /// How much to borrow and from whom, unless lenders had nothing a moment ago: first the hosts
+    /// with the greatest shares.
+    pub fn loan(&self, customer: &str, now: BootInstant) -> Option<LoanPlan> {
+        let share = self.shares.get(customer).filter(|share| now >= share.dry_until)?;
+        let mut lenders: Vec<(&String, u64)> = share
+            .record
+            .shares
+            .iter()
+            .filter(|(name, _)| **name != self.host)
+            .map(|(name, part)| (name, part.units))
+            .collect();
+        lenders.sort_by_key(|(_, units)| std::cmp::Reverse(*units));
+        let ahead = (share.demand * LOAN_SPAN.as_secs_f64()) as u64;
+        Some(LoanPlan {
+            tokens: (1 + ahead).min(MAX_LOAN),
+            lenders: lenders.into_iter().take(MAX_LENDERS).map(|(name, _)| name.clone()).collect(),
+        })
+    }
+
+    /// Lends tokens to another host; they are gone from this one at once.
+    pub fn lend(&mut self, customer: &str, tokens: u64, now: BootInstant) -> u64 {
+        let instant = self.instant(now);
+        let Some(share) = self.shares.get_mut(customer) else { return 0 };
+        share.bucket.settle(instant, share.units);
+        let wanted = tokens.min(MAX_LOAN);
+        (0..wanted).take_while(|_| share.bucket.take()).count() as u64
+    }
+
+    /// Takes over the tokens of a loan; none tells that the lenders have nothing now.
+    pub fn receive(&mut self, customer: &str, tokens: u64, now: BootInstant) {
+        let instant = self.instant(now);
+        let Some(share) = self.shares.get_mut(customer) else { return };
+        share.bucket.settle(instant, share.units);
+        match tokens {
+            0 => share.dry_until = now.after(DRY_PAUSE),
+            tokens => {
+                share.loaned = tokens.min(MAX_LOAN);
+                share.loan_until = now.after(LOAN_TERM);
+            }
         }
     }
 
@@ -234,17 +314,26 @@
     }
 }
 
+/// The live host that holds what no other needs of a customer's rate.
+fn home<'a>(customer: &str, hosts: &[&'a str]) -> Option<&'a str> {
+    let weight = |host: &&str| hash_bytes(customer.bytes().chain([0]).chain(host.bytes()));
+    hosts.iter().copied().min_by_key(weight)
+}
+
 impl CustomerShare {
+    fn take_loaned(&mut self, now: BootInstant) -> bool {
+        let is_there = self.loaned > 0 && now < self.loan_until;
+        if is_there {
+            self.loaned -= 1;
+        }
+        is_there
+    }
+
+    /// Units that cover the demand of this host.
     fn wanted_units(&self) -> u64 {
-        let rate = self.bucket.rate();
-        let (per_s, burst) = (f64::from(rate.rate_per_s.max(1)), f64::from(rate.burst.max(1)));
-        let by_rate = (self.demand * HEADROOM + SPARE_RATE) / per_s;
-        let by_burst = MIN_BURST_TOKENS / burst;
-        let part = match self.demand {
-            demand if demand > 0.0 => by_rate.max(by_burst),
-            _ => 1.0 / FIRST_DIVISOR as f64,
-        };
-        (part.min(1.0) * RATE_UNITS as f64) as u64
+        let per_s = f64::from(self.bucket.rate().rate_per_s.max(1));
+        let part = (self.demand * HEADROOM / per_s).min(1.0);
+        FIRST_UNITS.max((part * RATE_UNITS as f64) as u64)
     }
 
     /// Part that the demand of this host justifies when the whole is scarce.
@@ -259,13 +348,10 @@
     fn change(
         &self,
         host: &str,
+        home: Option<&str>,
         customer: &str,
-        now: BootInstant,
         is_ended: &dyn Fn(&str) -> bool,
     ) -> Option<(ShareChange, u64)> {
-        if now < self.change_at {
-            return None;
-        }
         let mut record = self.record.clone();
         let removed: Vec<String> =
             record.shares.keys().filter(|name| *name != host && is_ended(name)).cloned().collect();
@@ -275,8 +361,9 @@
         let demand = (self.demand * 1_000.0) as u64;
         let own = record.shares.get(host).map_or(0, |part| part.units);
         record.shares.insert(host.to_owned(), HostShare { units: own, demand });
-        let units = self.next_units(own, &record);
-        let is_due = units.abs_diff(own) * 10 > own.max(1) || self.version == 0 || own > self.units;
+        let is_home = home == Some(host);
+        let units = self.next_units(own, &record, is_home);
+        let is_due = units != own || self.version == 0 || own > self.units;
         if !is_due && (removed.is_empty() || !self.was_short) {
             return None;
         }
@@ -285,15 +372,22 @@
         Some((ShareChange { customer, version: self.version, record, removed }, units))
     }
 
-    fn next_units(&self, own: u64, record: &ShareRecord) -> u64 {
+    fn next_units(&self, own: u64, record: &ShareRecord, is_home: bool) -> u64 {
         let (wanted, free) = (self.wanted_units(), record.free_units());
-        let grantable = free - (free as f64 * FREE_RESERVE) as u64;
         let fair = self.fair_units(record.total_demand());
-        match wanted {
+        let is_low = (own as f64) < wanted as f64 * (1.0 - TOLERANCE);
+        let is_high = own as f64 > wanted as f64 * (1.0 + TOLERANCE);
+        match own {
+            // The home holds what others do not need, and lends from it.
+            _ if is_home && free > MAX_FREE => own + (free - FREE_RESERVE),
+            _ if is_home && free < MIN_FREE && own > wanted.min(fair) => {
+                own.saturating_sub(FREE_RESERVE - free).max(wanted.min(fair))
+            }
+            _ if is_home => own,
             // Nothing is left for others: what exceeds the fair part is returned.
-            _ if free * 20 < RATE_UNITS && own > fair + fair / 10 => fair.min(wanted.max(1)),
-            wanted if wanted > own => own + (wanted - own).min(grantable),
-            wanted if own as f64 > wanted as f64 * EXCESS => wanted,
+            _ if free < MIN_FREE / 4 && own > fair + fair / 4 => fair.min(wanted),
+            _ if is_low => own + (wanted - own).min(free),
+            _ if is_high => wanted,
             _ => own,
         }
     }
--- a/crates/proxy/src/ledger.rs
+++ b/crates/proxy/src/ledger.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod journal;
 mod keeper;
+mod lending;
 mod link;
 mod metrics;
 mod operation;
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 use tanagerdeal_adapter::operator::OPERATOR_TABLE;
 use tanagerdeal_adapter::server::SERVER_TABLE;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
@@ -15,7 +15,7 @@
 use super::context::{HostContext, HostPhase, boot_now};
 use super::follow::{GROUP_TABLE, HOST_TABLE, adopt_hosts, follow, load_table, read_table};
 use super::settings::SiteSettings;
-use super::{admin, journal, keeper, session, takeover};
+use super::{admin, journal, keeper, lending, session, takeover};
 
 /// Part of the shutdown's time after which the process ends in any case, in tenths.
 const STOP_TENTHS: u32 = 9;
@@ -48,6 +48,7 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(text)?;
     let admin = TcpListener::bind(host.settings.admin).await.map_err(text)?;
     let callers = TcpListener::bind(host.settings.callers).await.map_err(text)?;
+    let peers = UdpSocket::bind(host.settings.peers).await.map_err(text)?;
     journal::event(
         "process",
         "started",
@@ -56,7 +57,7 @@
     );
     spawn_local(admin::serve(host.clone(), admin));
     spawn_local(reload(host.clone(), file));
-    spawn_local(start(host.clone(), callers));
+    spawn_local(start(host.clone(), callers, peers));
     tokio::select! {
         _ = terminate.recv() => (),
         _ = interrupt.recv() => (),
@@ -66,7 +67,7 @@
 }
 
 /// Loads what the host has to know, and then accepts clients.
-async fn start(host: Rc<HostContext>, callers: TcpListener) {
+async fn start(host: Rc<HostContext>, callers: TcpListener, peers: UdpSocket) {
     let operator = load_table(&host, OPERATOR_TABLE).await;
     let servers = load_table(&host, SERVER_TABLE).await;
     let groups = load_table(&host, GROUP_TABLE).await;
@@ -75,6 +76,8 @@
     hosts.rows.iter().for_each(|row| super::follow::adopt_row(&host, row));
     keeper::create_groups(&host).await;
     load_table(&host, GROUP_TABLE).await;
+    let secret = lending::fleet_secret(&host).await;
+    spawn_local(lending::serve(host.clone(), peers, secret));
     spawn_local(follow(host.clone(), OPERATOR_TABLE, operator));
     spawn_local(follow(host.clone(), SERVER_TABLE, servers));
     spawn_local(follow(host.clone(), GROUP_TABLE, groups));
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::journal;
+use super::lending::LoanDesk;
 use super::metrics::HostMetrics;
 use super::pool::EndpointPool;
 use super::settings::SiteSettings;
@@ -58,6 +59,8 @@
     pub(super) control: PromotionClient,
     pub(super) metrics: HostMetrics,
     pub(super) incarnation: u64,
+    /// Loans that were asked for.
+    pub(super) loans: LoanDesk,
     /// Wakes the task that renews the lease.
     pub(super) renew: Notify,
     pub(super) phase: watch::Sender<HostPhase>,
@@ -104,6 +107,7 @@
             control,
             metrics: HostMetrics::new().map_err(|error| error.to_string())?,
             incarnation: rand::random(),
+            loans: LoanDesk::default(),
             renew: Notify::new(),
             phase: watch::Sender::new(HostPhase::Serving),
             is_ready: Cell::new(false),
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -29,7 +29,7 @@
 /// Time between two looks at the shares.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two reads of all hosts and shares.
-const LIST_INTERVAL: Duration = Duration::from_millis(4_000);
+const LIST_INTERVAL: Duration = Duration::from_millis(6_000);
 /// Time between two reads of all hosts while this host suspects a primary.
 const SUSPICION_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two looks at the own suspicions.
@@ -122,6 +122,7 @@
         host: host.settings.host.clone(),
         incarnation: host.incarnation,
         domain: host.settings.domain.clone(),
+        peers: host.settings.peers,
         until,
         suspects: book.suspects(sent_at),
         is_leaving: *host.phase.borrow() != HostPhase::Serving,
@@ -352,7 +353,10 @@
         // A host that is not listed yet may have started a moment ago.
         entry.is_some_and(|entry| entry.record.until.after(ENDED_MARGIN) < store_now)
     };
-    let mut changes = book.quota.changes(now, &is_ended);
+    let live =
+        hosts.iter().filter(|entry| entry.record.until > store_now && !entry.record.is_leaving);
+    let live: Vec<&str> = live.map(|entry| entry.record.host.as_str()).collect();
+    let mut changes = book.quota.changes(now, &is_ended, &live);
     changes.truncate(MAX_CHANGES);
     changes
 }
--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -24,6 +24,7 @@
 
 use super::context::{HostContext, HostPhase, boot_now, sleep_until};
 use super::journal;
+use super::lending;
 use super::link::EndpointReply;
 use super::operation::{self, OperationFailure, StatementTimes};
 use super::statement::{AccessRequest, RunPlace};
@@ -290,7 +291,7 @@
             }
             (SessionState::Failed, _) => Err(malformed("the transaction has failed")),
             (SessionState::Idle, ClientStatement::Begin { is_read_only }) => {
-                self.admit(identity)?;
+                self.admit(identity, route).await?;
                 self.transaction = Some(OpenTransaction::new(route.clone(), is_read_only));
                 self.state = SessionState::Open;
                 Ok(line::completed(self.state))
@@ -333,18 +334,35 @@
         }
     }
 
-    /// Takes a token of the customer's rate for one operation.
-    fn admit(&self, identity: &CallerIdentity) -> Result<(), OperationFailure> {
+    /// Takes a token of the customer's rate for one operation. A host that has none borrows one, or
+    /// waits a moment for the next.
+    async fn admit(
+        &self,
+        identity: &CallerIdentity,
+        route: &DatabaseRoute,
+    ) -> Result<(), OperationFailure> {
         let Some(customer) = identity.customer() else { return Ok(()) };
-        let now = boot_now();
-        let mut book = self.host.book.borrow_mut();
-        match book.quota.admit(customer, now) {
-            Ok(()) => Ok(()),
-            Err(ready_at) => {
-                let after = ready_at.map_or(SHARE_RETRY, |at| at.since(now).max(MIN_RATE_RETRY));
-                Err(OperationFailure::busy("the rate is used up", after))
+        let Some(first) = self.take_token(customer).err() else { return Ok(()) };
+        if lending::borrow(&self.host, customer).await && self.take_token(customer).is_ok() {
+            return Ok(());
+        }
+        let wait_until = StatementTimes::new(route, self.last_request).wait_until;
+        if let Some(ready_at) = first.filter(|ready_at| *ready_at <= wait_until) {
+            sleep_until(ready_at).await;
+            if self.take_token(customer).is_ok() {
+                return Ok(());
             }
         }
+        let now = boot_now();
+        let after = first.map_or(SHARE_RETRY, |at| at.since(now).max(MIN_RATE_RETRY));
+        let units = self.host.book.borrow().quota.units(customer);
+        let text = format!("the rate of {customer} is used up (share {units} ppm)");
+        Err(OperationFailure::busy(&text, after))
+    }
+
+    /// Takes a token, or tells when there will be one.
+    fn take_token(&self, customer: &str) -> Result<(), Option<BootInstant>> {
+        self.host.book.borrow_mut().quota.admit(customer, boot_now())
     }
 
     async fn access(
@@ -369,7 +387,7 @@
                 }
             }
             None => {
-                self.admit(identity)?;
+                self.admit(identity, route).await?;
                 let times = StatementTimes::new(route, self.last_request);
                 let (host, session) = (&self.host, &self.image);
                 let place = RunPlace { host, group: &route.group, customer, session };
--- a/crates/proxy/src/ledger/settings.rs
+++ b/crates/proxy/src/ledger/settings.rs
@@ -25,6 +25,8 @@
     pub callers: SocketAddr,
     /// Address for readiness and metrics.
     pub admin: SocketAddr,
+    /// Address for messages of other hosts.
+    pub peers: SocketAddr,
     /// Address of the store.
     pub store: String,
     /// Address that takes promotions.
@@ -69,12 +71,13 @@
 }
 
 /// Section, key and meaning of every setting.
-const SETTINGS: [(&str, &str, &str); 9] = [
+const SETTINGS: [(&str, &str, &str); 10] = [
     ("host", "name", "name of the host"),
     ("host", "domain", "failure domain of the host"),
     ("host", "domains", "all failure domains, separated by commas"),
     ("listen", "callers", "address for clients"),
     ("listen", "admin", "address for readiness and metrics"),
+    ("listen", "peers", "address for messages of other hosts"),
     ("platform", "store", "address of the store"),
     ("platform", "control", "address that takes promotions"),
     ("limits", "shutdown_s", "time that a shutdown may take, in seconds; 6 by default"),
@@ -134,6 +137,7 @@
                 .collect(),
             callers: parsed(&ini, "listen", "callers")?,
             admin: parsed(&ini, "listen", "admin")?,
+            peers: parsed(&ini, "listen", "peers")?,
             store: text_of(&ini, "platform", "store")?.to_owned(),
             control: text_of(&ini, "platform", "control")?.to_owned(),
             shutdown_limit: Duration::from_secs(or_default(
