Keep a home of each customer's rate in every failure domain; probe suspected primaries

Ruled out: a shorter lease. A change of primary during a cut of 5 s would roll back what the cut side has acknowledged. Change: hosts probe a suspected primary and forget failures when a group's row changes; a lost primary that answers again ends the wait for hosts; one home per failure domain; tokens are returned; a started host begins with half of the tolerance of the limits.

--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -11,7 +11,7 @@
 use super::floor::{FloorHistory, PrimaryObservation};
 use super::group::{GroupEntry, GroupTable};
 use super::lease::{HostEntry, HostLease};
-use super::quota::QuotaTable;
+use super::quota::{LimitTolerance, QuotaTable};
 use super::suspicion;
 
 /// Time for which a primary that is to leave still gets new work, while its successor is made; it
@@ -79,10 +79,10 @@
     /// use tanagerdeal_core::ledger::clock::BootInstant;
     ///
     /// let now = BootInstant::from_micros(0);
-    /// let book = HostBook::new("h1", "d1", now);
+    /// let book = HostBook::new("h1", "d1", Default::default(), now);
     /// assert_eq!(book.primary_right("g1", now), Err(PrimaryRefusal::NoLease));
     /// ```
-    pub fn new(host: &str, domain: &str, now: BootInstant) -> Self {
+    pub fn new(host: &str, domain: &str, tolerance: LimitTolerance, now: BootInstant) -> Self {
         Self {
             host: host.to_owned(),
             domain: domain.to_owned(),
@@ -92,7 +92,7 @@
             groups: GroupTable::default(),
             floors: HashMap::new(),
             lease: HostLease::default(),
-            quota: QuotaTable::new(host, now),
+            quota: QuotaTable::new(host, tolerance, now),
             hosts: Vec::new(),
         }
     }
@@ -141,6 +141,12 @@
         if is_new && is_moved {
             self.floors.remove(&group);
         }
+        // What was seen of the primary before the row changed says nothing about it now.
+        let primary = self.groups.primary(&group).map(|record| record.primary.clone());
+        let key = primary.and_then(|primary| self.endpoints.find(&primary));
+        if let Some(state) = key.and_then(|key| self.endpoints.get_mut(key)).filter(|_| is_new) {
+            state.forget_failures();
+        }
         is_new
     }
 
@@ -209,6 +215,22 @@
         choice.best(&self.endpoints)
     }
 
+    /// Whether a statement can be served at all now: whether a group has a usable primary, or for
+    /// a read, whether its floor is known.
+    pub fn is_served(
+        &self,
+        route: &DatabaseRoute,
+        is_read: bool,
+        written: Option<LogPosition>,
+        now: BootInstant,
+    ) -> Result<(), PrimaryRefusal> {
+        match self.primary_right(&route.group, now) {
+            Err(refusal) if !is_read => Err(refusal),
+            Err(refusal) if self.read_floor(route, written, now).is_none() => Err(refusal),
+            _ => Ok(()),
+        }
+    }
+
     /// Identities of primaries that do not reply to this host.
     pub fn suspects(&self, now: BootInstant) -> Vec<String> {
         let primaries = self.groups.entries().filter(|entry| entry.record.change.is_none());
--- a/crates/core/src/ledger/endpoint.rs
+++ b/crates/core/src/ledger/endpoint.rs
@@ -152,6 +152,12 @@
         self.latency_us += (sample - self.latency_us) * LATENCY_WEIGHT;
     }
 
+    /// Forgets failures, because the endpoint is to be judged anew.
+    pub fn forget_failures(&mut self) {
+        self.failing_since = None;
+        self.failures = 0;
+    }
+
     /// Notes that a connection or a statement failed without a reply.
     pub fn note_failure(&mut self, now: BootInstant) {
         self.failing_since.get_or_insert(now);
--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -5,7 +5,7 @@
 //! host whose lease has ended. A part belongs to the host's name: a process that is started again
 //! uses it at once, with an empty bucket.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use tanagerdeal_wire::wire_type;
@@ -24,13 +24,14 @@
 const TOLERANCE: f64 = 0.3;
 /// Time between two changes of shares by one host.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(3_000);
-/// Part of a customer's rate that the home leaves free, for hosts whose demand rises.
-const FREE_RESERVE: u64 = RATE_UNITS / 8;
-/// Smallest and largest part that is free before the home changes its own.
-const MIN_FREE: u64 = RATE_UNITS / 16;
-const MAX_FREE: u64 = RATE_UNITS / 4;
-/// Share that a host takes before any demand is known.
-const FIRST_UNITS: u64 = RATE_UNITS / 50;
+/// Demand from which on a host holds a share, in operations a second. Below it a share would be too
+/// small to collect tokens in time, and the host borrows each of them.
+const MIN_DEMAND: f64 = 3.0;
+/// Part of a customer's rate that the homes leave free, for hosts whose demand rises.
+const FREE_RESERVE: u64 = RATE_UNITS / 16;
+/// Part of the tolerance of the limits that a started host may spend at once. What it spent before
+/// it stopped is unknown, so its bucket starts empty otherwise.
+const START_PART: f64 = 0.5;
 /// Time whose expected demand a host borrows at once.
 const LOAN_SPAN: Duration = Duration::from_millis(300);
 /// Time in which tokens of a loan have to be spent, so that they cannot pile up beside the burst.
@@ -40,7 +41,7 @@
 /// Time without further loans after a lender had nothing to give.
 const DRY_PAUSE: Duration = Duration::from_millis(250);
 /// Hosts that are asked for one loan.
-const MAX_LENDERS: usize = 2;
+const MAX_LENDERS: usize = 3;
 
 wire_type! {
     /// Part of one host.
@@ -60,6 +61,24 @@
     }
 }
 
+/// A live host, as far as shares are concerned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ShareHost<'a> {
+    /// Name.
+    pub name: &'a str,
+    /// Failure domain.
+    pub domain: &'a str,
+}
+
+/// Tolerance that the users grant for limits that are kept by many hosts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitTolerance {
+    /// Part of what a window admits by which it may be exceeded.
+    pub overage: f64,
+    /// Length of the window, in seconds.
+    pub window_s: f64,
+}
+
 /// A change of a customer's row to be written under the condition that its version still stands.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ShareChange {
@@ -91,6 +110,8 @@
     arrived: u32,
     was_short: bool,
     dry_until: BootInstant,
+    /// Whether no row has been taken over since the start.
+    is_fresh: bool,
     /// Tokens of a loan, and until when they may be spent.
     loaned: u64,
     loan_until: BootInstant,
@@ -99,6 +120,7 @@
 /// The shares of this host.
 pub struct QuotaTable {
     host: String,
+    tolerance: LimitTolerance,
     epoch: Instant,
     window_ends: BootInstant,
     change_at: BootInstant,
@@ -124,13 +146,14 @@
     /// use tanagerdeal_core::ledger::quota::QuotaTable;
     ///
     /// let now = BootInstant::from_micros(0);
-    /// let mut table = QuotaTable::new("h1", now);
+    /// let mut table = QuotaTable::new("h1", Default::default(), now);
     /// assert!(table.admit("customer", now).is_err());
     /// ```
-    pub fn new(host: &str, now: BootInstant) -> Self {
+    pub fn new(host: &str, tolerance: LimitTolerance, now: BootInstant) -> Self {
         let (host, epoch) = (host.to_owned(), Instant::now());
         Self {
             host,
+            tolerance,
             epoch,
             window_ends: now.after(DEMAND_WINDOW),
             change_at: now,
@@ -142,6 +165,13 @@
         self.epoch + Duration::from_micros(now.as_micros())
     }
 
+    /// Returns the token of an operation that was not run.
+    pub fn refund(&mut self, customer: &str) {
+        if let Some(share) = self.shares.get_mut(customer) {
+            share.bucket.refund(share.units);
+        }
+    }
+
     /// Makes sure that a customer is known and has this rate.
     pub fn set_rate(&mut self, customer: &str, rate_per_s: u32, burst: u32, now: BootInstant) {
         let (instant, rate) = (self.instant(now), CustomerRate { rate_per_s, burst });
@@ -154,6 +184,7 @@
             arrived: 0,
             was_short: false,
             dry_until: now,
+            is_fresh: true,
             loaned: 0,
             loan_until: now,
         });
@@ -176,7 +207,14 @@
         let units = record.shares.get(&self.host).map_or(0, |part| part.units);
         share.bucket.settle(instant, share.units);
         share.bucket.clamp(units);
+        let is_first = std::mem::take(&mut share.is_fresh);
         (share.version, share.record, share.units) = (version, record, units);
+        if is_first && units > 0 {
+            let rate = share.bucket.rate();
+            let window = f64::from(rate.rate_per_s) * self.tolerance.window_s;
+            let spare = (window + f64::from(rate.burst)) * self.tolerance.overage * START_PART;
+            share.bucket.start_with((spare * units as f64) as u64, units);
+        }
     }
 
     /// Gives up all parts, because the lease has ended and others may remove them.
@@ -226,14 +264,14 @@
     }
 
     /// Changes of rows that this host wants now; `is_ended` tells whether a host's lease has ended,
-    /// and `hosts` are the names of the live ones.
+    /// and `hosts` are the live ones.
     ///
     /// A part that shrinks is used at its new size from this call on.
     pub fn changes(
         &mut self,
         now: BootInstant,
         is_ended: &dyn Fn(&str) -> bool,
-        hosts: &[&str],
+        hosts: &[ShareHost<'_>],
     ) -> Vec<ShareChange> {
         if now < self.change_at {
             return Vec::new();
@@ -242,8 +280,8 @@
         let host = self.host.as_str();
         let mut changes = Vec::new();
         for (customer, share) in &mut self.shares {
-            let home = home(customer, hosts);
-            let planned = share.change(host, home, customer, is_ended);
+            let homes = homes(customer, hosts);
+            let planned = share.change(host, &homes, customer, is_ended);
             let Some((change, units)) = planned else {
                 continue;
             };
@@ -267,21 +305,30 @@
     }
 
     /// How much to borrow and from whom, unless lenders had nothing a moment ago: first the hosts
-    /// with the greatest shares.
-    pub fn loan(&self, customer: &str, now: BootInstant) -> Option<LoanPlan> {
+    /// that are `near`, and of these the ones with the greatest shares.
+    pub fn loan(
+        &self,
+        customer: &str,
+        near: &dyn Fn(&str) -> bool,
+        now: BootInstant,
+    ) -> Option<LoanPlan> {
         let share = self.shares.get(customer).filter(|share| now >= share.dry_until)?;
-        let mut lenders: Vec<(&String, u64)> = share
+        let mut lenders: Vec<(bool, u64, &str)> = share
             .record
             .shares
             .iter()
-            .filter(|(name, _)| **name != self.host)
-            .map(|(name, part)| (name, part.units))
+            .filter(|(name, part)| **name != self.host && part.units > 0)
+            .map(|(name, part)| (!near(name), part.units, name.as_str()))
             .collect();
-        lenders.sort_by_key(|(_, units)| std::cmp::Reverse(*units));
+        lenders.sort_by_key(|(is_far, units, _)| (*is_far, std::cmp::Reverse(*units)));
         let ahead = (share.demand * LOAN_SPAN.as_secs_f64()) as u64;
         Some(LoanPlan {
             tokens: (1 + ahead).min(MAX_LOAN),
-            lenders: lenders.into_iter().take(MAX_LENDERS).map(|(name, _)| name.clone()).collect(),
+            lenders: lenders
+                .into_iter()
+                .take(MAX_LENDERS)
+                .map(|(_, _, name)| name.to_owned())
+                .collect(),
         })
     }
 
@@ -314,10 +361,17 @@
     }
 }
 
-/// The live host that holds what no other needs of a customer's rate.
-fn home<'a>(customer: &str, hosts: &[&'a str]) -> Option<&'a str> {
-    let weight = |host: &&str| hash_bytes(customer.bytes().chain([0]).chain(host.bytes()));
-    hosts.iter().copied().min_by_key(weight)
+/// The homes of a customer: one live host of each failure domain. They hold what no other host
+/// needs of its rate, and lend from it.
+fn homes<'a>(customer: &str, hosts: &[ShareHost<'a>]) -> HashSet<&'a str> {
+    let weight = |name: &str| hash_bytes(customer.bytes().chain([0]).chain(name.bytes()));
+    let mut first: HashMap<&str, (u64, &'a str)> = HashMap::new();
+    for host in hosts {
+        let candidate = (weight(host.name), host.name);
+        let known = first.entry(host.domain).or_insert(candidate);
+        *known = candidate.min(*known);
+    }
+    first.into_values().map(|(_, name)| name).collect()
 }
 
 impl CustomerShare {
@@ -332,8 +386,10 @@
     /// Units that cover the demand of this host.
     fn wanted_units(&self) -> u64 {
         let per_s = f64::from(self.bucket.rate().rate_per_s.max(1));
-        let part = (self.demand * HEADROOM / per_s).min(1.0);
-        FIRST_UNITS.max((part * RATE_UNITS as f64) as u64)
+        match self.demand {
+            demand if demand < MIN_DEMAND => 0,
+            demand => ((demand * HEADROOM / per_s).min(1.0) * RATE_UNITS as f64) as u64,
+        }
     }
 
     /// Part that the demand of this host justifies when the whole is scarce.
@@ -348,7 +404,7 @@
     fn change(
         &self,
         host: &str,
-        home: Option<&str>,
+        homes: &HashSet<&str>,
         customer: &str,
         is_ended: &dyn Fn(&str) -> bool,
     ) -> Option<(ShareChange, u64)> {
@@ -361,9 +417,11 @@
         let demand = (self.demand * 1_000.0) as u64;
         let own = record.shares.get(host).map_or(0, |part| part.units);
         record.shares.insert(host.to_owned(), HostShare { units: own, demand });
-        let is_home = home == Some(host);
-        let units = self.next_units(own, &record, is_home);
-        let is_due = units != own || self.version == 0 || own > self.units;
+        let units = match homes.contains(host) {
+            true => self.home_units(own, &record, homes),
+            false => self.next_units(own, &record),
+        };
+        let is_due = units != own || own > self.units;
         if !is_due && (removed.is_empty() || !self.was_short) {
             return None;
         }
@@ -372,20 +430,27 @@
         Some((ShareChange { customer, version: self.version, record, removed }, units))
     }
 
-    fn next_units(&self, own: u64, record: &ShareRecord, is_home: bool) -> u64 {
+    /// Units of a home: what the other hosts leave, divided among the homes.
+    fn home_units(&self, own: u64, record: &ShareRecord, homes: &HashSet<&str>) -> u64 {
+        let others = record.shares.iter().filter(|(name, _)| !homes.contains(name.as_str()));
+        let others: u64 = others.map(|(_, part)| part.units).sum();
+        let target = RATE_UNITS.saturating_sub(others + FREE_RESERVE) / homes.len().max(1) as u64;
+        match own {
+            _ if own * 5 > target * 6 => target,
+            _ if own * 5 < target * 4 => own + (target - own).min(record.free_units()),
+            _ => own,
+        }
+    }
+
+    /// Units of a host that is no home.
+    fn next_units(&self, own: u64, record: &ShareRecord) -> u64 {
         let (wanted, free) = (self.wanted_units(), record.free_units());
         let fair = self.fair_units(record.total_demand());
         let is_low = (own as f64) < wanted as f64 * (1.0 - TOLERANCE);
         let is_high = own as f64 > wanted as f64 * (1.0 + TOLERANCE);
         match own {
-            // The home holds what others do not need, and lends from it.
-            _ if is_home && free > MAX_FREE => own + (free - FREE_RESERVE),
-            _ if is_home && free < MIN_FREE && own > wanted.min(fair) => {
-                own.saturating_sub(FREE_RESERVE - free).max(wanted.min(fair))
-            }
-            _ if is_home => own,
             // Nothing is left for others: what exceeds the fair part is returned.
-            _ if free < MIN_FREE / 4 && own > fair + fair / 4 => fair.min(wanted),
+            _ if free < FREE_RESERVE / 8 && own > fair + fair / 4 => fair.min(wanted),
             _ if is_low => own + (wanted - own).min(free),
             _ if is_high => wanted,
             _ => own,
--- a/crates/core/src/ledger/takeover.rs
+++ b/crates/core/src/ledger/takeover.rs
@@ -90,11 +90,7 @@
 
 /// The hosts that may still use the old primary: they have not renewed since the group was marked,
 /// and their lease has not ended.
-pub fn missing_hosts<'a>(
-    hosts: &'a [HostEntry],
-    marked_version: u64,
-    now: StoreInstant,
-) -> Vec<&'a str> {
+pub fn missing_hosts(hosts: &[HostEntry], marked_version: u64, now: StoreInstant) -> Vec<&str> {
     hosts
         .iter()
         .filter(|entry| entry.version < marked_version && entry.record.until >= now)
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -163,6 +163,18 @@
         self.clamp(units);
     }
 
+    /// Adds a token that was taken and not used.
+    pub(crate) fn refund(&mut self, units: u64) {
+        self.tokens = self.tokens.saturating_add(REQUEST_TOKENS);
+        self.clamp(units);
+    }
+
+    /// Gives a bucket that has just been created some microtokens.
+    pub(crate) fn start_with(&mut self, microtokens: u64, units: u64) {
+        self.tokens = microtokens;
+        self.clamp(units);
+    }
+
     /// When that many requests have had their tokens, as of the last settlement; never for a share
     /// that is too small to hold the tokens of one request.
     pub(crate) fn ready_at(&self, units: u64, requests: u64) -> Option<Instant> {
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -1,7 +1,7 @@
 //! What all tasks of a host share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -59,6 +59,8 @@
     pub(super) control: PromotionClient,
     pub(super) metrics: HostMetrics,
     pub(super) incarnation: u64,
+    /// Endpoints that are being asked for their status because they are suspected.
+    pub(super) probes: RefCell<HashSet<EndpointKey>>,
     /// Loans that were asked for.
     pub(super) loans: LoanDesk,
     /// Wakes the task that renews the lease.
@@ -96,7 +98,7 @@
         let now = boot_now();
         let store = StoreClient::new(&settings.store).map_err(|error| error.to_string())?;
         let control = PromotionClient::new(&settings.control).map_err(|error| error.to_string())?;
-        let book = HostBook::new(&settings.host, &settings.domain, now);
+        let book = HostBook::new(&settings.host, &settings.domain, settings.tolerance, now);
         Ok(Self {
             book: RefCell::new(book),
             pools: RefCell::default(),
@@ -107,6 +109,7 @@
             control,
             metrics: HostMetrics::new().map_err(|error| error.to_string())?,
             incarnation: rand::random(),
+            probes: RefCell::default(),
             loans: LoanDesk::default(),
             renew: Notify::new(),
             phase: watch::Sender::new(HostPhase::Serving),
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -11,7 +11,7 @@
 use tanagerdeal_core::ledger::endpoint::EndpointRole;
 use tanagerdeal_core::ledger::group::GroupRecord;
 use tanagerdeal_core::ledger::lease::{HostRecord, RENEW_INTERVAL, RENEW_RETRY};
-use tanagerdeal_core::ledger::quota::ShareChange;
+use tanagerdeal_core::ledger::quota::{ShareChange, ShareHost};
 use tokio::time::{sleep, timeout};
 
 use super::context::{HostContext, HostPhase, boot_now};
@@ -21,6 +21,7 @@
 };
 use super::journal;
 use super::pool::connection_limits;
+use super::takeover;
 
 /// Time that a conditional write may take.
 pub(super) const WRITE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -336,8 +337,8 @@
     }
 }
 
-/// Customers whose shares one transaction changes at most; a transaction has up to 100 entries.
-const MAX_CHANGES: usize = 40;
+/// Entries of one transaction at most; the store takes up to 100.
+const MAX_ENTRIES: usize = 96;
 
 fn planned_changes(host: &HostContext) -> Vec<ShareChange> {
     let now = boot_now();
@@ -355,12 +356,31 @@
     };
     let live =
         hosts.iter().filter(|entry| entry.record.until > store_now && !entry.record.is_leaving);
-    let live: Vec<&str> = live.map(|entry| entry.record.host.as_str()).collect();
+    let live: Vec<ShareHost<'_>> = live
+        .map(|entry| ShareHost { name: &entry.record.host, domain: &entry.record.domain })
+        .collect();
     let mut changes = book.quota.changes(now, &is_ended, &live);
-    changes.truncate(MAX_CHANGES);
+    let mut entries = 0;
+    changes.retain(|change| {
+        entries += 2 + change.removed.len();
+        entries <= MAX_ENTRIES
+    });
     changes
 }
 
+/// Asks a suspected primary for its status, unless a question is under way. A reply ends the
+/// suspicion; statements are not sent to it meanwhile.
+fn probe(host: &Rc<HostContext>, id: &str) {
+    let key = host.book.borrow().endpoints.find(id);
+    if let Some(key) = key.filter(|key| host.probes.borrow_mut().insert(*key)) {
+        let host = host.clone();
+        tokio::task::spawn_local(async move {
+            takeover::endpoint_status(&host, key).await;
+            host.probes.borrow_mut().remove(&key);
+        });
+    }
+}
+
 /// Reports changes of the own suspicions at once, and reads those of others while there are any.
 pub(super) async fn watch_suspicions(host: Rc<HostContext>) {
     let mut reported: Vec<String> = Vec::new();
@@ -369,6 +389,9 @@
         sleep(WATCH_INTERVAL).await;
         let now = boot_now();
         let suspects = host.book.borrow().suspects(now);
+        for id in &suspects {
+            probe(&host, id);
+        }
         if suspects != reported {
             journal::event("suspicion", "changed", json!({ "primaries": suspects }));
             reported = suspects;
--- a/crates/proxy/src/ledger/lending.rs
+++ b/crates/proxy/src/ledger/lending.rs
@@ -151,7 +151,14 @@
 
 /// Borrows tokens of a customer's rate for this host. Returns whether it got any.
 pub(super) async fn borrow(host: &HostContext, customer: &str) -> bool {
-    let plan = host.book.borrow().quota.loan(customer, boot_now());
+    let plan = {
+        let book = host.book.borrow();
+        let near = |name: &str| {
+            let entry = book.hosts.iter().find(|entry| entry.record.host == name);
+            entry.is_some_and(|entry| entry.record.domain == book.domain)
+        };
+        book.quota.loan(customer, &near, boot_now())
+    };
     let Some(plan) = plan else { return false };
     for lender in &plan.lenders {
         let tokens = ask(host, lender, customer, plan.tokens).await;
--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -41,6 +41,9 @@
 /// Time after which a client whose customer has no share on this host yet should come back.
 const SHARE_RETRY: Duration = Duration::from_millis(400);
 
+/// Time after which a client should come back when its group has no usable primary.
+const UNSERVED_RETRY: Duration = Duration::from_millis(400);
+
 /// Why a session ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum SessionEnd {
@@ -291,6 +294,7 @@
             }
             (SessionState::Failed, _) => Err(malformed("the transaction has failed")),
             (SessionState::Idle, ClientStatement::Begin { is_read_only }) => {
+                self.check_served(route, is_read_only)?;
                 self.admit(identity, route).await?;
                 self.transaction = Some(OpenTransaction::new(route.clone(), is_read_only));
                 self.state = SessionState::Open;
@@ -360,6 +364,23 @@
         Err(OperationFailure::busy(&text, after))
     }
 
+    /// Refuses what cannot be served now before it costs anything.
+    fn check_served(&self, route: &DatabaseRoute, is_read: bool) -> Result<(), OperationFailure> {
+        let book = self.host.book.borrow();
+        let served = book.is_served(route, is_read, self.written, boot_now());
+        served.map_err(|refusal| OperationFailure::busy(&refusal.to_string(), UNSERVED_RETRY))
+    }
+
+    /// Returns the token of an operation of which nothing has run.
+    fn refund(&self, identity: &CallerIdentity, failure: &OperationFailure) {
+        match identity.customer() {
+            Some(customer) if failure.reason == FailureReason::Busy => {
+                self.host.book.borrow_mut().quota.refund(customer);
+            }
+            _ => (),
+        }
+    }
+
     /// Takes a token, or tells when there will be one.
     fn take_token(&self, customer: &str) -> Result<(), Option<BootInstant>> {
         self.host.book.borrow_mut().quota.admit(customer, boot_now())
@@ -380,6 +401,7 @@
                 match open.run(place, self.written, request).await {
                     Ok(reply) => Ok(self.forward_in_transaction(&reply)),
                     Err(failure) => {
+                        self.refund(identity, &failure);
                         self.transaction = None;
                         self.state = SessionState::Failed;
                         Err(failure)
@@ -387,16 +409,19 @@
                 }
             }
             None => {
+                let is_read = request.mode == AccessMode::Read;
+                self.check_served(route, is_read)?;
                 self.admit(identity, route).await?;
                 let times = StatementTimes::new(route, self.last_request);
                 let (host, session) = (&self.host, &self.image);
                 let place = RunPlace { host, group: &route.group, customer, session };
-                let reply = match request.mode {
+                let result = match request.mode {
                     AccessMode::Read => {
-                        operation::read(place, route, self.written, request, times).await?
+                        operation::read(place, route, self.written, request, times).await
                     }
-                    AccessMode::Write => operation::primary(place, request, times).await?,
+                    AccessMode::Write => operation::primary(place, request, times).await,
                 };
+                let reply = result.inspect_err(|failure| self.refund(identity, failure))?;
                 if request.mode == AccessMode::Write && reply.failure.is_none() {
                     self.note_written(&reply);
                 }
--- a/crates/proxy/src/ledger/settings.rs
+++ b/crates/proxy/src/ledger/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ini::{Ini, ParseOption};
+use tanagerdeal_core::ledger::quota::LimitTolerance;
 
 /// Smallest port number that a file may name is checked by the address parser; names are not empty.
 const EMPTY: &str = "";
@@ -13,7 +14,7 @@
 const DEFAULT_SHUTDOWN_S: u64 = 6;
 
 /// Settings of a host.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct SiteSettings {
     /// Name of the host.
     pub host: String,
@@ -35,6 +36,8 @@
     pub shutdown_limit: Duration,
     /// Descriptors that the process may have open.
     pub descriptors: usize,
+    /// Tolerance of the customers' limits.
+    pub tolerance: LimitTolerance,
 }
 
 /// Why settings cannot be used.
@@ -71,7 +74,7 @@
 }
 
 /// Section, key and meaning of every setting.
-const SETTINGS: [(&str, &str, &str); 10] = [
+const SETTINGS: [(&str, &str, &str); 12] = [
     ("host", "name", "name of the host"),
     ("host", "domain", "failure domain of the host"),
     ("host", "domains", "all failure domains, separated by commas"),
@@ -82,6 +85,8 @@
     ("platform", "control", "address that takes promotions"),
     ("limits", "shutdown_s", "time that a shutdown may take, in seconds; 6 by default"),
     ("limits", "descriptors", "descriptors that the process may have open; 1024 by default"),
+    ("limits", "rate_overage", "part by which a window may exceed a customer's rate; 0 by default"),
+    ("limits", "rate_window_s", "length of that window, in seconds; 0 by default"),
 ];
 
 /// Descriptors where the settings name none.
@@ -147,6 +152,10 @@
                 DEFAULT_SHUTDOWN_S,
             )?),
             descriptors: or_default(&ini, "limits", "descriptors", DEFAULT_DESCRIPTORS)?,
+            tolerance: LimitTolerance {
+                overage: or_default(&ini, "limits", "rate_overage", 0.0)?,
+                window_s: or_default(&ini, "limits", "rate_window_s", 0.0)?,
+            },
         };
         Ok(settings)
     }
--- a/crates/proxy/src/ledger/takeover.rs
+++ b/crates/proxy/src/ledger/takeover.rs
@@ -26,13 +26,14 @@
 use super::journal;
 use super::keeper::WRITE_LIMIT;
 use super::pool::acquire;
+use super::statement::note_outcome;
 
 /// Key of the row of the duty to change primaries.
 const DUTY_KEY: &str = "promotion";
 /// Time between two looks for primaries that have to be changed.
 const WATCH_INTERVAL: Duration = Duration::from_millis(150);
 /// Time by which each host in the order of the group starts later than the one before it.
-const RANK_STEP: Duration = Duration::from_millis(200);
+const RANK_STEP: Duration = Duration::from_millis(100);
 /// Time between two looks at who still has to confirm.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(60);
 /// Time that the status of an endpoint may take.
@@ -45,6 +46,8 @@
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(600);
 /// Time between two questions for a status.
 const STATUS_INTERVAL: Duration = Duration::from_millis(60);
+/// Time between two looks whether a lost primary is back, while hosts have not confirmed.
+const RECOVERY_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause of a group after a change that did not come about.
 const FAILED_PAUSE: Duration = Duration::from_millis(1_000);
 /// Name under which the proxy itself connects to endpoints.
@@ -340,11 +343,20 @@
         }
     }
 
+    /// Whether the old primary answers and leads.
+    async fn is_primary_back(&self) -> bool {
+        let key = self.host.book.borrow().endpoints.find(&self.record.primary);
+        let Some(key) = key else { return false };
+        let status = endpoint_status(&self.host, key).await;
+        status.is_some_and(|status| status.role == EndpointRole::Primary)
+    }
+
     /// Waits until no host may still use the old primary.
     async fn await_hosts(&mut self) -> Result<(), ChangeError> {
         let marked = self.version;
         let give_up_at = boot_now().after(LEASE_TERM + Duration::from_secs(2));
         let mut logged = false;
+        let mut look_at = boot_now().after(RECOVERY_INTERVAL);
         loop {
             self.ensure_duty(Duration::from_millis(1_500)).await?;
             let sent_at = boot_now();
@@ -367,6 +379,12 @@
             if boot_now() >= give_up_at {
                 return Err(ChangeError::Unconfirmed);
             }
+            if self.reason == ChangeReason::Lost && boot_now() >= look_at {
+                look_at = boot_now().after(RECOVERY_INTERVAL);
+                if self.is_primary_back().await {
+                    return Err(ChangeError::Recovered);
+                }
+            }
             sleep(CONFIRM_INTERVAL).await;
         }
     }
@@ -492,11 +510,16 @@
 }
 
 /// Status of an endpoint, if it answers in time.
-async fn endpoint_status(host: &HostContext, key: EndpointKey) -> Option<CandidateStatus> {
+pub(super) async fn endpoint_status(
+    host: &HostContext,
+    key: EndpointKey,
+) -> Option<CandidateStatus> {
     let deadline = boot_now().after(STATUS_LIMIT);
     let exchange = async {
         let mut borrowed = acquire(host, key, OWN_NAME, deadline).await.ok()?;
-        let reply = borrowed.link().ok()?.exchange(&line::status(), deadline).await.ok()?;
+        let outcome = borrowed.link().ok()?.exchange(&line::status(), deadline).await;
+        note_outcome(host, key, &outcome);
+        let reply = outcome.ok()?;
         let state = reply.state;
         let row = decode_status(reply.first_row.as_deref()?);
         borrowed.release_if_idle(state);
