Keep homes steady while the list of hosts grows old; return tokens to hosts without a share

Change: a returned token is kept like a loan; silent hosts are passed over for 1.5 s; leases are judged as of the reading of the list. Fewer calls: groups are created by one host in one write, renewals follow the time that a configuration has to take effect.

--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -69,6 +69,8 @@
     pub quota: QuotaTable,
     /// Rows of the hosts as last read.
     pub hosts: Vec<HostEntry>,
+    /// When they were read, by the store's clock.
+    pub hosts_read_at: StoreInstant,
 }
 
 impl HostBook {
@@ -94,6 +96,7 @@
             lease: HostLease::default(),
             quota: QuotaTable::new(host, tolerance, now),
             hosts: Vec::new(),
+            hosts_read_at: StoreInstant::default(),
         }
     }
 
@@ -244,20 +247,31 @@
         ids
     }
 
-    /// Hosts whose lease holds now and that are not leaving, as shares are divided among them.
-    pub fn share_hosts(&self, now: BootInstant) -> Vec<ShareHost<'_>> {
-        let Some(clock) = self.lease.clock() else { return Vec::new() };
-        let store_now = clock.latest(now);
-        self.hosts
-            .iter()
-            .filter(|entry| entry.record.until > store_now && !entry.record.is_leaving)
-            .map(|entry| ShareHost { name: &entry.record.host, domain: &entry.record.domain })
-            .collect()
+    /// Hosts among which shares are divided.
+    pub fn share_hosts(&self) -> Vec<ShareHost<'_>> {
+        share_hosts(&self.hosts, self.hosts_read_at)
     }
 
-    /// Hosts whose lease holds at a time of the store's clock, this one included.
-    pub fn live_hosts(&self, now: StoreInstant) -> usize {
-        let live = |entry: &&HostEntry| entry.record.until > now && !entry.record.is_leaving;
-        self.hosts.iter().filter(live).count().max(1)
+    /// Number of live hosts, this one included.
+    pub fn live_hosts(&self) -> usize {
+        self.share_hosts().len().max(1)
     }
 }
+
+/// Hosts among which shares are divided, of a list that was read at `read_at`: those that held a
+/// lease then, and were not leaving. The list is some seconds old, so a lease that has ended since
+/// in this copy has most likely been renewed.
+///
+/// ```
+/// use tanagerdeal_core::ledger::book::share_hosts;
+/// use tanagerdeal_core::ledger::clock::StoreInstant;
+///
+/// assert!(share_hosts(&[], StoreInstant::from_millis(0)).is_empty());
+/// ```
+pub fn share_hosts(hosts: &[HostEntry], read_at: StoreInstant) -> Vec<ShareHost<'_>> {
+    hosts
+        .iter()
+        .filter(|entry| entry.record.until > read_at && !entry.record.is_leaving)
+        .map(|entry| ShareHost { name: &entry.record.host, domain: &entry.record.domain })
+        .collect()
+}
--- a/crates/core/src/ledger/lease.rs
+++ b/crates/core/src/ledger/lease.rs
@@ -12,11 +12,10 @@
 use super::clock::{BootInstant, StoreInstant};
 
 /// Time for which a lease is valid. It outlasts the store's usual outages of up to 9 s with a
-/// renewal interval to spare; a promotion waits that long for a host that is cut off.
-pub const LEASE_TERM: Duration = Duration::from_secs(12);
-/// Time between renewals. A host that misses the feed of the configuration learns of a change within
-/// that time, which is below the users' 3 s; what is left of a lease outlasts an outage of 9 s.
-pub const RENEW_INTERVAL: Duration = Duration::from_millis(2_400);
+/// renewal interval of 4 s to spare; a promotion waits that long for a host that is cut off.
+pub const LEASE_TERM: Duration = Duration::from_secs(13);
+/// Longest time between renewals, however much time a configuration has to take effect.
+pub const MAX_RENEW_INTERVAL: Duration = Duration::from_secs(4);
 /// Time between attempts after a failed renewal.
 pub const RENEW_RETRY: Duration = Duration::from_millis(400);
 /// Margin by which the stored end of a lease exceeds the end that its holder keeps; it covers the
--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -43,7 +43,7 @@
 /// Time without further loans after a lender had nothing to give.
 const DRY_PAUSE: Duration = Duration::from_millis(250);
 /// Hosts that are asked for one loan.
-const MAX_LENDERS: usize = 3;
+const MAX_LENDERS: usize = 4;
 
 wire_type! {
     /// Part of one host.
@@ -167,11 +167,15 @@
         self.epoch + Duration::from_micros(now.as_micros())
     }
 
-    /// Returns the token of an operation that was not run.
-    pub fn refund(&mut self, customer: &str) {
-        if let Some(share) = self.shares.get_mut(customer) {
-            share.bucket.refund(share.units);
+    /// Returns the token of an operation that was not run. It can be spent for as long as one of a
+    /// loan, also by a host that has no share.
+    pub fn refund(&mut self, customer: &str, now: BootInstant) {
+        let Some(share) = self.shares.get_mut(customer) else { return };
+        if now >= share.loan_until {
+            share.loaned = 0;
         }
+        share.loaned = (share.loaned + 1).min(MAX_LOAN);
+        share.loan_until = now.after(LOAN_TERM);
     }
 
     /// Makes sure that a customer is known and has this rate.
@@ -307,12 +311,14 @@
     }
 
     /// How much to borrow and from whom, unless lenders had nothing a moment ago: from the homes of
-    /// the customer among the live `hosts`, the one in this host's `domain` first.
+    /// the customer among the live `hosts`, the one in this host's `domain` first, and none
+    /// that `is_silent`.
     pub fn loan(
         &self,
         customer: &str,
         hosts: &[ShareHost<'_>],
         domain: &str,
+        is_silent: &dyn Fn(&str) -> bool,
         now: BootInstant,
     ) -> Option<LoanPlan> {
         let share = self.shares.get(customer).filter(|share| now >= share.dry_until)?;
@@ -320,6 +326,7 @@
         let mut lenders: Vec<&ShareHost<'_>> = hosts
             .iter()
             .filter(|host| host.name != self.host && homes.contains(host.name))
+            .filter(|host| !is_silent(host.name))
             .collect();
         lenders.sort_by_key(|host| (host.domain != domain, host.name));
         let ahead = (share.demand * LOAN_SPAN.as_secs_f64()) as u64;
@@ -347,7 +354,10 @@
         match tokens {
             0 => share.dry_until = now.after(DRY_PAUSE),
             tokens => {
-                share.loaned = tokens.min(MAX_LOAN);
+                if now >= share.loan_until {
+                    share.loaned = 0;
+                }
+                share.loaned = (share.loaned + tokens).min(MAX_LOAN);
                 share.loan_until = now.after(LOAN_TERM);
             }
         }
--- a/crates/core/src/ledger/suspicion.rs
+++ b/crates/core/src/ledger/suspicion.rs
@@ -11,8 +11,9 @@
 /// Failures that a suspicion needs at least, so that one lost connection is not enough.
 const SUSPECT_FAILURES: u32 = 2;
 
-/// Time since its last renewal after which a host counts as cut off from the store.
-const STALE_AFTER: Duration = Duration::from_millis(4_000);
+/// Time since its last renewal after which a host counts as cut off from the store: the longest
+/// interval and two attempts.
+const STALE_AFTER: Duration = Duration::from_millis(5_500);
 
 /// Whether this host suspects an endpoint.
 pub fn is_suspect(state: &EndpointState, now: BootInstant) -> bool {
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -163,12 +163,6 @@
         self.clamp(units);
     }
 
-    /// Adds a token that was taken and not used.
-    pub(crate) fn refund(&mut self, units: u64) {
-        self.tokens = self.tokens.saturating_add(REQUEST_TOKENS);
-        self.clamp(units);
-    }
-
     /// Gives a bucket that has just been created some microtokens.
     pub(crate) fn start_with(&mut self, microtokens: u64, units: u64) {
         self.tokens = microtokens;
--- a/crates/core/tests/ledger/book.rs
+++ b/crates/core/tests/ledger/book.rs
@@ -138,5 +138,18 @@
     let mut book = book();
     book.hosts =
         vec![crate::support::host("h1", 1, 5_000, &[]), crate::support::host("h2", 2, 900, &[])];
-    expect_that!(book.live_hosts(store_at(1_000)), eq(1));
+    book.hosts_read_at = store_at(1_000);
+    expect_that!(book.live_hosts(), eq(1));
+}
+
+/// Load pattern: half of the hosts are cut off from the store for seconds (`primary_cut` with
+/// `split`). Guards against homes that are replaced because a copy of the list has grown old: the
+/// new ones have nothing to lend (scale-1 of the grown pcfc-tanager, seconds 16 to 20).
+#[gtest]
+fn hosts_of_an_old_list_stay_homes() {
+    let mut book = book();
+    book.hosts = vec![crate::support::host("h2", 1, 5_000, &[])];
+    book.hosts_read_at = store_at(1_000);
+    book.lease.note_clock(at(9_000), store_at(9_000));
+    expect_that!(book.share_hosts().len(), eq(1));
 }
--- a/crates/core/tests/ledger/fleet.rs
+++ b/crates/core/tests/ledger/fleet.rs
@@ -170,7 +170,8 @@
         let live: Vec<ShareHost<'_>> =
             names.iter().map(|(name, domain)| ShareHost { name, domain }).collect();
         let domain = self.hosts[index].domain;
-        let Some(plan) = self.hosts[index].table.loan("c", &live, domain, at(now)) else {
+        let Some(plan) = self.hosts[index].table.loan("c", &live, domain, &|_| false, at(now))
+        else {
             return false;
         };
         for lender in &plan.lenders {
--- a/crates/core/tests/ledger/shares.rs
+++ b/crates/core/tests/ledger/shares.rs
@@ -90,10 +90,24 @@
     let mut table = table(LimitTolerance::default());
     table.adopt("c", 1, record(100_000), at(0));
     expect_that!(admitted(&mut table, 100), eq(1));
-    table.refund("c");
+    table.refund("c", at(100));
     expect_that!(admitted(&mut table, 100), eq(1));
 }
 
+/// Load pattern: a primary is cut off, and many operations are refused after their admission.
+/// Guards against tokens that are lost at hosts without a share, which borrow each of them (scale-1
+/// of the grown pcfc-tanager).
+#[gtest]
+fn a_host_without_a_share_keeps_a_refund() {
+    let mut table = table(LimitTolerance::default());
+    table.receive("c", 1, at(0));
+    expect_that!(admitted(&mut table, 0), eq(1));
+    table.refund("c", at(10));
+    expect_that!(admitted(&mut table, 20), eq(1));
+    table.refund("c", at(30));
+    expect_that!(admitted(&mut table, 1_000), eq(0));
+}
+
 /// Guards against a lowered rate that holds only after the next change of shares.
 #[gtest]
 fn a_lowered_rate_holds_at_once() {
@@ -122,8 +136,9 @@
     expect_that!(lender.lend("c", 8, at(300)), eq(3));
     expect_that!(lender.admit("c", at(300)), err(anything()));
     let mut borrower = table(LimitTolerance::default());
-    let is_asked =
-        |borrower: &QuotaTable, millis| borrower.loan("c", &HOSTS, "d1", at(millis)).is_some();
+    let is_asked = |borrower: &QuotaTable, millis| {
+        borrower.loan("c", &HOSTS, "d1", &|_| false, at(millis)).is_some()
+    };
     expect_that!(is_asked(&borrower, 0), eq(true));
     borrower.receive("c", 0, at(0));
     expect_that!(is_asked(&borrower, 100), eq(false));
@@ -136,8 +151,10 @@
 #[gtest]
 fn lenders_follow_from_the_live_hosts_alone() {
     let table = table(LimitTolerance::default());
-    let plan = table.loan("c", &HOSTS, "d2", at(0)).unwrap();
+    let plan = table.loan("c", &HOSTS, "d2", &|_| false, at(0)).unwrap();
     expect_that!(plan.lenders, elements_are![eq("h2")]);
+    let plan = table.loan("c", &HOSTS, "d2", &|name| name == "h2", at(0)).unwrap();
+    expect_that!(plan.lenders, is_empty());
 }
 
 /// Guards against units of a host that is gone for good.
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -21,6 +21,8 @@
 const STOP_TENTHS: u32 = 9;
 /// Time between two looks whether all sessions have ended.
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
+/// Time over which hosts that start together spread the creation of rows.
+const CREATE_SPREAD: Duration = Duration::from_millis(600);
 /// Pause after a connection could not be accepted, as when no descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Descriptors that are not for clients: endpoints, the store, files.
@@ -74,8 +76,12 @@
     let hosts = read_table(&host, HOST_TABLE).await;
     adopt_hosts(&host, &hosts);
     hosts.rows.iter().for_each(|row| super::follow::adopt_row(&host, row));
-    keeper::create_groups(&host).await;
-    load_table(&host, GROUP_TABLE).await;
+    if keeper::lacks_groups(&host) {
+        // One host creates the rows of all groups; the others find them.
+        sleep(CREATE_SPREAD.mul_f64(rand::random())).await;
+        load_table(&host, GROUP_TABLE).await;
+        keeper::create_groups(&host).await;
+    }
     let secret = lending::fleet_secret(&host).await;
     spawn_local(lending::serve(host.clone(), peers, secret));
     spawn_local(follow(host.clone(), OPERATOR_TABLE, operator));
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -293,7 +293,7 @@
     if former != present {
         journal::event("host", "list", json!({ "hosts": present, "row_version": page.version }));
     }
-    book.hosts = entries;
+    (book.hosts, book.hosts_read_at) = (entries, page.now);
 }
 
 fn remove_missing(host: &HostContext) {
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -7,11 +7,12 @@
 use serde_json::json;
 use tanagerdeal_adapter::operator::{CONFIG_KEY, OPERATOR_TABLE, evacuation_key};
 use tanagerdeal_adapter::store::{RowName, RowTransaction, TransactionOutcome};
+use tanagerdeal_core::ledger::book::{HostBook, share_hosts};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::EndpointRole;
 use tanagerdeal_core::ledger::group::GroupRecord;
-use tanagerdeal_core::ledger::lease::{HostRecord, RENEW_INTERVAL, RENEW_RETRY};
-use tanagerdeal_core::ledger::quota::{ShareChange, ShareHost};
+use tanagerdeal_core::ledger::lease::{HostRecord, RENEW_RETRY};
+use tanagerdeal_core::ledger::quota::ShareChange;
 use tokio::time::{sleep, timeout};
 
 use super::context::{HostContext, HostPhase, boot_now};
@@ -30,9 +31,9 @@
 /// Time between two looks at the shares.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two reads of all hosts.
-const HOST_INTERVAL: Duration = Duration::from_millis(7_000);
+const HOST_INTERVAL: Duration = Duration::from_millis(8_000);
 /// Time between two reads of all shares; a change that meets a newer row learns of it anyway.
-const SHARES_INTERVAL: Duration = Duration::from_millis(12_000);
+const SHARES_INTERVAL: Duration = Duration::from_millis(20_000);
 /// Time between two reads of all hosts while this host suspects a primary.
 const SUSPICION_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two log lines with the counters.
@@ -58,7 +59,7 @@
     loop {
         leave_changed(&host, &mut left).await;
         let pause = match renew(&host).await {
-            RenewalResult::Renewed => RENEW_INTERVAL,
+            RenewalResult::Renewed => host.settings.renew_interval,
             RenewalResult::Conflict => continue,
             RenewalResult::Failed => RENEW_RETRY,
         };
@@ -196,44 +197,59 @@
     }
 }
 
+/// Whether groups have no rows that can be created now.
+pub(super) fn lacks_groups(host: &HostContext) -> bool {
+    !missing_groups(host).is_empty()
+}
+
+/// Rows to create for groups that have none.
+fn missing_groups(host: &HostContext) -> Vec<GroupRecord> {
+    let book = host.book.borrow();
+    let Some(catalog) = book.catalog.as_ref() else { return Vec::new() };
+    let groups = catalog.routed_groups();
+    let missing = groups.iter().filter(|group| book.groups.get(group).is_none());
+    missing
+        .filter_map(|group| {
+            let mut primaries = book
+                .endpoints
+                .of_group(group)
+                .filter(|(_, state)| state.record.role == EndpointRole::Primary);
+            let primary = primaries.next()?.1.record.id.clone();
+            let group = (*group).to_owned();
+            // Two that call themselves primary leave the choice to an operator's eye.
+            primaries.next().is_none().then_some(GroupRecord {
+                group,
+                term: 0,
+                primary,
+                change: None,
+            })
+        })
+        .collect()
+}
+
 /// Creates the rows of groups that have none, naming the endpoint that says it is the primary.
 pub(super) async fn create_groups(host: &HostContext) {
-    let missing: Vec<GroupRecord> = {
-        let book = host.book.borrow();
-        let Some(catalog) = book.catalog.as_ref() else { return };
-        let groups = catalog.routed_groups();
-        let missing = groups.iter().filter(|group| book.groups.get(group).is_none());
-        missing
-            .filter_map(|group| {
-                let mut primaries = book
-                    .endpoints
-                    .of_group(group)
-                    .filter(|(_, state)| state.record.role == EndpointRole::Primary);
-                let primary = primaries.next()?.1.record.id.clone();
-                let group = (*group).to_owned();
-                // Two that call themselves primary leave the choice to an operator's eye.
-                primaries.next().is_none().then_some(GroupRecord {
-                    group,
-                    term: 0,
-                    primary,
-                    change: None,
-                })
-            })
-            .collect()
-    };
-    for record in missing {
+    let missing = missing_groups(host);
+    if missing.is_empty() {
+        return;
+    }
+    let mut transaction = RowTransaction::default();
+    for record in missing.iter().take(MAX_ENTRIES / 2) {
         let name = RowName { table: GROUP_TABLE, key: &record.group };
-        let value = serde_json::to_vec(&record).unwrap_or_default();
-        let transaction = RowTransaction { expected: vec![(name, 0)], writes: vec![(name, value)] };
-        let result = host.store.transact(&transaction, WRITE_LIMIT).await;
-        host.note_store("create_group", &result);
-        if result.is_ok() {
-            journal::event(
-                "group",
-                "created",
-                json!({ "group": record.group, "primary": record.primary }),
-            );
+        transaction.expected.push((name, 0));
+        transaction.writes.push((name, serde_json::to_vec(record).unwrap_or_default()));
+    }
+    let result = host.store.transact(&transaction, WRITE_LIMIT).await;
+    host.note_store("create_groups", &result);
+    match result {
+        Ok(TransactionOutcome::Applied { .. }) => {
+            let groups: Vec<&str> = missing.iter().map(|record| record.group.as_str()).collect();
+            journal::event("group", "created", json!({ "groups": groups }));
+        }
+        Ok(TransactionOutcome::Conflict(page)) => {
+            page.rows.iter().for_each(|row| adopt_row(host, row));
         }
+        Err(_) => (),
     }
 }
 
@@ -355,18 +371,14 @@
     }
     let Some(clock) = book.lease.clock() else { return Vec::new() };
     let store_now = clock.latest(now);
-    let hosts = book.hosts.clone();
+    let HostBook { quota, hosts, hosts_read_at, .. } = &mut *book;
     let is_ended = |name: &str| {
         let entry = hosts.iter().find(|entry| entry.record.host == name);
         // A host that is not listed yet may have started a moment ago.
         entry.is_some_and(|entry| entry.record.until.after(ENDED_MARGIN) < store_now)
     };
-    let live =
-        hosts.iter().filter(|entry| entry.record.until > store_now && !entry.record.is_leaving);
-    let live: Vec<ShareHost<'_>> = live
-        .map(|entry| ShareHost { name: &entry.record.host, domain: &entry.record.domain })
-        .collect();
-    let mut changes = book.quota.changes(now, &is_ended, &live);
+    let live = share_hosts(hosts, *hosts_read_at);
+    let mut changes = quota.changes(now, &is_ended, &live);
     let mut entries = 0;
     changes.retain(|change| {
         entries += 2 + change.removed.len();
--- a/crates/proxy/src/ledger/lending.rs
+++ b/crates/proxy/src/ledger/lending.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 use sha2::Sha256;
 use tanagerdeal_adapter::store::{RowName, RowTransaction};
+use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_wire::wire_type;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
@@ -33,7 +34,9 @@
 const MAX_DATAGRAM_BYTES: usize = 1_024;
 /// Time that a lender has to answer; the failure domains of the users are 3 ms apart there and
 /// back, and the processor of a host may be busy for some milliseconds.
-const LOAN_LIMIT: Duration = Duration::from_millis(25);
+const LOAN_LIMIT: Duration = Duration::from_millis(40);
+/// Time for which a host that did not answer is not asked again.
+const SILENT_PAUSE: Duration = Duration::from_millis(1_500);
 /// Messages that wait to be sent.
 const MAX_WAITING: usize = 256;
 
@@ -43,7 +46,7 @@
         /// Asks for tokens of a customer's rate.
         Ask { loan: u64, customer: String, tokens: u64 },
         /// Gives tokens.
-        Give { loan: u64, tokens: u64 },
+        Give { loan: u64, customer: String, tokens: u64 },
     }
 }
 
@@ -52,6 +55,18 @@
 pub(super) struct LoanDesk {
     open: RefCell<HashMap<u64, oneshot::Sender<u64>>>,
     sender: RefCell<Option<mpsc::Sender<(SocketAddr, LoanMessage)>>>,
+    /// Hosts that did not answer, and until when they are not asked again.
+    silent: RefCell<HashMap<String, BootInstant>>,
+}
+
+impl LoanDesk {
+    fn is_silent(&self, host: &str, now: BootInstant) -> bool {
+        self.silent.borrow().get(host).is_some_and(|until| now < *until)
+    }
+
+    fn note_silent(&self, host: &str) {
+        self.silent.borrow_mut().insert(host.to_owned(), boot_now().after(SILENT_PAUSE));
+    }
 }
 
 /// Reads the fleet's secret, or creates it if this is the first host.
@@ -134,9 +149,13 @@
                 true => book.quota.lend(&customer, tokens, now),
                 false => 0,
             };
-            Some(LoanMessage::Give { loan, tokens })
+            Some(LoanMessage::Give { loan, customer, tokens })
         }
-        Some(LoanMessage::Give { loan, tokens }) => {
+        Some(LoanMessage::Give { loan, customer, tokens }) => {
+            // The lender has given the tokens up, so they count also when they come late.
+            if tokens > 0 {
+                host.book.borrow_mut().quota.receive(&customer, tokens, boot_now());
+            }
             let asked = host.loans.open.borrow_mut().remove(&loan);
             // Whoever asked may have given up.
             asked.map(|asked| asked.send(tokens));
@@ -154,13 +173,13 @@
     let plan = {
         let book = host.book.borrow();
         let now = boot_now();
-        book.quota.loan(customer, &book.share_hosts(now), &book.domain, now)
+        let is_silent = |name: &str| host.loans.is_silent(name, now);
+        book.quota.loan(customer, &book.share_hosts(), &book.domain, &is_silent, now)
     };
     let Some(plan) = plan else { return false };
     for lender in &plan.lenders {
         let tokens = ask(host, lender, customer, plan.tokens).await;
         if tokens > 0 {
-            host.book.borrow_mut().quota.receive(customer, tokens, boot_now());
             return true;
         }
     }
@@ -181,10 +200,13 @@
     host.loans.open.borrow_mut().insert(loan, answer);
     let message = LoanMessage::Ask { loan, customer: customer.to_owned(), tokens };
     let is_sent = sender.try_send((address, message)).is_ok();
-    let tokens = match is_sent {
-        true => timeout(LOAN_LIMIT, answered).await.ok().and_then(Result::ok).unwrap_or(0),
-        false => 0,
+    let answer = match is_sent {
+        true => timeout(LOAN_LIMIT, answered).await.ok().and_then(Result::ok),
+        false => Some(0),
     };
     host.loans.open.borrow_mut().remove(&loan);
-    tokens
+    if answer.is_none() {
+        host.loans.note_silent(lender);
+    }
+    answer.unwrap_or(0)
 }
--- a/crates/proxy/src/ledger/pool.rs
+++ b/crates/proxy/src/ledger/pool.rs
@@ -182,9 +182,7 @@
     let catalog = book.catalog.as_ref();
     let limits = group.zip(catalog).and_then(|(group, catalog)| catalog.group(group));
     let total = limits.map_or(1, |limits| limits.connections as usize);
-    let clock = book.lease.clock();
-    let hosts = clock.map_or(1, |clock| book.live_hosts(clock.latest(boot_now())));
-    let fair = total / hosts.max(1);
+    let fair = total / book.live_hosts();
     (if fair < MIN_KEPT { 0 } else { fair }, (total / MAX_PART).max(1))
 }
 
--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -375,7 +375,7 @@
     fn refund(&self, identity: &CallerIdentity, failure: &OperationFailure) {
         match identity.customer() {
             Some(customer) if failure.reason == FailureReason::Busy => {
-                self.host.book.borrow_mut().quota.refund(customer);
+                self.host.book.borrow_mut().quota.refund(customer, boot_now());
             }
             _ => (),
         }
--- a/crates/proxy/src/ledger/settings.rs
+++ b/crates/proxy/src/ledger/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ini::{Ini, ParseOption};
+use tanagerdeal_core::ledger::lease::MAX_RENEW_INTERVAL;
 use tanagerdeal_core::ledger::quota::LimitTolerance;
 
 /// Smallest port number that a file may name is checked by the address parser; names are not empty.
@@ -36,6 +37,9 @@
     pub shutdown_limit: Duration,
     /// Descriptors that the process may have open.
     pub descriptors: usize,
+    /// Time between renewals of the lease. A host that misses the feed of the configuration learns
+    /// of a change within that time.
+    pub renew_interval: Duration,
     /// Tolerance of the customers' limits.
     pub tolerance: LimitTolerance,
 }
@@ -74,7 +78,7 @@
 }
 
 /// Section, key and meaning of every setting.
-const SETTINGS: [(&str, &str, &str); 12] = [
+const SETTINGS: [(&str, &str, &str); 13] = [
     ("host", "name", "name of the host"),
     ("host", "domain", "failure domain of the host"),
     ("host", "domains", "all failure domains, separated by commas"),
@@ -85,10 +89,15 @@
     ("platform", "control", "address that takes promotions"),
     ("limits", "shutdown_s", "time that a shutdown may take, in seconds; 6 by default"),
     ("limits", "descriptors", "descriptors that the process may have open; 1024 by default"),
+    ("limits", "config_apply_ms", "time in which a configuration takes effect; 3000 by default"),
     ("limits", "rate_overage", "part by which a window may exceed a customer's rate; 0 by default"),
     ("limits", "rate_window_s", "length of that window, in seconds; 0 by default"),
 ];
 
+/// Time in which a configuration takes effect where the settings name none, in milliseconds.
+const DEFAULT_APPLY_MS: u64 = 3_000;
+/// Part of that time between renewals, in percent; the rest is for the call and one more read.
+const RENEW_PERCENT: u64 = 80;
 /// Descriptors where the settings name none.
 const DEFAULT_DESCRIPTORS: usize = 1_024;
 
@@ -152,6 +161,12 @@
                 DEFAULT_SHUTDOWN_S,
             )?),
             descriptors: or_default(&ini, "limits", "descriptors", DEFAULT_DESCRIPTORS)?,
+            renew_interval: renew_interval(or_default(
+                &ini,
+                "limits",
+                "config_apply_ms",
+                DEFAULT_APPLY_MS,
+            )?),
             tolerance: LimitTolerance {
                 overage: or_default(&ini, "limits", "rate_overage", 0.0)?,
                 window_s: or_default(&ini, "limits", "rate_window_s", 0.0)?,
@@ -161,6 +176,10 @@
     }
 }
 
+fn renew_interval(config_apply_ms: u64) -> Duration {
+    Duration::from_millis(config_apply_ms * RENEW_PERCENT / 100).min(MAX_RENEW_INTERVAL)
+}
+
 fn text_of<'a>(
     ini: &'a Ini,
     section: &'static str,
