Run hosts as processes against stand-ins of the store and of endpoints; spread doubts

A test found a fault: a killed primary was not replaced while only one of three hosts had traffic to it, as half of the hosts have to suspect it. Ruled out: a lower quorum, which would replace a primary that one host is cut off from. Now a host that suspects a primary tells the others, and they ask it for its status themselves (failures::a_killed_primary_is_replaced failed before, passes now).

--- a/crates/core/tests/ledger/fleet.rs
+++ b/crates/core/tests/ledger/fleet.rs
@@ -101,7 +101,7 @@
             let now = self.now;
             self.now += STEP_MS;
             self.row.apply_late(now);
-            for index in 0..self.hosts.len() {
+            for (index, weight) in weights.iter().enumerate() {
                 self.fail(index, now, faults);
                 if self.hosts[index].down_until > now {
                     continue;
@@ -109,7 +109,7 @@
                 if (now / STEP_MS + index as u64).is_multiple_of(25) {
                     self.change(index, now, faults);
                 }
-                let mean = per_s * weights[index] * STEP_MS as f64 / 1_000.0;
+                let mean = per_s * weight * STEP_MS as f64 / 1_000.0;
                 if self.random.random::<f64>() < mean {
                     self.ask(index, now, faults);
                 }
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -61,6 +61,8 @@
     pub(super) incarnation: u64,
     /// Endpoints that are being asked for their status because they are suspected.
     pub(super) probes: RefCell<HashSet<EndpointKey>>,
+    /// Primaries that other hosts suspect, and until when this one looks at them.
+    pub(super) doubts: RefCell<HashMap<String, BootInstant>>,
     /// Loans that were asked for.
     pub(super) loans: LoanDesk,
     /// Wakes the task that renews the lease.
@@ -110,6 +112,7 @@
             metrics: HostMetrics::new().map_err(|error| error.to_string())?,
             incarnation: rand::random(),
             probes: RefCell::default(),
+            doubts: RefCell::default(),
             loans: LoanDesk::default(),
             renew: Notify::new(),
             phase: watch::Sender::new(HostPhase::Serving),
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -21,6 +21,7 @@
     read_table,
 };
 use super::journal;
+use super::lending;
 use super::pool::connection_limits;
 use super::takeover;
 
@@ -416,9 +417,12 @@
         sleep(WATCH_INTERVAL).await;
         let now = boot_now();
         let suspects = host.book.borrow().suspects(now);
-        for id in &suspects {
-            probe(&host, id);
-        }
+        host.doubts.borrow_mut().retain(|_, until| now < *until);
+        let doubted: Vec<String> = host.doubts.borrow().keys().cloned().collect();
+        suspects.iter().chain(&doubted).for_each(|id| probe(&host, id));
+        // What other hosts have spread already needs no further message.
+        let is_news = |id: &&String| !reported.contains(*id) && !doubted.contains(*id);
+        suspects.iter().filter(is_news).for_each(|id| lending::spread_doubt(&host, id));
         if suspects != reported {
             journal::event("suspicion", "changed", json!({ "primaries": suspects }));
             reported = suspects;
--- a/crates/proxy/src/ledger/lending.rs
+++ b/crates/proxy/src/ledger/lending.rs
@@ -1,4 +1,4 @@
-//! Loans of single tokens between hosts, by datagrams that carry a code under the fleet's secret.
+//! Messages between hosts: loans of single tokens, and doubts about primaries, by datagrams that carry a code under the fleet's secret.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -37,14 +37,18 @@
 const LOAN_LIMIT: Duration = Duration::from_millis(40);
 /// Time for which a host that did not answer is not asked again.
 const SILENT_PAUSE: Duration = Duration::from_millis(1_500);
+/// Time for which a host looks at a primary that another one suspects; a suspicion needs 0.6 s.
+const DOUBT_SPAN: Duration = Duration::from_millis(2_500);
 /// Messages that wait to be sent.
 const MAX_WAITING: usize = 256;
 
 wire_type! {
     /// A message between hosts.
-    enum LoanMessage {
+    enum PeerMessage {
         /// Asks for tokens of a customer's rate.
         Ask { loan: u64, customer: String, tokens: u64 },
+        /// Tells that the sender gets no reply from a primary.
+        Suspect { endpoint: String },
         /// Gives tokens.
         Give { loan: u64, customer: String, tokens: u64 },
     }
@@ -54,7 +58,7 @@
 #[derive(Default)]
 pub(super) struct LoanDesk {
     open: RefCell<HashMap<u64, oneshot::Sender<u64>>>,
-    sender: RefCell<Option<mpsc::Sender<(SocketAddr, LoanMessage)>>>,
+    sender: RefCell<Option<mpsc::Sender<(SocketAddr, PeerMessage)>>>,
     /// Hosts that did not answer, and until when they are not asked again.
     silent: RefCell<HashMap<String, BootInstant>>,
 }
@@ -96,12 +100,12 @@
     mac.finalize().into_bytes()[..CODE_BYTES].to_vec()
 }
 
-fn encode(secret: &[u8], message: &LoanMessage) -> Option<Vec<u8>> {
+fn encode(secret: &[u8], message: &PeerMessage) -> Option<Vec<u8>> {
     let body = postcard::to_stdvec(message).ok()?;
     Some([code(secret, &body), body].concat())
 }
 
-fn decode(secret: &[u8], datagram: &[u8]) -> Option<LoanMessage> {
+fn decode(secret: &[u8], datagram: &[u8]) -> Option<PeerMessage> {
     let (found, body) = datagram.split_at_checked(CODE_BYTES)?;
     let mut mac = Hmac::<Sha256>::new_from_slice(secret).ok()?;
     mac.update(body);
@@ -140,18 +144,18 @@
     }
 }
 
-fn receive(host: &HostContext, secret: &[u8], datagram: &[u8]) -> Option<LoanMessage> {
+fn receive(host: &HostContext, secret: &[u8], datagram: &[u8]) -> Option<PeerMessage> {
     match decode(secret, datagram) {
-        Some(LoanMessage::Ask { loan, customer, tokens }) => {
+        Some(PeerMessage::Ask { loan, customer, tokens }) => {
             let now = boot_now();
             let mut book = host.book.borrow_mut();
             let tokens = match book.lease.is_valid(now) {
                 true => book.quota.lend(&customer, tokens, now),
                 false => 0,
             };
-            Some(LoanMessage::Give { loan, customer, tokens })
+            Some(PeerMessage::Give { loan, customer, tokens })
         }
-        Some(LoanMessage::Give { loan, customer, tokens }) => {
+        Some(PeerMessage::Give { loan, customer, tokens }) => {
             // The lender has given the tokens up, so they count also when they come late.
             if tokens > 0 {
                 host.book.borrow_mut().quota.receive(&customer, tokens, boot_now());
@@ -161,6 +165,11 @@
             asked.map(|asked| asked.send(tokens));
             None
         }
+        Some(PeerMessage::Suspect { endpoint }) => {
+            let until = boot_now().after(DOUBT_SPAN);
+            host.doubts.borrow_mut().insert(endpoint, until);
+            None
+        }
         None => {
             journal::request("loan_unreadable", || json!({ "bytes": datagram.len() }));
             None
@@ -187,6 +196,18 @@
     false
 }
 
+/// Tells all other hosts that this one gets no reply from a primary, so that those without traffic
+/// to it look as well.
+pub(super) fn spread_doubt(host: &HostContext, endpoint: &str) {
+    let Some(sender) = host.loans.sender.borrow().clone() else { return };
+    let book = host.book.borrow();
+    for entry in book.hosts.iter().filter(|entry| entry.record.host != book.host) {
+        let message = PeerMessage::Suspect { endpoint: endpoint.to_owned() };
+        // A host that is not told notices by its own traffic, or not at all.
+        let _ = sender.try_send((entry.record.peers, message));
+    }
+}
+
 async fn ask(host: &HostContext, lender: &str, customer: &str, tokens: u64) -> u64 {
     let address = {
         let book = host.book.borrow();
@@ -198,7 +219,7 @@
     let loan: u64 = rand::random();
     let (answer, answered) = oneshot::channel();
     host.loans.open.borrow_mut().insert(loan, answer);
-    let message = LoanMessage::Ask { loan, customer: customer.to_owned(), tokens };
+    let message = PeerMessage::Ask { loan, customer: customer.to_owned(), tokens };
     let is_sent = sender.try_send((address, message)).is_ok();
     let answer = match is_sent {
         true => timeout(LOAN_LIMIT, answered).await.ok().and_then(Result::ok),
--- /dev/null
+++ b/crates/proxy/tests/site/logs.rs
@@ -0,0 +1,66 @@
+//! What an engineer finds afterwards: log lines and metrics.
+
+use googletest::prelude::*;
+use serde_json::Value;
+
+use crate::support::{SiteDeployment, until, until_done};
+
+fn lines(log: &str) -> Vec<Value> {
+    log.lines().map(|line| serde_json::from_str(line).unwrap_or(Value::Null)).collect()
+}
+
+/// Guards against refusals that cannot be explained afterwards, against lines that no program can
+/// read, and against secrets in them.
+#[tokio::test]
+async fn a_refusal_can_be_traced_by_its_id() {
+    let site = SiteDeployment::start(1).await;
+    let mut client = site.session(0, "current").await;
+    until_done(&mut client, "READ item").await;
+    let id = client.next_id();
+    let reply = client.query("COMMIT").await;
+    assert_that!(reply.failure, some(anything()));
+    let is_logged = async || site.hosts[0].log().contains(&id);
+    until("the refusal is logged", is_logged).await;
+    let log = site.hosts[0].log();
+    let lines = lines(&log);
+    assert_that!(lines.iter().all(|line| line.get("event").is_some()), eq(true));
+    let refusal = lines.iter().find(|line| line["request"] == id.as_str()).unwrap();
+    assert_that!(refusal["event"].as_str(), some(eq("refused")));
+    assert_that!(refusal["catalog"].as_u64(), some(eq(1)));
+    assert_that!(log, not(contains_substring("MARKED")));
+    for event in ["started", "adopted", "gained", "registered", "on"] {
+        assert_that!(log, contains_substring(format!(r#""event":"{event}""#)));
+    }
+}
+
+/// Guards against a lost store that leaves no trace.
+#[tokio::test]
+async fn the_loss_and_return_of_the_store_are_logged() {
+    let site = SiteDeployment::start(1).await;
+    site.store.set_down(true);
+    until("the loss is logged", async || site.hosts[0].log().contains(r#""event":"lost""#)).await;
+    site.store.set_down(false);
+    let is_back = async || site.hosts[0].log().contains(r#""event":"regained""#);
+    until("the return is logged", is_back).await;
+}
+
+/// Guards against metrics that are not served, and against secrets in them.
+#[tokio::test]
+async fn metrics_are_served() {
+    let site = SiteDeployment::start(1).await;
+    let mut client = site.session(0, "current").await;
+    until_done(&mut client, "READ item").await;
+    let (status, body) = site.hosts[0].page("/metrics").await;
+    assert_that!(status, contains_substring("200"));
+    for name in [
+        "tanagerdeal_statements_total",
+        "tanagerdeal_statement_seconds_bucket",
+        "tanagerdeal_platform_calls_total",
+        "tanagerdeal_connections_total",
+        "tanagerdeal_catalog_version 1",
+        "tanagerdeal_lease_valid 1",
+    ] {
+        assert_that!(body, contains_substring(name));
+    }
+    assert_that!(body, not(contains_substring("MARKED")));
+}
--- /dev/null
+++ b/crates/proxy/tests/site/main.rs
@@ -0,0 +1,8 @@
+//! Hosts as real processes on the users' platform, with stand-ins of its store and endpoints.
+
+mod access;
+mod failures;
+mod logs;
+mod process;
+mod statements;
+mod support;
--- /dev/null
+++ b/crates/proxy/tests/site/support.rs
@@ -0,0 +1,190 @@
+//! A small deployment: a store, a group of three endpoints, and hosts.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use tanagerdeal_standin::{ClientReply, StandinClient, StandinGroup, StandinStore, configuration};
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// Longest wait for anything that has to happen.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
+/// Key of the only customer at the start; marked, so that it is found wherever it leaks to.
+pub const KEY: &str = "k3y-MARKED-a";
+/// A second key of the customer.
+pub const OTHER_KEY: &str = "k3y-MARKED-b";
+
+/// A process of a host with its log file; killed when the test ends.
+pub struct SiteHost {
+    child: Child,
+    directory: TempDir,
+    /// Address for clients.
+    pub callers: SocketAddr,
+    /// Address for readiness and metrics.
+    pub admin: SocketAddr,
+}
+
+/// A deployment.
+pub struct SiteDeployment {
+    pub store: StandinStore,
+    pub group: StandinGroup,
+    pub hosts: Vec<SiteHost>,
+}
+
+impl SiteDeployment {
+    /// Starts a deployment with hosts that are ready.
+    pub async fn start(hosts: usize) -> Self {
+        let store = StandinStore::start().await.unwrap();
+        let group = StandinGroup::start(&store, "g1", &["d1", "d2", "d3"]).await.unwrap();
+        store.put("op", "config", &configuration(1, "g1", &[("acme", &[KEY, OTHER_KEY], 500)]));
+        let hosts = (0..hosts).map(|index| SiteHost::start(&store, index)).collect();
+        let deployment = Self { store, group, hosts };
+        for host in &deployment.hosts {
+            host.wait_ready().await;
+        }
+        deployment
+    }
+
+    /// Opens a session at a host and expects it to be taken.
+    pub async fn session(&self, host: usize, database: &str) -> StandinClient {
+        let opened = StandinClient::open(self.hosts[host].callers, database, KEY).await;
+        let (client, reply) = opened.unwrap();
+        assert_eq!(reply.state, "I", "{reply:?}");
+        client
+    }
+}
+
+/// Runs a statement until it succeeds.
+pub async fn until_done(client: &mut StandinClient, text: &str) -> ClientReply {
+    let end = Instant::now() + WAIT_LIMIT;
+    loop {
+        let reply = client.query(text).await;
+        if reply.failure.is_none() && reply.state == "I" {
+            return reply;
+        }
+        assert!(Instant::now() < end, "{text}: {reply:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let end = Instant::now() + WAIT_LIMIT;
+    while !holds().await {
+        assert!(Instant::now() < end, "not in time: {what}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+fn free_datagram_port() -> u16 {
+    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+impl SiteHost {
+    /// Starts a host; another port is tried when one was taken meanwhile.
+    pub fn start(store: &StandinStore, index: usize) -> Self {
+        let directory = TempDir::new().unwrap();
+        let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let (callers, admin) = (address(free_port()), address(free_port()));
+        let peers = address(free_datagram_port());
+        let settings = directory.path().join("host.ini");
+        let domain = format!("d{}", index % 3 + 1);
+        let text = format!(
+            "[host]\nname = h{index}\ndomain = {domain}\ndomains = d1,d2,d3\n\
+             [listen]\ncallers = {callers}\nadmin = {admin}\npeers = {peers}\n\
+             [platform]\nstore = {store}\ncontrol = {store}\n\
+             [limits]\nshutdown_s = 6\ndescriptors = 2048\n",
+            store = store.address(),
+        );
+        std::fs::write(&settings, text).unwrap();
+        let child = spawn(&settings, &directory.path().join("log"));
+        Self { child, directory, callers, admin }
+    }
+
+    /// Restarts the process with the same settings.
+    pub fn restart(&mut self) {
+        let settings = self.directory.path().join("host.ini");
+        self.child = spawn(&settings, &self.directory.path().join("log"));
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for the process to end.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let end = Instant::now() + WAIT_LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < end, "the process goes on");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Lines that it has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.directory.path().join("log")).unwrap_or_default()
+    }
+
+    /// Answer of an admin page: the first line and the body.
+    pub async fn page(&self, path: &str) -> (String, String) {
+        let Ok(mut stream) = TcpStream::connect(self.admin).await else {
+            return Default::default();
+        };
+        let request = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        let mut text = String::new();
+        let is_sent = stream.write_all(request.as_bytes()).await.is_ok();
+        if !is_sent || stream.read_to_string(&mut text).await.is_err() {
+            return Default::default();
+        }
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        (head.lines().next().unwrap_or_default().to_owned(), body.to_owned())
+    }
+
+    /// Whether it says that it takes clients.
+    pub async fn is_ready(&self) -> bool {
+        self.page("/ready").await.0.contains("200")
+    }
+
+    async fn wait_ready(&self) {
+        until("the host is ready", async || self.is_ready().await).await;
+    }
+}
+
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let output = std::fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_tanagerdeal"))
+        .args(["serve", "--config"])
+        .arg(settings)
+        .stdout(output)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+impl Drop for SiteHost {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
