--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -28,7 +28,7 @@
 const CONFLICT_PAUSE: Duration = Duration::from_millis(800);
 /// Demand from which on a host holds a share, in operations a second. Below it a share would be too
 /// small to collect tokens in time, and the host borrows each of them.
-const MIN_DEMAND: f64 = 4.0;
+const MIN_DEMAND: f64 = 1.0;
 /// Part of a customer's rate that the homes leave free, for hosts whose demand rises.
 const FREE_RESERVE: u64 = RATE_UNITS / 16;
 /// Part of the tolerance of the limits that a started host may spend at once. What it spent before
