--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,5 +1,7 @@
 //! Definition of the command line, from which the man page and the completions are made.
 
+use std::path::PathBuf;
+
 use clap::{Arg, ArgAction, Command, value_parser};
 use tanagerdeal_wire::record::RECORD_KINDS;
 
@@ -142,8 +144,30 @@
     ]
 }
 
+fn story_command() -> Command {
+    Command::new("story")
+        .about("Prints what log files tell of a request, over all hosts in order of time")
+        .arg(Arg::new("request").long("request").value_name("ID").required(true))
+        .arg(
+            Arg::new("around-ms")
+                .long("around-ms")
+                .value_name("MS")
+                .value_parser(value_parser!(u64))
+                .default_value("3000")
+                .help("Time around the request in which changes of its group and host are shown"),
+        )
+        .arg(
+            Arg::new("file")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Log files, one of each host"),
+        )
+}
+
 fn other_commands() -> Vec<Command> {
     vec![
+        story_command(),
         Command::new("completions").about("Prints a completion script").arg(
             Arg::new("shell").required(true).value_parser(value_parser!(clap_complete::Shell)),
         ),
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod print;
 pub mod record;
+pub mod story;
 pub mod switchover;
 
 use std::ffi::OsString;
@@ -40,6 +41,7 @@
     let Some((name, arguments)) = matches.subcommand() else { return Ok(()) };
     match name {
         "completions" => return write_completions(arguments),
+        "story" => return story::tell(arguments),
         "man" => return clap_mangen::Man::new(command()).render(&mut stdout()).map_err(Into::into),
         _ => {}
     }
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -159,3 +159,41 @@
     expect_that!(output.status.code(), some(eq(0)));
     expect_that!(output.stderr, is_empty());
 }
+
+/// Guards against a failed request whose cause cannot be found from its id.
+#[gtest]
+fn a_story_shows_the_request_and_what_changed_around_it() {
+    let directory = tempfile::TempDir::new().unwrap();
+    let write = |name: &str, text: &str| {
+        let file = directory.path().join(name);
+        std::fs::write(&file, text).unwrap();
+        file
+    };
+    let first = write(
+        "h1.log",
+        "{\"at_ms\":1000,\"part\":\"request\",\"event\":\"refused\",\"request\":\"r1\",\"group\":\"g1\"}\n\
+         {\"at_ms\":1100,\"part\":\"store\",\"event\":\"lost\"}\n\
+         {\"at_ms\":1001,\"part\":\"request\",\"event\":\"refused\",\"request\":\"r2\",\"group\":\"g1\"}\n",
+    );
+    let second = write(
+        "h2.log",
+        "{\"at_ms\":900,\"part\":\"takeover\",\"event\":\"began\",\"group\":\"g1\"}\n\
+         {\"at_ms\":900,\"part\":\"takeover\",\"event\":\"began\",\"group\":\"g2\"}\n\
+         {\"at_ms\":9000,\"part\":\"takeover\",\"event\":\"done\",\"group\":\"g1\"}\n",
+    );
+    let output = Command::new(env!("CARGO_BIN_EXE_tanagerctl"))
+        .args(["story", "--request", "r1"])
+        .args([&first, &second])
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let events: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split_once("\"event\":\""))
+        .map(|part| part.1)
+        .collect();
+    expect_that!(
+        events,
+        elements_are![starts_with("began"), starts_with("refused"), starts_with("lost")]
+    );
+}
--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -265,10 +265,24 @@
         let reason = format!("{:?}", failure.reason);
         self.host.metrics.refusals.with_label_values(&[&reason]).inc();
         journal::request("refused", || {
-            let retry = failure.retry_after.map(|after| after.as_millis() as u64);
-            json!({ "request": id, "database": self.database, "reason": reason,
-                    "text": failure.text, "retry_ms": retry,
-                    "catalog": catalog_version(&self.host) })
+            let now = boot_now();
+            let book = self.host.book.borrow();
+            let route = book.catalog.as_ref().and_then(|catalog| catalog.route(&self.database));
+            let group = route.map(|route| route.group.as_str());
+            let row = group.and_then(|group| book.groups.get(group)).map(|entry| entry.version);
+            let millis = |duration: Duration| duration.as_millis() as u64;
+            json!({
+                "request": id,
+                "database": self.database,
+                "group": group,
+                "group_row": row,
+                "reason": reason,
+                "text": failure.text,
+                "held_ms": millis(now.since(self.last_request)),
+                "retry_ms": failure.retry_after.map(millis),
+                "lease_left_ms": book.lease.until().map(|until| millis(until.since(now))),
+                "catalog": book.catalog.as_ref().map(|catalog| catalog.version),
+            })
         });
         let mut answer = line::failure(failure.reason, &failure.message());
         answer.push_str(&line::ready(self.state));
--- a/crates/proxy/src/ledger/statement.rs
+++ b/crates/proxy/src/ledger/statement.rs
@@ -49,10 +49,12 @@
     Sent(LinkError),
 }
 
-/// Tells the tables what an exchange with an endpoint has shown.
+/// Tells the tables what an exchange with an endpoint has shown; `request` is the id of the client's
+/// statement, or `-`.
 pub(super) fn note_outcome(
     host: &HostContext,
     endpoint: EndpointKey,
+    request: &str,
     outcome: &Result<EndpointReply, LinkError>,
 ) {
     let now = boot_now();
@@ -71,10 +73,10 @@
         Err(error) => {
             state.note_failure(now);
             let (id, failures) = (state.record.id.clone(), state.failures);
-            journal::request(
-                "exchange_failed",
-                || json!({ "endpoint": id, "failures": failures, "reason": error.to_string() }),
-            );
+            journal::request("exchange_failed", || {
+                json!({ "request": request, "endpoint": id, "failures": failures,
+                        "reason": error.to_string() })
+            });
         }
     }
 }
@@ -125,7 +127,7 @@
     }
     let text = line::forward(request.id, request.text, floor);
     let outcome = link.exchange(&text, deadline).await;
-    note_outcome(place.host, endpoint, &outcome);
+    note_outcome(place.host, endpoint, request.id, &outcome);
     match outcome {
         Ok(reply) => {
             borrowed.release_if_idle(reply.state);
@@ -162,7 +164,8 @@
         AccessMode::Write => None,
     };
     let text = line::forward(request.id, request.text, floor);
-    let outcome = exchange_on_primary(place, right, &mut borrowed, &text, deadline).await;
+    let outcome =
+        exchange_on_primary(place, right, &mut borrowed, request.id, &text, deadline).await;
     match outcome {
         Ok(reply) => {
             borrowed.release_if_idle(reply.state);
@@ -189,6 +192,7 @@
     place: RunPlace<'_>,
     right: PrimaryRight,
     borrowed: &mut BorrowedLink,
+    request: &str,
     text: &str,
     deadline: BootInstant,
 ) -> Result<EndpointReply, RunError> {
@@ -202,7 +206,7 @@
         outcome = link.exchange(text, deadline) => outcome,
         () = usage.revoked() => Err(LinkError::Revoked),
     };
-    note_outcome(host, right.endpoint, &outcome);
+    note_outcome(host, right.endpoint, request, &outcome);
     let reply = outcome.map_err(RunError::Sent)?;
     // A commit that came back after the lease had ended may have been made by a primary that has
     // been replaced meanwhile.
--- a/crates/proxy/src/ledger/takeover.rs
+++ b/crates/proxy/src/ledger/takeover.rs
@@ -518,7 +518,7 @@
     let exchange = async {
         let mut borrowed = acquire(host, key, OWN_NAME, deadline).await.ok()?;
         let outcome = borrowed.link().ok()?.exchange(&line::status(), deadline).await;
-        note_outcome(host, key, &outcome);
+        note_outcome(host, key, OWN_NAME, &outcome);
         let reply = outcome.ok()?;
         let state = reply.state;
         let row = decode_status(reply.first_row.as_deref()?);
--- a/crates/proxy/src/ledger/transaction.rs
+++ b/crates/proxy/src/ledger/transaction.rs
@@ -22,6 +22,8 @@
 
 /// Endpoints that the beginning of a transaction of reads tries.
 const MAX_BEGIN_ATTEMPTS: usize = 4;
+/// Id of statements that the proxy issues itself, in log lines.
+const OWN_ID: &str = "-";
 /// Time after which a client should come back when a transaction cannot begin.
 const BEGIN_RETRY: Duration = Duration::from_millis(80);
 
@@ -67,7 +69,7 @@
         self.has_written |= request.mode == AccessMode::Write;
         let deadline = StatementTimes::new(&self.route, self.began_at).deadline;
         let text = line::forward(request.id, request.text, None);
-        self.exchange(place, &text, deadline).await.map_err(aborted)
+        self.exchange(place, request.id, &text, deadline).await.map_err(aborted)
     }
 
     /// Commits the transaction.
@@ -84,7 +86,7 @@
         self.bind(place, written, request).await?;
         let deadline = StatementTimes::new(&self.route, self.began_at).deadline;
         let text = line::forward(request.id, request.text, None);
-        match self.exchange(place, &text, deadline).await {
+        match self.exchange(place, request.id, &text, deadline).await {
             Ok(reply) => {
                 self.release(reply.state);
                 Ok(reply)
@@ -104,7 +106,7 @@
         let endpoint = bound.link.endpoint();
         let Ok(link) = bound.link.link() else { return };
         let outcome = link.exchange(&line::rollback(), deadline).await;
-        note_outcome(place.host, endpoint, &outcome);
+        note_outcome(place.host, endpoint, OWN_ID, &outcome);
         if let Ok(reply) = outcome {
             self.release(reply.state);
         }
@@ -119,6 +121,7 @@
     async fn exchange(
         &mut self,
         place: RunPlace<'_>,
+        request: &str,
         text: &str,
         deadline: BootInstant,
     ) -> Result<EndpointReply, RunError> {
@@ -127,11 +130,13 @@
         let endpoint = bound.link.endpoint();
         let _flight = FlightGuard::new(place.host, endpoint);
         match bound.right {
-            Some(right) => exchange_on_primary(place, right, &mut bound.link, text, deadline).await,
+            Some(right) => {
+                exchange_on_primary(place, right, &mut bound.link, request, text, deadline).await
+            }
             None => {
                 let link = bound.link.link().map_err(RunError::NotSent)?;
                 let outcome = link.exchange(text, deadline).await;
-                note_outcome(place.host, endpoint, &outcome);
+                note_outcome(place.host, endpoint, request, &outcome);
                 outcome.map_err(RunError::Sent)
             }
         }
@@ -229,7 +234,7 @@
     let outcome = outcome.and_then(|reply| {
         reply.ok_or_else(|| LinkError::Lost("no reply to the beginning".to_owned()))
     });
-    note_outcome(host, endpoint, &outcome);
+    note_outcome(host, endpoint, request.id, &outcome);
     let reply = outcome.map_err(RunError::NotSent)?;
     match (reply.failure, reply.position, right) {
         (Some(reason), ..) => {
--- a/extra/completions/tanagerctl.bash
+++ b/extra/completions/tanagerctl.bash
@@ -55,6 +55,9 @@
             tanagerctl,status)
                 cmd="tanagerctl__subcmd__status"
                 ;;
+            tanagerctl,story)
+                cmd="tanagerctl__subcmd__story"
+                ;;
             tanagerctl,withdraw)
                 cmd="tanagerctl__subcmd__withdraw"
                 ;;
@@ -97,6 +100,9 @@
             tanagerctl__subcmd__help,status)
                 cmd="tanagerctl__subcmd__help__subcmd__status"
                 ;;
+            tanagerctl__subcmd__help,story)
+                cmd="tanagerctl__subcmd__help__subcmd__story"
+                ;;
             tanagerctl__subcmd__help,withdraw)
                 cmd="tanagerctl__subcmd__help__subcmd__withdraw"
                 ;;
@@ -107,7 +113,7 @@
 
     case "${cmd}" in
         tanagerctl)
-            opts="-h -V --platform --config --json --actor --wait-ms --help --version get list history audit status put withdraw key domain endpoint move-primary completions man help"
+            opts="-h -V --platform --config --json --actor --wait-ms --help --version get list history audit status put withdraw key domain endpoint move-primary story completions man help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -307,7 +313,7 @@
             return 0
             ;;
         tanagerctl__subcmd__help)
-            opts="get list history audit status put withdraw key domain endpoint move-primary completions man help"
+            opts="get list history audit status put withdraw key domain endpoint move-primary story completions man help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -502,6 +508,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        tanagerctl__subcmd__help__subcmd__story)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         tanagerctl__subcmd__help__subcmd__withdraw)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
@@ -746,6 +766,44 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        tanagerctl__subcmd__story)
+            opts="-h --request --around-ms --platform --config --json --actor --wait-ms --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --request)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --around-ms)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --platform)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --config)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --actor)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --wait-ms)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         tanagerctl__subcmd__withdraw)
             opts="-h --expect --change-id --platform --config --json --actor --wait-ms --help customer key route service configuration domain endpoint"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
--- a/extra/completions/tanagerctl.zsh
+++ b/extra/completions/tanagerctl.zsh
@@ -183,6 +183,20 @@
 ':group:_default' \
 && ret=0
 ;;
+(story)
+_arguments "${_arguments_options[@]}" : \
+'--request=[]:ID:_default' \
+'--around-ms=[Time around the request in which changes of its group and host are shown]:MS:_default' \
+'--platform=[Address of the platform \[env\: TANAGERDEAL_PLATFORM\]]:IP:PORT:_default' \
+'--config=[INI file with section \[platform\], key address]:FILE:_default' \
+'--actor=[Who makes a change, for the audit trail \[default\: \$USER\]]:NAME:_default' \
+'--wait-ms=[How long to wait until a change is in effect, and for lost responses]:MS:_default' \
+'--json[Print JSON instead of text]' \
+'-h[Print help]' \
+'--help[Print help]' \
+'*::file -- Log files, one of each host:_files' \
+&& ret=0
+;;
 (completions)
 _arguments "${_arguments_options[@]}" : \
 '--platform=[Address of the platform \[env\: TANAGERDEAL_PLATFORM\]]:IP:PORT:_default' \
@@ -262,6 +276,10 @@
 _arguments "${_arguments_options[@]}" : \
 && ret=0
 ;;
+(story)
+_arguments "${_arguments_options[@]}" : \
+&& ret=0
+;;
 (completions)
 _arguments "${_arguments_options[@]}" : \
 && ret=0
@@ -297,6 +315,7 @@
 'domain:Takes a failure domain out of service, or back in' \
 'endpoint:Makes an endpoint leave, or serve again' \
 'move-primary:Moves the primary of a group away from its present endpoint' \
+'story:Prints what log files tell of a request, over all hosts in order of time' \
 'completions:Prints a completion script' \
 'man:Prints the man page' \
 'help:Print this message or the help of the given subcommand(s)' \
@@ -342,6 +361,7 @@
 'domain:Takes a failure domain out of service, or back in' \
 'endpoint:Makes an endpoint leave, or serve again' \
 'move-primary:Moves the primary of a group away from its present endpoint' \
+'story:Prints what log files tell of a request, over all hosts in order of time' \
 'completions:Prints a completion script' \
 'man:Prints the man page' \
 'help:Print this message or the help of the given subcommand(s)' \
@@ -413,6 +433,11 @@
     local commands; commands=()
     _describe -t commands 'tanagerctl help status commands' commands "$@"
 }
+(( $+functions[_tanagerctl__subcmd__help__subcmd__story_commands] )) ||
+_tanagerctl__subcmd__help__subcmd__story_commands() {
+    local commands; commands=()
+    _describe -t commands 'tanagerctl help story commands' commands "$@"
+}
 (( $+functions[_tanagerctl__subcmd__help__subcmd__withdraw_commands] )) ||
 _tanagerctl__subcmd__help__subcmd__withdraw_commands() {
     local commands; commands=()
@@ -453,6 +478,11 @@
     local commands; commands=()
     _describe -t commands 'tanagerctl status commands' commands "$@"
 }
+(( $+functions[_tanagerctl__subcmd__story_commands] )) ||
+_tanagerctl__subcmd__story_commands() {
+    local commands; commands=()
+    _describe -t commands 'tanagerctl story commands' commands "$@"
+}
 (( $+functions[_tanagerctl__subcmd__withdraw_commands] )) ||
 _tanagerctl__subcmd__withdraw_commands() {
     local commands; commands=()
--- a/extra/completions/tanagerdeal.bash
+++ b/extra/completions/tanagerdeal.bash
@@ -31,6 +31,9 @@
             tanagerdeal,run)
                 cmd="tanagerdeal__subcmd__run"
                 ;;
+            tanagerdeal,serve)
+                cmd="tanagerdeal__subcmd__serve"
+                ;;
             tanagerdeal,settings)
                 cmd="tanagerdeal__subcmd__settings"
                 ;;
@@ -49,6 +52,9 @@
             tanagerdeal__subcmd__help,run)
                 cmd="tanagerdeal__subcmd__help__subcmd__run"
                 ;;
+            tanagerdeal__subcmd__help,serve)
+                cmd="tanagerdeal__subcmd__help__subcmd__serve"
+                ;;
             tanagerdeal__subcmd__help,settings)
                 cmd="tanagerdeal__subcmd__help__subcmd__settings"
                 ;;
@@ -59,7 +65,7 @@
 
     case "${cmd}" in
         tanagerdeal)
-            opts="-h -V --help --version run check settings completions man help"
+            opts="-h -V --help --version run check settings serve completions man help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -105,7 +111,7 @@
             return 0
             ;;
         tanagerdeal__subcmd__help)
-            opts="run check settings completions man help"
+            opts="run check settings serve completions man help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -188,6 +194,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        tanagerdeal__subcmd__help__subcmd__serve)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         tanagerdeal__subcmd__help__subcmd__settings)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
@@ -234,6 +254,24 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        tanagerdeal__subcmd__serve)
+            opts="-h --config --check --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --config)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         tanagerdeal__subcmd__settings)
             opts="-h --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
--- a/extra/completions/tanagerdeal.zsh
+++ b/extra/completions/tanagerdeal.zsh
@@ -48,6 +48,14 @@
 '--help[Print help]' \
 && ret=0
 ;;
+(serve)
+_arguments "${_arguments_options[@]}" : \
+'--config=[Settings file]:FILE:_files' \
+'--check[Only test the settings file and list its settings]' \
+'-h[Print help]' \
+'--help[Print help]' \
+&& ret=0
+;;
 (completions)
 _arguments "${_arguments_options[@]}" : \
 '-h[Print help]' \
@@ -85,6 +93,10 @@
 _arguments "${_arguments_options[@]}" : \
 && ret=0
 ;;
+(serve)
+_arguments "${_arguments_options[@]}" : \
+&& ret=0
+;;
 (completions)
 _arguments "${_arguments_options[@]}" : \
 && ret=0
@@ -112,6 +124,7 @@
 'run:Serve clients' \
 'check:Test a settings file' \
 'settings:List all settings' \
+'serve:Serve clients on a platform whose store carries all coordination' \
 'completions:Print a shell completion' \
 'man:Print the manual page' \
 'help:Print this message or the help of the given subcommand(s)' \
@@ -134,6 +147,7 @@
 'run:Serve clients' \
 'check:Test a settings file' \
 'settings:List all settings' \
+'serve:Serve clients on a platform whose store carries all coordination' \
 'completions:Print a shell completion' \
 'man:Print the manual page' \
 'help:Print this message or the help of the given subcommand(s)' \
@@ -165,6 +179,11 @@
     local commands; commands=()
     _describe -t commands 'tanagerdeal help run commands' commands "$@"
 }
+(( $+functions[_tanagerdeal__subcmd__help__subcmd__serve_commands] )) ||
+_tanagerdeal__subcmd__help__subcmd__serve_commands() {
+    local commands; commands=()
+    _describe -t commands 'tanagerdeal help serve commands' commands "$@"
+}
 (( $+functions[_tanagerdeal__subcmd__help__subcmd__settings_commands] )) ||
 _tanagerdeal__subcmd__help__subcmd__settings_commands() {
     local commands; commands=()
@@ -180,6 +199,11 @@
     local commands; commands=()
     _describe -t commands 'tanagerdeal run commands' commands "$@"
 }
+(( $+functions[_tanagerdeal__subcmd__serve_commands] )) ||
+_tanagerdeal__subcmd__serve_commands() {
+    local commands; commands=()
+    _describe -t commands 'tanagerdeal serve commands' commands "$@"
+}
 (( $+functions[_tanagerdeal__subcmd__settings_commands] )) ||
 _tanagerdeal__subcmd__settings_commands() {
     local commands; commands=()
