--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -8,7 +8,7 @@
 use tanagerdeal_adapter::operator::OPERATOR_TABLE;
 use tanagerdeal_adapter::server::SERVER_TABLE;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -34,20 +34,40 @@
 ///
 /// Fails when the settings are wrong or an address cannot be bound.
 pub fn serve(file: &Path) -> Result<(), String> {
-    let settings = SiteSettings::load(file).map_err(|error| error.to_string())?;
-    journal::install()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| error.to_string())?;
-    let host = Rc::new(HostContext::new(settings)?);
-    LocalSet::new().block_on(&runtime, run(host, file.to_owned()))
+    LocalSet::new().block_on(&runtime, async {
+        // A signal that arrives before its handler is installed ends the process.
+        let signals = HostSignals::new().map_err(|error| error.to_string())?;
+        let settings = SiteSettings::load(file).map_err(|error| error.to_string())?;
+        journal::install()?;
+        let host = Rc::new(HostContext::new(settings)?);
+        run(host, file.to_owned(), signals).await
+    })
 }
 
-async fn run(host: Rc<HostContext>, file: PathBuf) -> Result<(), String> {
+/// Signals that the process acts on.
+struct HostSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl HostSignals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+async fn run(host: Rc<HostContext>, file: PathBuf, signals: HostSignals) -> Result<(), String> {
     let text = |error: std::io::Error| error.to_string();
-    let mut terminate = signal(SignalKind::terminate()).map_err(text)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(text)?;
+    let HostSignals { mut terminate, mut interrupt, hangup } = signals;
     let admin = TcpListener::bind(host.settings.admin).await.map_err(text)?;
     let callers = TcpListener::bind(host.settings.callers).await.map_err(text)?;
     let peers = UdpSocket::bind(host.settings.peers).await.map_err(text)?;
@@ -58,7 +78,7 @@
                 "incarnation": host.incarnation, "version": env!("CARGO_PKG_VERSION") }),
     );
     spawn_local(admin::serve(host.clone(), admin));
-    spawn_local(reload(host.clone(), file));
+    spawn_local(reload(host.clone(), file, hangup));
     spawn_local(start(host.clone(), callers, peers));
     tokio::select! {
         _ = terminate.recv() => (),
@@ -113,8 +133,7 @@
 }
 
 /// Reads the settings again at each signal, and tells which of them need a restart.
-async fn reload(host: Rc<HostContext>, file: PathBuf) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+async fn reload(host: Rc<HostContext>, file: PathBuf, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
         match SiteSettings::load(&file) {
             Ok(settings) => {
