--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -7,7 +7,7 @@
 use super::catalog::{DatabaseRoute, ReadConsistency, SiteCatalog};
 use super::choose::ReadChoice;
 use super::clock::{BootInstant, StoreInstant};
-use super::endpoint::{EndpointKey, EndpointTable, LogPosition};
+use super::endpoint::{EndpointKey, EndpointState, EndpointTable, LogPosition};
 use super::floor::{FloorHistory, PrimaryObservation};
 use super::group::{GroupEntry, GroupTable};
 use super::lease::{HostEntry, HostLease};
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Whether an endpoint or its failure domain is to leave.
+    pub fn is_leaving(&self, state: &EndpointState) -> bool {
+        state.draining_since.is_some() || self.evacuated.contains_key(&state.record.domain)
+    }
+
     /// Whether a right that was given is still good: the lease holds and the group's row is the
     /// same.
     pub fn is_right_good(&self, group: &str, right: PrimaryRight, now: BootInstant) -> bool {
--- a/crates/core/src/ledger/takeover.rs
+++ b/crates/core/src/ledger/takeover.rs
@@ -13,11 +13,12 @@
 use super::lease::HostEntry;
 use crate::hash::hash_bytes;
 
-/// Time for which a holder keeps the duty without renewing it.
-pub const DUTY_TERM: Duration = Duration::from_secs(4);
-/// Time after the end of a duty before a successor starts; it covers the last call of the holder,
-/// which is given up at the end of its duty.
-pub const DUTY_MARGIN: Duration = Duration::from_millis(1_500);
+/// Time for which a holder keeps the duty without renewing it. It covers two calls of a store that
+/// is a hundred times slower than usual (0.4 s each) and a promotion call (0.9 s).
+pub const DUTY_TERM: Duration = Duration::from_secs(3);
+/// Time after the end of a duty before another host starts. The holder's calls end within its duty;
+/// the margin covers a holder that is paused between its last look at the clock and its call.
+pub const DUTY_MARGIN: Duration = Duration::from_millis(1_000);
 
 wire_type! {
     /// The row of the duty to change primaries.
@@ -60,7 +61,8 @@
     Wait(StoreInstant),
 }
 
-/// Decides how a host gets the duty or keeps it.
+/// Decides how a host gets the duty or keeps it. A process that was started again on the same host
+/// takes the duty at once, as its predecessor is dead and its connections with it.
 ///
 /// ```
 /// use tanagerdeal_core::ledger::clock::StoreInstant;
@@ -83,6 +85,7 @@
     match known {
         None => take(1),
         Some(duty) if duty.holder == host && duty.incarnation == incarnation => take(duty.token),
+        Some(duty) if duty.holder == host => take(duty.token + 1),
         Some(duty) if duty.until.after(DUTY_MARGIN) < now => take(duty.token + 1),
         Some(duty) => DutyDecision::Wait(duty.until.after(DUTY_MARGIN)),
     }
--- a/crates/proxy/src/ledger/takeover.rs
+++ b/crates/proxy/src/ledger/takeover.rs
@@ -16,8 +16,8 @@
 use tanagerdeal_core::ledger::lease::LEASE_TERM;
 use tanagerdeal_core::ledger::suspicion;
 use tanagerdeal_core::ledger::takeover::{
-    CandidateStatus, DUTY_MARGIN, DutyDecision, DutyRecord, best_candidate, duty_decision,
-    missing_hosts, successor,
+    CandidateStatus, DUTY_MARGIN, DUTY_TERM, DutyDecision, DutyRecord, best_candidate,
+    duty_decision, missing_hosts, successor,
 };
 use tokio::time::sleep;
 
@@ -60,8 +60,6 @@
     Lost,
     /// It or its failure domain is to leave.
     Leaving,
-    /// The host that carried out a change has not finished it.
-    Orphaned,
 }
 
 /// Why a change did not come about.
@@ -146,17 +144,17 @@
         let key = book.endpoints.find(&record.primary);
         let state = key.and_then(|key| book.endpoints.get(key));
         match (&record.change, state) {
-            (Some(mark), _) if mark.holder == host.settings.host => Some(ChangeReason::Orphaned),
-            (Some(mark), _) => {
-                (mark.until.after(DUTY_MARGIN) < store_now).then_some(ChangeReason::Orphaned)
-            }
-            (None, None) => Some(ChangeReason::Lost),
-            (None, Some(state))
-                if state.draining_since.is_some()
-                    || book.evacuated.contains_key(&state.record.domain) =>
+            // The host that carried out the change has not finished it.
+            (Some(mark), state)
+                if mark.holder == host.settings.host
+                    || mark.until.after(DUTY_MARGIN) < store_now =>
             {
-                Some(ChangeReason::Leaving)
+                let is_leaving = state.is_some_and(|state| book.is_leaving(state));
+                Some(if is_leaving { ChangeReason::Leaving } else { ChangeReason::Lost })
             }
+            (Some(_), _) => None,
+            (None, None) => Some(ChangeReason::Lost),
+            (None, Some(state)) if book.is_leaving(state) => Some(ChangeReason::Leaving),
             (None, Some(state)) => (suspicion::is_suspect(state, now)
                 && suspicion::is_lost(&record.primary, &book.hosts, store_now))
             .then_some(ChangeReason::Lost),
@@ -175,7 +173,8 @@
         "takeover",
         "began",
         json!({ "group": group, "reason": format!("{reason:?}"), "primary": entry.record.primary,
-                "term": entry.record.term, "row_version": entry.version }),
+                "term": entry.record.term, "row_version": entry.version,
+                "is_continued": entry.record.change.is_some() }),
     );
     let result = PrimaryChange::mark(host.clone(), entry, reason).await;
     let result = match result {
@@ -222,6 +221,8 @@
         let host = self.host.clone();
         let duty_row = RowName { table: DUTY_TABLE, key: DUTY_KEY };
         for _ in 0..3 {
+            // The duty counts from before the store's clock was read.
+            let duty_from = boot_now();
             let page = host.store.read(DUTY_TABLE, READ_LIMIT).await;
             host.note_store("duty", &page);
             let page = page.map_err(|_| ChangeError::Store)?;
@@ -234,7 +235,6 @@
                 DutyDecision::Take(duty) => duty,
                 DutyDecision::Wait(_) => return Err(ChangeError::Held),
             };
-            let sent_at = boot_now();
             let mark = ChangeMark { holder: name.clone(), token: duty.token, until: duty.until };
             let record = GroupRecord { change: Some(mark), ..self.record.clone() };
             let group_row = RowName { table: GROUP_TABLE, key: &record.group };
@@ -253,8 +253,7 @@
             host.note_store("mark", &result);
             match result.map_err(|_| ChangeError::Store)? {
                 TransactionOutcome::Applied { version, .. } => {
-                    // The end was computed from the store's clock before this call was sent.
-                    self.duty_until = sent_at.after(tanagerdeal_core::ledger::takeover::DUTY_TERM);
+                    self.duty_until = duty_from.after(DUTY_TERM);
                     (self.version, self.token) = (version, duty.token);
                     self.adopt(record);
                     return Ok(());
