Split the tasks of a host into files of one job each

session and takeover keep the loop and the watch, their steps are in session/answer and takeover/change; keeper keeps the lease, sharing the shares, doubt the suspicions; the part of one customer is in quota/share. Behaviour is unchanged.

--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -5,32 +5,25 @@
 //! host whose lease has ended. A part belongs to the host's name: a process that is started again
 //! uses it at once, with an empty bucket.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+mod share;
+
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use tanagerdeal_wire::wire_type;
 
+use self::share::{CustomerShare, homes};
 use super::clock::BootInstant;
-use crate::hash::hash_bytes;
 use crate::limit::{CustomerRate, RATE_UNITS, TokenBucket};
 
 /// Time over which demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_millis(1_000);
 /// Weight of the newest window in the average demand.
 const DEMAND_WEIGHT: f64 = 0.4;
-/// Factor by which a share exceeds the demand of its host; what arrives irregularly is borrowed.
-const HEADROOM: f64 = 1.15;
-/// A share is changed when it is below the wanted one by this part, or exceeds it by it.
-const TOLERANCE: f64 = 0.5;
 /// Time between two changes of shares by one host.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(5_000);
 /// Time after which a change is planned anew when the row had changed under it.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(800);
-/// Demand from which on a host holds a share, in operations a second. Below it a share would be too
-/// small to collect tokens in time, and the host borrows each of them.
-const MIN_DEMAND: f64 = 1.0;
-/// Part of a customer's rate that the homes leave free, for hosts whose demand rises.
-const FREE_RESERVE: u64 = RATE_UNITS / 16;
 /// Part of the tolerance of the limits that a started host may spend at once. What it spent before
 /// it stopped is unknown, so its bucket starts empty otherwise.
 const START_PART: f64 = 0.5;
@@ -103,22 +96,6 @@
     pub lenders: Vec<String>,
 }
 
-struct CustomerShare {
-    version: u64,
-    record: ShareRecord,
-    units: u64,
-    bucket: TokenBucket,
-    demand: f64,
-    arrived: u32,
-    was_short: bool,
-    dry_until: BootInstant,
-    /// Whether no row has been taken over since the start.
-    is_fresh: bool,
-    /// Tokens of a loan, and until when they may be spent.
-    loaned: u64,
-    loan_until: BootInstant,
-}
-
 /// The shares of this host.
 pub struct QuotaTable {
     host: String,
@@ -368,100 +345,3 @@
         self.shares.get(customer).map_or(0, |share| share.units)
     }
 }
-
-/// The homes of a customer: one live host of each failure domain. They hold what no other host
-/// needs of its rate, and lend from it.
-fn homes<'a>(customer: &str, hosts: &[ShareHost<'a>]) -> HashSet<&'a str> {
-    let weight = |name: &str| hash_bytes(customer.bytes().chain([0]).chain(name.bytes()));
-    let mut first: HashMap<&str, (u64, &'a str)> = HashMap::new();
-    for host in hosts {
-        let candidate = (weight(host.name), host.name);
-        let known = first.entry(host.domain).or_insert(candidate);
-        *known = candidate.min(*known);
-    }
-    first.into_values().map(|(_, name)| name).collect()
-}
-
-impl CustomerShare {
-    fn take_loaned(&mut self, now: BootInstant) -> bool {
-        let is_there = self.loaned > 0 && now < self.loan_until;
-        if is_there {
-            self.loaned -= 1;
-        }
-        is_there
-    }
-
-    /// Units that cover the demand of this host.
-    fn wanted_units(&self) -> u64 {
-        let per_s = f64::from(self.bucket.rate().rate_per_s.max(1));
-        match self.demand {
-            demand if demand < MIN_DEMAND => 0,
-            demand => ((demand * HEADROOM / per_s).min(1.0) * RATE_UNITS as f64) as u64,
-        }
-    }
-
-    /// Part that the demand of this host justifies when the whole is scarce.
-    fn fair_units(&self, total_demand: u64) -> u64 {
-        let demand = (self.demand * 1_000.0) as u64;
-        match total_demand {
-            0 => RATE_UNITS,
-            total => (u128::from(RATE_UNITS) * u128::from(demand) / u128::from(total)) as u64,
-        }
-    }
-
-    fn change(
-        &self,
-        host: &str,
-        homes: &HashSet<&str>,
-        customer: &str,
-        is_ended: &dyn Fn(&str) -> bool,
-    ) -> Option<(ShareChange, u64)> {
-        let mut record = self.record.clone();
-        let removed: Vec<String> =
-            record.shares.keys().filter(|name| *name != host && is_ended(name)).cloned().collect();
-        for name in &removed {
-            record.shares.remove(name);
-        }
-        let demand = (self.demand * 1_000.0) as u64;
-        let own = record.shares.get(host).map_or(0, |part| part.units);
-        record.shares.insert(host.to_owned(), HostShare { units: own, demand });
-        let units = match homes.contains(host) {
-            true => self.home_units(own, &record, homes),
-            false => self.next_units(own, &record),
-        };
-        let is_due = units != own || own > self.units;
-        if !is_due && (removed.is_empty() || !self.was_short) {
-            return None;
-        }
-        record.shares.insert(host.to_owned(), HostShare { units, demand });
-        let customer = customer.to_owned();
-        Some((ShareChange { customer, version: self.version, record, removed }, units))
-    }
-
-    /// Units of a home: what the other hosts leave, divided among the homes.
-    fn home_units(&self, own: u64, record: &ShareRecord, homes: &HashSet<&str>) -> u64 {
-        let others = record.shares.iter().filter(|(name, _)| !homes.contains(name.as_str()));
-        let others: u64 = others.map(|(_, part)| part.units).sum();
-        let target = RATE_UNITS.saturating_sub(others + FREE_RESERVE) / homes.len().max(1) as u64;
-        match own {
-            _ if own * 2 > target * 3 => target,
-            _ if own * 3 < target * 2 => own + (target - own).min(record.free_units()),
-            _ => own,
-        }
-    }
-
-    /// Units of a host that is no home.
-    fn next_units(&self, own: u64, record: &ShareRecord) -> u64 {
-        let (wanted, free) = (self.wanted_units(), record.free_units());
-        let fair = self.fair_units(record.total_demand());
-        let is_low = (own as f64) < wanted as f64 * (1.0 - TOLERANCE);
-        let is_high = own as f64 > wanted as f64 * (1.0 + TOLERANCE);
-        match own {
-            // Nothing is left for others: what exceeds the fair part is returned.
-            _ if free < FREE_RESERVE / 8 && own > fair + fair / 4 => fair.min(wanted),
-            _ if is_low => own + (wanted - own).min(free),
-            _ if is_high => wanted,
-            _ => own,
-        }
-    }
-}
--- /dev/null
+++ b/crates/core/src/ledger/quota/share.rs
@@ -0,0 +1,132 @@
+//! What a host does with its part of one customer's rate.
+
+use std::collections::{HashMap, HashSet};
+
+use super::{HostShare, ShareChange, ShareHost, ShareRecord};
+use crate::hash::hash_bytes;
+use crate::ledger::clock::BootInstant;
+use crate::limit::{RATE_UNITS, TokenBucket};
+
+/// Factor by which a share exceeds the demand of its host; what arrives irregularly is borrowed.
+const HEADROOM: f64 = 1.15;
+/// A share is changed when it is below the wanted one by this part, or exceeds it by it.
+const TOLERANCE: f64 = 0.5;
+/// Demand from which on a host holds a share, in operations a second. Below it a share would be too
+/// small to collect tokens in time, and the host borrows each of them.
+const MIN_DEMAND: f64 = 1.0;
+/// Part of a customer's rate that the homes leave free, for hosts whose demand rises.
+const FREE_RESERVE: u64 = RATE_UNITS / 16;
+
+/// A customer's row as this host knows it, and its bucket.
+pub(super) struct CustomerShare {
+    pub(super) version: u64,
+    pub(super) record: ShareRecord,
+    pub(super) units: u64,
+    pub(super) bucket: TokenBucket,
+    pub(super) demand: f64,
+    pub(super) arrived: u32,
+    pub(super) was_short: bool,
+    pub(super) dry_until: BootInstant,
+    /// Whether no row has been taken over since the start.
+    pub(super) is_fresh: bool,
+    /// Tokens of a loan, and until when they may be spent.
+    pub(super) loaned: u64,
+    pub(super) loan_until: BootInstant,
+}
+
+/// The homes of a customer: one live host of each failure domain. They hold what no other host
+/// needs of its rate, and lend from it.
+pub(super) fn homes<'a>(customer: &str, hosts: &[ShareHost<'a>]) -> HashSet<&'a str> {
+    let weight = |name: &str| hash_bytes(customer.bytes().chain([0]).chain(name.bytes()));
+    let mut first: HashMap<&str, (u64, &'a str)> = HashMap::new();
+    for host in hosts {
+        let candidate = (weight(host.name), host.name);
+        let known = first.entry(host.domain).or_insert(candidate);
+        *known = candidate.min(*known);
+    }
+    first.into_values().map(|(_, name)| name).collect()
+}
+
+impl CustomerShare {
+    pub(super) fn take_loaned(&mut self, now: BootInstant) -> bool {
+        let is_there = self.loaned > 0 && now < self.loan_until;
+        if is_there {
+            self.loaned -= 1;
+        }
+        is_there
+    }
+
+    /// Units that cover the demand of this host.
+    fn wanted_units(&self) -> u64 {
+        let per_s = f64::from(self.bucket.rate().rate_per_s.max(1));
+        match self.demand {
+            demand if demand < MIN_DEMAND => 0,
+            demand => ((demand * HEADROOM / per_s).min(1.0) * RATE_UNITS as f64) as u64,
+        }
+    }
+
+    /// Part that the demand of this host justifies when the whole is scarce.
+    fn fair_units(&self, total_demand: u64) -> u64 {
+        let demand = (self.demand * 1_000.0) as u64;
+        match total_demand {
+            0 => RATE_UNITS,
+            total => (u128::from(RATE_UNITS) * u128::from(demand) / u128::from(total)) as u64,
+        }
+    }
+
+    pub(super) fn change(
+        &self,
+        host: &str,
+        homes: &HashSet<&str>,
+        customer: &str,
+        is_ended: &dyn Fn(&str) -> bool,
+    ) -> Option<(ShareChange, u64)> {
+        let mut record = self.record.clone();
+        let removed: Vec<String> =
+            record.shares.keys().filter(|name| *name != host && is_ended(name)).cloned().collect();
+        for name in &removed {
+            record.shares.remove(name);
+        }
+        let demand = (self.demand * 1_000.0) as u64;
+        let own = record.shares.get(host).map_or(0, |part| part.units);
+        record.shares.insert(host.to_owned(), HostShare { units: own, demand });
+        let units = match homes.contains(host) {
+            true => self.home_units(own, &record, homes),
+            false => self.next_units(own, &record),
+        };
+        let is_due = units != own || own > self.units;
+        if !is_due && (removed.is_empty() || !self.was_short) {
+            return None;
+        }
+        record.shares.insert(host.to_owned(), HostShare { units, demand });
+        let customer = customer.to_owned();
+        Some((ShareChange { customer, version: self.version, record, removed }, units))
+    }
+
+    /// Units of a home: what the other hosts leave, divided among the homes.
+    fn home_units(&self, own: u64, record: &ShareRecord, homes: &HashSet<&str>) -> u64 {
+        let others = record.shares.iter().filter(|(name, _)| !homes.contains(name.as_str()));
+        let others: u64 = others.map(|(_, part)| part.units).sum();
+        let target = RATE_UNITS.saturating_sub(others + FREE_RESERVE) / homes.len().max(1) as u64;
+        match own {
+            _ if own * 2 > target * 3 => target,
+            _ if own * 3 < target * 2 => own + (target - own).min(record.free_units()),
+            _ => own,
+        }
+    }
+
+    /// Units of a host that is no home.
+    fn next_units(&self, own: u64, record: &ShareRecord) -> u64 {
+        let (wanted, free) = (self.wanted_units(), record.free_units());
+        let fair = self.fair_units(record.total_demand());
+        let is_low = (own as f64) < wanted as f64 * (1.0 - TOLERANCE);
+        let is_high = own as f64 > wanted as f64 * (1.0 + TOLERANCE);
+        match own {
+            // Nothing is left for others: what exceeds the fair part is returned.
+            _ if free < FREE_RESERVE / 8 && own > fair + fair / 4 => fair.min(wanted),
+            _ if is_low => own + (wanted - own).min(free),
+            _ if is_high => wanted,
+            _ => own,
+        }
+    }
+}
--- a/crates/proxy/src/ledger.rs
+++ b/crates/proxy/src/ledger.rs
@@ -7,6 +7,7 @@
 mod admin;
 mod boot;
 mod context;
+mod doubt;
 mod follow;
 mod journal;
 mod keeper;
@@ -17,6 +18,7 @@
 mod pool;
 mod session;
 mod settings;
+mod sharing;
 mod statement;
 mod takeover;
 mod transaction;
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -15,7 +15,7 @@
 use super::context::{HostContext, HostPhase, boot_now};
 use super::follow::{GROUP_TABLE, HOST_TABLE, adopt_hosts, follow, load_table, read_table};
 use super::settings::SiteSettings;
-use super::{admin, journal, keeper, lending, session, takeover};
+use super::{admin, doubt, journal, keeper, lending, session, sharing, takeover};
 
 /// Part of the shutdown's time after which the process ends in any case, in tenths.
 const STOP_TENTHS: u32 = 9;
@@ -23,6 +23,8 @@
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
 /// Time over which hosts that start together spread the creation of rows.
 const CREATE_SPREAD: Duration = Duration::from_millis(600);
+/// Time between two log lines with the counters.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
 /// Pause after a connection could not be accepted, as when no descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Descriptors that are not for clients: endpoints, the store, files.
@@ -108,13 +110,21 @@
     spawn_local(follow(host.clone(), SERVER_TABLE, servers));
     spawn_local(follow(host.clone(), GROUP_TABLE, groups));
     spawn_local(keeper::keep_lease(host.clone()));
-    spawn_local(keeper::keep_shares(host.clone()));
-    spawn_local(keeper::watch_suspicions(host.clone()));
-    spawn_local(keeper::summarize(host.clone()));
+    spawn_local(sharing::keep_shares(host.clone()));
+    spawn_local(doubt::watch_suspicions(host.clone()));
+    spawn_local(summarize(host.clone()));
     spawn_local(takeover::watch(host.clone()));
     accept(host, callers).await;
 }
 
+/// Logs the counters from time to time, as successes have no lines of their own.
+async fn summarize(host: Rc<HostContext>) {
+    loop {
+        sleep(SUMMARY_INTERVAL).await;
+        journal::event("summary", "counts", host.metrics.counts().into());
+    }
+}
+
 async fn accept(host: Rc<HostContext>, callers: TcpListener) {
     let most = host.settings.descriptors.saturating_sub(OWN_DESCRIPTORS).max(1);
     loop {
--- /dev/null
+++ b/crates/proxy/src/ledger/sharing.rs
@@ -0,0 +1,159 @@
+//! The task that keeps a host's shares in line with the demand, and its lists current.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+use tanagerdeal_adapter::store::{RowName, RowTransaction, TransactionOutcome};
+use tanagerdeal_core::ledger::book::{HostBook, share_hosts};
+use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::quota::ShareChange;
+use tokio::time::sleep;
+
+use super::context::{HostContext, boot_now};
+use super::follow::{HOST_TABLE, READ_LIMIT, SHARE_TABLE, adopt_hosts, adopt_row};
+use super::journal;
+use super::keeper::{MAX_ENTRIES, WRITE_LIMIT, create_groups};
+use super::pool::connection_limits;
+
+/// Time between two looks at the shares.
+const SHARE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two reads of all hosts.
+const HOST_INTERVAL: Duration = Duration::from_millis(8_000);
+/// Time between two reads of all shares; a change that meets a newer row learns of it anyway.
+const SHARES_INTERVAL: Duration = Duration::from_millis(20_000);
+/// Age that a host's ended lease has before its shares are taken, for the uncertainty of the
+/// store's clock.
+const ENDED_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Keeps the shares in line with the demand, and the lists of hosts and groups current.
+pub(super) async fn keep_shares(host: Rc<HostContext>) {
+    let (mut hosts_at, mut shares_at) = (boot_now(), boot_now());
+    loop {
+        sleep(SHARE_INTERVAL).await;
+        let now = boot_now();
+        note_lease(&host, now);
+        host.book.borrow_mut().quota.tick(now);
+        trim_pools(&host, now);
+        if now >= hosts_at {
+            hosts_at = now.after(HOST_INTERVAL);
+            create_groups(&host).await;
+            refresh(&host, HOST_TABLE).await;
+        }
+        if now >= shares_at {
+            shares_at = now.after(SHARES_INTERVAL);
+            refresh(&host, SHARE_TABLE).await;
+        }
+        change_shares(&host).await;
+    }
+}
+
+fn note_lease(host: &HostContext, now: BootInstant) {
+    let is_valid = host.book.borrow().lease.is_valid(now);
+    let is_serving = is_valid && !host.is_stopping() && host.book.borrow().catalog.is_some();
+    if !is_valid && host.metrics.lease.get() == 1 {
+        host.metrics.lease.set(0);
+        journal::event("lease", "ended", json!({}));
+    }
+    if host.is_ready.replace(is_serving) != is_serving {
+        journal::event(
+            "ready",
+            if is_serving { "on" } else { "off" },
+            json!({ "lease": is_valid }),
+        );
+    }
+}
+
+fn trim_pools(host: &HostContext, now: BootInstant) {
+    let pools: Vec<_> =
+        host.pools.borrow().iter().map(|(key, pool)| (*key, pool.clone())).collect();
+    for (endpoint, pool) in pools {
+        let (fair, _) = connection_limits(host, endpoint);
+        pool.trim(fair, now);
+    }
+}
+
+/// Reads a table of which the host holds a copy.
+pub(super) async fn refresh(host: &HostContext, table: &str) {
+    let sent_at = boot_now();
+    let result = host.store.read(table, READ_LIMIT).await;
+    host.note_store("list", &result);
+    let Ok(page) = result else { return };
+    host.book.borrow_mut().lease.note_clock(sent_at, page.now);
+    match table {
+        HOST_TABLE => adopt_hosts(host, &page),
+        _ => page.rows.iter().for_each(|row| adopt_row(host, row)),
+    }
+}
+
+async fn change_shares(host: &HostContext) {
+    let changes = planned_changes(host);
+    if changes.is_empty() {
+        return;
+    }
+    let host_versions: HashMap<String, u64> = {
+        let book = host.book.borrow();
+        book.hosts.iter().map(|entry| (entry.record.host.clone(), entry.version)).collect()
+    };
+    let mut transaction = RowTransaction::default();
+    for change in &changes {
+        let name = RowName { table: SHARE_TABLE, key: &change.customer };
+        let value = serde_json::to_vec(&change.record).unwrap_or_default();
+        transaction.expected.push((name, change.version));
+        transaction.writes.push((name, value));
+        for removed in &change.removed {
+            let name = RowName { table: HOST_TABLE, key: removed };
+            let version = host_versions.get(removed).copied().unwrap_or(0);
+            if !transaction.expected.contains(&(name, version)) {
+                transaction.expected.push((name, version));
+            }
+        }
+    }
+    let result = host.store.transact(&transaction, WRITE_LIMIT).await;
+    host.note_store("share", &result);
+    match result {
+        Ok(TransactionOutcome::Applied { version, .. }) => {
+            let now = boot_now();
+            let mut book = host.book.borrow_mut();
+            for change in changes {
+                let units = change.record.shares.get(&host.settings.host).map(|part| part.units);
+                book.quota.adopt(&change.customer, version, change.record, now);
+                let fields = json!({ "customer": change.customer, "units": units,
+                    "removed": change.removed, "row_version": version });
+                journal::event("share", "changed", fields);
+            }
+        }
+        Ok(TransactionOutcome::Conflict(page)) => {
+            for row in page.rows.iter().filter(|row| row.table == SHARE_TABLE) {
+                adopt_row(host, row);
+            }
+            host.book.borrow_mut().quota.retry_soon(boot_now());
+        }
+        Err(_) => (),
+    }
+}
+
+fn planned_changes(host: &HostContext) -> Vec<ShareChange> {
+    let now = boot_now();
+    let mut book = host.book.borrow_mut();
+    if !book.lease.is_valid(now) {
+        return Vec::new();
+    }
+    let Some(clock) = book.lease.clock() else { return Vec::new() };
+    let store_now = clock.latest(now);
+    let HostBook { quota, hosts, hosts_read_at, .. } = &mut *book;
+    let is_ended = |name: &str| {
+        let entry = hosts.iter().find(|entry| entry.record.host == name);
+        // A host that is not listed yet may have started a moment ago.
+        entry.is_some_and(|entry| entry.record.until.after(ENDED_MARGIN) < store_now)
+    };
+    let live = share_hosts(hosts, *hosts_read_at);
+    let mut changes = quota.changes(now, &is_ended, &live);
+    let mut entries = 0;
+    changes.retain(|change| {
+        entries += 2 + change.removed.len();
+        entries <= MAX_ENTRIES
+    });
+    changes
+}
--- /dev/null
+++ b/crates/proxy/src/ledger/takeover/change.rs
@@ -0,0 +1,383 @@
+//! The steps of one change of primary.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+use tanagerdeal_adapter::line;
+use tanagerdeal_adapter::promotion::{PromotionCall, PromotionOutcome};
+use tanagerdeal_adapter::store::{RowName, RowTransaction, TransactionOutcome};
+use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::endpoint::{EndpointKey, EndpointRole};
+use tanagerdeal_core::ledger::group::{ChangeMark, GroupEntry, GroupRecord};
+use tanagerdeal_core::ledger::lease::LEASE_TERM;
+use tanagerdeal_core::ledger::takeover::{
+    CandidateStatus, DUTY_TERM, DutyDecision, DutyRecord, best_candidate, duty_decision,
+    missing_hosts, successor,
+};
+use tokio::time::sleep;
+
+use super::{ChangeReason, OWN_NAME, STATUS_LIMIT, endpoint_status};
+use crate::ledger::context::{HostContext, boot_now};
+use crate::ledger::follow::{
+    DUTY_TABLE, GROUP_TABLE, HOST_TABLE, READ_LIMIT, adopt_hosts, adopt_row,
+};
+use crate::ledger::journal;
+use crate::ledger::keeper::WRITE_LIMIT;
+use crate::ledger::pool::acquire;
+
+/// Key of the row of the duty to change primaries.
+const DUTY_KEY: &str = "promotion";
+/// Time between two looks at who still has to confirm.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(60);
+/// Time that a promotion call may take; it is within the duty that was checked before it.
+const CALL_LIMIT: Duration = Duration::from_millis(900);
+/// Time that an endpoint has to take over after the call was accepted.
+const LEAD_LIMIT: Duration = Duration::from_millis(3_000);
+/// Time that the successor of a primary that leaves has to receive its last commits.
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(600);
+/// Time between two questions for a status.
+const STATUS_INTERVAL: Duration = Duration::from_millis(60);
+/// Time between two looks whether a lost primary is back, while hosts have not confirmed.
+const RECOVERY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Why a change did not come about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub(super) enum ChangeError {
+    #[error("the store did not take the change")]
+    Store,
+    #[error("another host holds the duty")]
+    Held,
+    #[error("another host has changed the group")]
+    Raced,
+    #[error("hosts have not confirmed in time")]
+    Unconfirmed,
+    #[error("no endpoint can take over")]
+    NoCandidate,
+    #[error("the platform did not promote the endpoint")]
+    NotPromoted,
+    #[error("the primary is there again")]
+    Recovered,
+}
+
+/// A change that is being carried out.
+pub(super) struct PrimaryChange {
+    host: Rc<HostContext>,
+    reason: ChangeReason,
+    record: GroupRecord,
+    version: u64,
+    token: u64,
+    /// When the duty ends by this host's clock.
+    duty_until: BootInstant,
+}
+
+impl PrimaryChange {
+    /// Takes the duty and marks the group in one transaction.
+    pub(super) async fn mark(
+        host: Rc<HostContext>,
+        entry: GroupEntry,
+        reason: ChangeReason,
+    ) -> Result<Self, ChangeError> {
+        let mut change = Self {
+            host,
+            reason,
+            record: entry.record,
+            version: entry.version,
+            token: 0,
+            duty_until: boot_now(),
+        };
+        change.extend().await?;
+        Ok(change)
+    }
+
+    /// Takes or extends the duty and the mark of the group.
+    async fn extend(&mut self) -> Result<(), ChangeError> {
+        let host = self.host.clone();
+        let duty_row = RowName { table: DUTY_TABLE, key: DUTY_KEY };
+        for _ in 0..3 {
+            // The duty counts from before the store's clock was read.
+            let duty_from = boot_now();
+            let page = host.store.read(DUTY_TABLE, READ_LIMIT).await;
+            host.note_store("duty", &page);
+            let page = page.map_err(|_| ChangeError::Store)?;
+            let row = page.rows.iter().find(|row| row.key == DUTY_KEY);
+            let known: Option<DutyRecord> = row
+                .and_then(|row| row.value.as_deref())
+                .and_then(|value| serde_json::from_slice(value).ok());
+            let name = &host.settings.host;
+            let duty = match duty_decision(known.as_ref(), name, host.incarnation, page.now) {
+                DutyDecision::Take(duty) => duty,
+                DutyDecision::Wait(_) => return Err(ChangeError::Held),
+            };
+            let mark = ChangeMark { holder: name.clone(), token: duty.token, until: duty.until };
+            let record = GroupRecord { change: Some(mark), ..self.record.clone() };
+            let group_row = RowName { table: GROUP_TABLE, key: &record.group };
+            let values = (
+                serde_json::to_vec(&duty).unwrap_or_default(),
+                serde_json::to_vec(&record).unwrap_or_default(),
+            );
+            let transaction = RowTransaction {
+                expected: vec![
+                    (duty_row, row.map_or(0, |row| row.version)),
+                    (group_row, self.version),
+                ],
+                writes: vec![(duty_row, values.0), (group_row, values.1)],
+            };
+            let result = host.store.transact(&transaction, WRITE_LIMIT).await;
+            host.note_store("mark", &result);
+            match result.map_err(|_| ChangeError::Store)? {
+                TransactionOutcome::Applied { version, .. } => {
+                    self.duty_until = duty_from.after(DUTY_TERM);
+                    (self.version, self.token) = (version, duty.token);
+                    self.adopt(record);
+                    return Ok(());
+                }
+                TransactionOutcome::Conflict(page) => {
+                    let group = page.rows.iter().find(|row| row.table == GROUP_TABLE);
+                    if group.is_none_or(|row| row.version != self.version) {
+                        group.into_iter().for_each(|row| adopt_row(&host, row));
+                        return Err(ChangeError::Raced);
+                    }
+                }
+            }
+        }
+        Err(ChangeError::Held)
+    }
+
+    fn adopt(&mut self, record: GroupRecord) {
+        let entry = GroupEntry { version: self.version, record: record.clone() };
+        self.host.book.borrow_mut().adopt_group(entry);
+        self.record = record;
+        self.host.renew.notify_one();
+    }
+
+    async fn ensure_duty(&mut self, span: Duration) -> Result<(), ChangeError> {
+        match boot_now().after(span) < self.duty_until {
+            true => Ok(()),
+            false => self.extend().await,
+        }
+    }
+
+    pub(super) async fn carry_out(&mut self) -> Result<String, ChangeError> {
+        let result = self.replace().await;
+        match result {
+            // The old primary goes on; without a mark hosts use it again.
+            Err(ChangeError::NoCandidate | ChangeError::Recovered | ChangeError::Unconfirmed) => {
+                self.publish(self.record.primary.clone(), self.record.term).await
+            }
+            Err(error) => return Err(error),
+            Ok((ref primary, term)) => self.publish(primary.clone(), term).await,
+        }?;
+        result.map(|(primary, _)| primary)
+    }
+
+    async fn replace(&mut self) -> Result<(String, u64), ChangeError> {
+        self.await_hosts().await?;
+        let statuses = self.statuses().await;
+        if let Some(found) = successor(&statuses, self.known_term(&statuses)) {
+            return Ok((found.id.clone(), found.term));
+        }
+        let is_back = statuses
+            .iter()
+            .any(|status| status.id == self.record.primary && status.role == EndpointRole::Primary);
+        if self.reason == ChangeReason::Lost && is_back {
+            return Err(ChangeError::Recovered);
+        }
+        let statuses = match self.reason {
+            ChangeReason::Leaving => self.await_catch_up(statuses).await,
+            _ => statuses,
+        };
+        let others: Vec<CandidateStatus> =
+            statuses.into_iter().filter(|status| status.id != self.record.primary).collect();
+        let known = others.iter().map(|status| status.term).max().unwrap_or(0);
+        let target = best_candidate(&others).ok_or(ChangeError::NoCandidate)?.id.clone();
+        journal::event(
+            "takeover",
+            "chosen",
+            json!({ "group": self.record.group, "endpoint": target, "token": self.token,
+                    "candidates": others.iter().map(|status| json!({ "endpoint": status.id,
+                        "received": status.received.to_string(), "eligible": status.is_eligible }))
+                        .collect::<Vec<_>>() }),
+        );
+        self.promote(&target).await?;
+        let term = self.await_lead(&target, known).await?;
+        Ok((target, term))
+    }
+
+    /// The term of the known primary, as far as its replicas have heard of it.
+    fn known_term(&self, statuses: &[CandidateStatus]) -> u64 {
+        let is_primary = |status: &&CandidateStatus| status.id == self.record.primary;
+        let own = statuses.iter().find(is_primary).map(|status| status.term);
+        match (self.record.term, own) {
+            (0, Some(own)) => own,
+            // The first primary has not been asked for its term: whoever else leads came later.
+            (0, None) => 0,
+            (term, _) => term,
+        }
+    }
+
+    /// Whether the old primary answers and leads.
+    async fn is_primary_back(&self) -> bool {
+        let key = self.host.book.borrow().endpoints.find(&self.record.primary);
+        let Some(key) = key else { return false };
+        let status = endpoint_status(&self.host, key).await;
+        status.is_some_and(|status| status.role == EndpointRole::Primary)
+    }
+
+    /// Waits until no host may still use the old primary.
+    async fn await_hosts(&mut self) -> Result<(), ChangeError> {
+        let marked = self.version;
+        let give_up_at = boot_now().after(LEASE_TERM + Duration::from_secs(2));
+        let mut logged = false;
+        let mut look_at = boot_now().after(RECOVERY_INTERVAL);
+        loop {
+            self.ensure_duty(Duration::from_millis(1_500)).await?;
+            let sent_at = boot_now();
+            let page = self.host.store.read(HOST_TABLE, READ_LIMIT).await;
+            self.host.note_store("confirm", &page);
+            if let Ok(page) = page {
+                self.host.book.borrow_mut().lease.note_clock(sent_at, page.now);
+                adopt_hosts(&self.host, &page);
+                let book = self.host.book.borrow();
+                let missing = missing_hosts(&book.hosts, marked, page.now);
+                if missing.is_empty() {
+                    return Ok(());
+                }
+                if !logged {
+                    logged = true;
+                    let fields = json!({ "group": self.record.group, "hosts": missing });
+                    journal::event("takeover", "waiting", fields);
+                }
+            }
+            if boot_now() >= give_up_at {
+                return Err(ChangeError::Unconfirmed);
+            }
+            if self.reason == ChangeReason::Lost && boot_now() >= look_at {
+                look_at = boot_now().after(RECOVERY_INTERVAL);
+                if self.is_primary_back().await {
+                    return Err(ChangeError::Recovered);
+                }
+            }
+            sleep(CONFIRM_INTERVAL).await;
+        }
+    }
+
+    /// Status of all endpoints of the group that answer.
+    async fn statuses(&self) -> Vec<CandidateStatus> {
+        let keys: Vec<EndpointKey> = {
+            let book = self.host.book.borrow();
+            book.endpoints.of_group(&self.record.group).map(|(key, _)| key).collect()
+        };
+        let asked = keys.into_iter().map(|key| endpoint_status(&self.host, key));
+        futures::future::join_all(asked).await.into_iter().flatten().collect()
+    }
+
+    /// Waits until a replica has received all that the old primary has, for a while.
+    async fn await_catch_up(&self, statuses: Vec<CandidateStatus>) -> Vec<CandidateStatus> {
+        let deadline = boot_now().after(CATCH_UP_LIMIT);
+        let mut statuses = statuses;
+        loop {
+            let old = statuses.iter().find(|status| status.id == self.record.primary);
+            let Some(last) = old.map(|status| status.received) else { return statuses };
+            let is_there = statuses.iter().any(|status| {
+                status.is_eligible && status.id != self.record.primary && status.received >= last
+            });
+            if is_there || boot_now() >= deadline {
+                return statuses;
+            }
+            sleep(STATUS_INTERVAL).await;
+            statuses = self.statuses().await;
+        }
+    }
+
+    async fn promote(&mut self, target: &str) -> Result<(), ChangeError> {
+        for _ in 0..4 {
+            self.ensure_duty(CALL_LIMIT + Duration::from_millis(200)).await?;
+            let call = PromotionCall {
+                group: &self.record.group,
+                endpoint: target,
+                holder: &self.host.settings.host,
+                token: self.token,
+            };
+            let outcome = self.host.control.promote(call, CALL_LIMIT).await;
+            self.host.metrics.count_call("promote", &format!("{outcome:?}"));
+            journal::event(
+                "takeover",
+                "promote",
+                json!({ "group": self.record.group, "endpoint": target, "token": self.token,
+                        "outcome": format!("{outcome:?}") }),
+            );
+            match outcome {
+                PromotionOutcome::Accepted => return Ok(()),
+                PromotionOutcome::Refused(409) => return Err(ChangeError::NotPromoted),
+                PromotionOutcome::Refused(_) | PromotionOutcome::Unknown => {
+                    sleep(STATUS_INTERVAL).await;
+                }
+            }
+        }
+        Err(ChangeError::NotPromoted)
+    }
+
+    /// Waits until the endpoint leads a term later than `known`.
+    async fn await_lead(&mut self, target: &str, known: u64) -> Result<u64, ChangeError> {
+        let deadline = boot_now().after(LEAD_LIMIT);
+        while boot_now() < deadline {
+            let key = self.host.book.borrow().endpoints.find(target);
+            let status = match key {
+                Some(key) => endpoint_status(&self.host, key).await,
+                None => None,
+            };
+            match status {
+                Some(status) if status.role == EndpointRole::Primary && status.term > known => {
+                    return Ok(status.term);
+                }
+                _ => sleep(STATUS_INTERVAL).await,
+            }
+        }
+        Err(ChangeError::NotPromoted)
+    }
+
+    /// Writes the result, again and again while the mark is this host's.
+    async fn publish(&mut self, primary: String, term: u64) -> Result<(), ChangeError> {
+        let old = self.record.primary.clone();
+        let record = GroupRecord { primary, term, change: None, ..self.record.clone() };
+        let value = serde_json::to_vec(&record).unwrap_or_default();
+        loop {
+            let name = RowName { table: GROUP_TABLE, key: &record.group };
+            let transaction = RowTransaction {
+                expected: vec![(name, self.version)],
+                writes: vec![(name, value.clone())],
+            };
+            let result = self.host.store.transact(&transaction, WRITE_LIMIT).await;
+            self.host.note_store("publish", &result);
+            match result {
+                Ok(TransactionOutcome::Applied { version, .. }) => {
+                    self.version = version;
+                    self.adopt(record.clone());
+                    break;
+                }
+                Ok(TransactionOutcome::Conflict(page)) => {
+                    page.rows.iter().for_each(|row| adopt_row(&self.host, row));
+                    return Err(ChangeError::Raced);
+                }
+                Err(_) => sleep(STATUS_INTERVAL).await,
+            }
+        }
+        if old != record.primary {
+            self.demote(&old, term).await;
+        }
+        Ok(())
+    }
+
+    /// Tells the old primary to follow, if it can be reached; otherwise it finds out itself.
+    async fn demote(&self, old: &str, term: u64) {
+        let key = self.host.book.borrow().endpoints.find(old);
+        let Some(key) = key else { return };
+        let deadline = boot_now().after(STATUS_LIMIT);
+        let Ok(mut borrowed) = acquire(&self.host, key, OWN_NAME, deadline).await else { return };
+        let Ok(link) = borrowed.link() else { return };
+        let outcome = link.exchange(&line::demote(term), deadline).await;
+        let fields = json!({ "endpoint": old, "term": term, "done": outcome.is_ok() });
+        journal::event("takeover", "demote", fields);
+    }
+}
