Log rows that cannot be encoded or read; never restart fencing tokens from an unreadable duty

Found while reading the change: an unreadable row of the duty counted as none, so the next token would have been 1, below those already sent; encoding errors became empty rows.

--- a/crates/core/src/ledger/choose.rs
+++ b/crates/core/src/ledger/choose.rs
@@ -5,7 +5,7 @@
 use super::clock::BootInstant;
 use super::endpoint::{EndpointKey, EndpointState, EndpointTable, LogPosition};
 
-/// Cost of another failure domain, in microseconds of waiting: bytes between them are dear.
+/// Cost of another failure domain, in microseconds of waiting: bytes between them are expensive.
 const REMOTE_COST_US: f64 = 30_000.0;
 /// Cost of the primary, in microseconds of waiting: it is the only one that takes writes.
 const PRIMARY_COST_US: f64 = 25_000.0;
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Serialize;
 use serde_json::json;
 use tanagerdeal_adapter::operator::{CONFIG_KEY, OPERATOR_TABLE, decode_config, evacuated_domain};
 use tanagerdeal_adapter::server::{SERVER_TABLE, decode_registration};
@@ -39,6 +40,17 @@
 /// stopped after 7 s.
 const MISSING_GRACE: Duration = Duration::from_millis(5_000);
 
+/// Content of a row to write. A record that cannot be encoded is logged and not written.
+pub(super) fn encode(record: &impl Serialize) -> Option<Vec<u8>> {
+    match serde_json::to_vec(record) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            journal::event("store", "not_encoded", json!({ "reason": error.to_string() }));
+            None
+        }
+    }
+}
+
 /// Reads all rows of a table, again and again until the store answers.
 pub(super) async fn read_table(host: &HostContext, table: &str) -> RowPage {
     loop {
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -14,7 +14,9 @@
 use tokio::time::timeout;
 
 use super::context::{HostContext, HostPhase, boot_now};
-use super::follow::{GROUP_TABLE, HOST_TABLE, SHARE_TABLE, adopt_row, load_table, read_table};
+use super::follow::{
+    GROUP_TABLE, HOST_TABLE, SHARE_TABLE, adopt_row, encode, load_table, read_table,
+};
 use super::journal;
 
 /// Time that a conditional write may take.
@@ -79,7 +81,7 @@
     let sent_at = boot_now();
     let (record, expected) = renewal(host, sent_at);
     let Some(record) = record else { return RenewalResult::Failed };
-    let value = serde_json::to_vec(&record).unwrap_or_default();
+    let Some(value) = encode(&record) else { return RenewalResult::Failed };
     let own = RowName { table: HOST_TABLE, key: &host.settings.host };
     let names = expected.iter().map(|(table, key, version)| (RowName { table, key }, *version));
     let transaction = RowTransaction { expected: names.collect(), writes: vec![(own, value)] };
@@ -216,9 +218,10 @@
     }
     let mut transaction = RowTransaction::default();
     for record in missing.iter().take(MAX_ENTRIES / 2) {
+        let Some(value) = encode(record) else { continue };
         let name = RowName { table: GROUP_TABLE, key: &record.group };
         transaction.expected.push((name, 0));
-        transaction.writes.push((name, serde_json::to_vec(record).unwrap_or_default()));
+        transaction.writes.push((name, value));
     }
     let result = host.store.transact(&transaction, WRITE_LIMIT).await;
     host.note_store("create_groups", &result);
--- a/crates/proxy/src/ledger/settings.rs
+++ b/crates/proxy/src/ledger/settings.rs
@@ -9,7 +9,7 @@
 use tanagerdeal_core::ledger::lease::MAX_RENEW_INTERVAL;
 use tanagerdeal_core::ledger::quota::LimitTolerance;
 
-/// Smallest port number that a file may name is checked by the address parser; names are not empty.
+/// Value of a setting that the template left empty; it counts as missing.
 const EMPTY: &str = "";
 /// Time that a shutdown may take where the settings name none, in seconds.
 const DEFAULT_SHUTDOWN_S: u64 = 6;
@@ -106,7 +106,7 @@
 /// What of that time is not left for the pause between polls, in milliseconds: the poll itself, and
 /// the time for which a leaving primary serves on.
 const DRAIN_RESERVE_MS: u64 = 4_400;
-/// Shortest pause between polls, in milliseconds; the calls are priced.
+/// Shortest pause between polls, in milliseconds; each poll is a call that the users pay for.
 const MIN_PAUSE_MS: u64 = 500;
 /// Descriptors where the settings name none.
 const DEFAULT_DESCRIPTORS: usize = 1_024;
--- a/crates/proxy/src/ledger/sharing.rs
+++ b/crates/proxy/src/ledger/sharing.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use super::context::{HostContext, boot_now};
-use super::follow::{HOST_TABLE, READ_LIMIT, SHARE_TABLE, adopt_hosts, adopt_row};
+use super::follow::{HOST_TABLE, READ_LIMIT, SHARE_TABLE, adopt_hosts, adopt_row, encode};
 use super::journal;
 use super::keeper::{MAX_ENTRIES, WRITE_LIMIT, create_groups};
 use super::pool::connection_limits;
@@ -98,8 +98,8 @@
     };
     let mut transaction = RowTransaction::default();
     for change in &changes {
+        let Some(value) = encode(&change.record) else { return };
         let name = RowName { table: SHARE_TABLE, key: &change.customer };
-        let value = serde_json::to_vec(&change.record).unwrap_or_default();
         transaction.expected.push((name, change.version));
         transaction.writes.push((name, value));
         for removed in &change.removed {
--- a/crates/proxy/src/ledger/takeover/change.rs
+++ b/crates/proxy/src/ledger/takeover/change.rs
@@ -20,7 +20,7 @@
 use super::{ChangeReason, OWN_NAME, STATUS_LIMIT, endpoint_status};
 use crate::ledger::context::{HostContext, boot_now};
 use crate::ledger::follow::{
-    DUTY_TABLE, GROUP_TABLE, HOST_TABLE, READ_LIMIT, adopt_hosts, adopt_row,
+    DUTY_TABLE, GROUP_TABLE, HOST_TABLE, READ_LIMIT, adopt_hosts, adopt_row, encode,
 };
 use crate::ledger::journal;
 use crate::ledger::keeper::WRITE_LIMIT;
@@ -71,6 +71,17 @@
     duty_until: BootInstant,
 }
 
+/// The duty in a row; one that cannot be read is logged.
+fn decode_duty(value: &[u8]) -> Option<DutyRecord> {
+    match serde_json::from_slice(value) {
+        Ok(duty) => Some(duty),
+        Err(error) => {
+            journal::event("takeover", "unreadable_duty", json!({ "reason": error.to_string() }));
+            None
+        }
+    }
+}
+
 impl PrimaryChange {
     /// Takes the duty and marks the group in one transaction.
     pub(super) async fn mark(
@@ -101,9 +112,12 @@
             host.note_store("duty", &page);
             let page = page.map_err(|_| ChangeError::Store)?;
             let row = page.rows.iter().find(|row| row.key == DUTY_KEY);
-            let known: Option<DutyRecord> = row
-                .and_then(|row| row.value.as_deref())
-                .and_then(|value| serde_json::from_slice(value).ok());
+            let known = match row.and_then(|row| row.value.as_deref()).map(decode_duty) {
+                None => None,
+                Some(Some(duty)) => Some(duty),
+                // Its token is unknown, so no higher one can be chosen.
+                Some(None) => return Err(ChangeError::Store),
+            };
             let name = &host.settings.host;
             let duty = match duty_decision(known.as_ref(), name, host.incarnation, page.now) {
                 DutyDecision::Take(duty) => duty,
@@ -112,10 +126,7 @@
             let mark = ChangeMark { holder: name.clone(), token: duty.token, until: duty.until };
             let record = GroupRecord { change: Some(mark), ..self.record.clone() };
             let group_row = RowName { table: GROUP_TABLE, key: &record.group };
-            let values = (
-                serde_json::to_vec(&duty).unwrap_or_default(),
-                serde_json::to_vec(&record).unwrap_or_default(),
-            );
+            let values = encode(&duty).zip(encode(&record)).ok_or(ChangeError::Store)?;
             let transaction = RowTransaction {
                 expected: vec![
                     (duty_row, row.map_or(0, |row| row.version)),
@@ -341,7 +352,7 @@
     async fn publish(&mut self, primary: String, term: u64) -> Result<(), ChangeError> {
         let old = self.record.primary.clone();
         let record = GroupRecord { primary, term, change: None, ..self.record.clone() };
-        let value = serde_json::to_vec(&record).unwrap_or_default();
+        let value = encode(&record).ok_or(ChangeError::Store)?;
         loop {
             let name = RowName { table: GROUP_TABLE, key: &record.group };
             let transaction = RowTransaction {
