--- a/crates/proxy/src/ledger/statement.rs
+++ b/crates/proxy/src/ledger/statement.rs
@@ -104,6 +104,24 @@
     }
 }
 
+/// Gets a connection and brings it to the session's image, with the prepared statement of a request.
+async fn prepared_link(
+    place: RunPlace<'_>,
+    endpoint: EndpointKey,
+    request: AccessRequest<'_>,
+    wait_until: BootInstant,
+    deadline: BootInstant,
+) -> Result<BorrowedLink, RunError> {
+    let acquired = acquire(place.host, endpoint, place.customer, wait_until).await;
+    let mut borrowed = acquired.map_err(RunError::NoConnection)?;
+    let link = borrowed.link().map_err(RunError::NotSent)?;
+    let steps = link.image.steps(place.session, request.prepared);
+    if !steps.is_empty() {
+        link.set_up(&steps, None, deadline).await.map_err(RunError::NotSent)?;
+    }
+    Ok(borrowed)
+}
+
 /// Runs a statement outside a transaction on one endpoint.
 ///
 /// # Errors
@@ -118,13 +136,8 @@
     deadline: BootInstant,
 ) -> Result<EndpointReply, RunError> {
     let _flight = FlightGuard::new(place.host, endpoint);
-    let acquired = acquire(place.host, endpoint, place.customer, wait_until).await;
-    let mut borrowed = acquired.map_err(RunError::NoConnection)?;
+    let mut borrowed = prepared_link(place, endpoint, request, wait_until, deadline).await?;
     let link = borrowed.link().map_err(RunError::NotSent)?;
-    let steps = link.image.steps(place.session, request.prepared);
-    if !steps.is_empty() {
-        link.set_up(&steps, None, deadline).await.map_err(RunError::NotSent)?;
-    }
     let text = line::forward(request.id, request.text, floor);
     let outcome = link.exchange(&text, deadline).await;
     note_outcome(place.host, endpoint, request.id, &outcome);
@@ -152,13 +165,8 @@
 ) -> Result<EndpointReply, RunError> {
     let (host, group) = (place.host, place.group);
     let _flight = FlightGuard::new(host, right.endpoint);
-    let acquired = acquire(host, right.endpoint, place.customer, wait_until).await;
-    let mut borrowed = acquired.map_err(RunError::NoConnection)?;
-    let link = borrowed.link().map_err(RunError::NotSent)?;
-    let steps = link.image.steps(place.session, request.prepared);
-    if !steps.is_empty() {
-        link.set_up(&steps, None, deadline).await.map_err(RunError::NotSent)?;
-    }
+    let prepared = prepared_link(place, right.endpoint, request, wait_until, deadline).await;
+    let mut borrowed = prepared?;
     let floor = match request.mode {
         AccessMode::Read => newest_position(host, group),
         AccessMode::Write => None,
@@ -166,13 +174,9 @@
     let text = line::forward(request.id, request.text, floor);
     let outcome =
         exchange_on_primary(place, right, &mut borrowed, request.id, &text, deadline).await;
-    match outcome {
-        Ok(reply) => {
-            borrowed.release_if_idle(reply.state);
-            Ok(reply)
-        }
-        Err(error) => Err(error),
-    }
+    let reply = outcome?;
+    borrowed.release_if_idle(reply.state);
+    Ok(reply)
 }
 
 /// Newest known position of a group's primary.
