Let a host that is not listed yet keep its shares

A host changes no share before it finds itself among the live hosts, and the first read comes 1 s after the start. A test without network fails first.

--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -256,14 +256,16 @@
     /// Changes of rows that this host wants now; `is_ended` tells whether a host's lease has ended,
     /// and `hosts` are the live ones.
     ///
-    /// A part that shrinks is used at its new size from this call on.
+    /// A part that shrinks is used at its new size from this call on. A host that is not among the
+    /// live ones has only just started: it cannot tell yet whether it is a home, so it changes nothing.
     pub fn changes(
         &mut self,
         now: BootInstant,
         is_ended: &dyn Fn(&str) -> bool,
         hosts: &[ShareHost<'_>],
     ) -> Vec<ShareChange> {
-        if now < self.change_at {
+        let is_listed = hosts.iter().any(|host| host.name == self.host);
+        if now < self.change_at || !is_listed {
             return Vec::new();
         }
         let instant = self.instant(now);
--- a/crates/core/tests/ledger/shares.rs
+++ b/crates/core/tests/ledger/shares.rs
@@ -196,7 +196,12 @@
 /// grown sites). Guards against shares that are taken for a chance peak and returned after it.
 #[gtest]
 fn a_chance_peak_of_a_small_demand_changes_no_share() {
-    let homes = [ShareHost { name: "h2", domain: "d1" }, ShareHost { name: "h3", domain: "d2" }];
+    let hosts = [
+        ShareHost { name: "h1", domain: "d1" },
+        ShareHost { name: "h2", domain: "d1" },
+        ShareHost { name: "h4", domain: "d1" },
+        ShareHost { name: "h3", domain: "d2" },
+    ];
     let mut table = table(LimitTolerance::default());
     for second in 0..60 {
         let now = at(1_000 * second);
@@ -206,6 +211,18 @@
             let _ = table.admit("c", now);
         });
         table.tick(now);
-        expect_that!(table.changes(now, &|_| false, &homes), is_empty(), "second {second}");
+        expect_that!(table.changes(now, &|_| false, &hosts), is_empty(), "second {second}");
     }
 }
+
+/// Guards against a restarted host that does not find itself among the live ones yet and returns the
+/// share of a home: on trouble-2 of pcfc-tanager, where hosts restart in turn, 1,430 operations were
+/// refused in 14 s because homes had returned their shares.
+#[gtest]
+fn a_host_that_is_not_listed_yet_keeps_its_share() {
+    let mut table = table(LimitTolerance::default());
+    table.adopt("c", 1, record(500_000), at(0));
+    let others = [ShareHost { name: "h2", domain: "d1" }, ShareHost { name: "h3", domain: "d2" }];
+    expect_that!(table.changes(at(10_000), &|_| false, &others), is_empty());
+    expect_that!(table.units("c"), eq(500_000));
+}
--- a/crates/proxy/src/ledger/sharing.rs
+++ b/crates/proxy/src/ledger/sharing.rs
@@ -21,6 +21,8 @@
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two reads of all hosts.
 const HOST_INTERVAL: Duration = Duration::from_millis(8_000);
+/// Time from the start to the first of these reads. Hosts that start together have their rows by then.
+const FIRST_LIST_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time between two reads of all shares; a change that meets a newer row learns of it anyway.
 const SHARES_INTERVAL: Duration = Duration::from_millis(20_000);
 /// Age that a host's ended lease has before its shares are taken, for the uncertainty of the
@@ -38,9 +40,10 @@
 
 /// Keeps the shares in line with the demand, and the lists of hosts and groups current.
 pub(super) async fn keep_shares(host: Rc<HostContext>) {
-    // Both lists have been read during the start.
+    // Both lists have been read during the start, but hosts that start together, and this one, were
+    // not in the first.
     let (mut hosts_at, mut shares_at) =
-        (boot_now().after(HOST_INTERVAL), boot_now().after(SHARES_INTERVAL));
+        (boot_now().after(FIRST_LIST_PAUSE), boot_now().after(SHARES_INTERVAL));
     loop {
         sleep(SHARE_INTERVAL).await;
         let now = boot_now();
