Renew the leases of a failure domain in one transaction

The hosts of a failure domain now ask one of them, their relay, at the same moment of the store's clock. It renews all in one transaction under the conditions that each would have used, and tells what it has read of the registrations and of the hosts, so that the others read these only after a change. A host without an answer within 0.6 s, or with something to report, renews itself as before; so a change of primary takes as long as before. Lease, conditions and their meaning stay.

Ruled out: longer intervals (the configuration has 3 s to take effect on the small sites, a lease lasts 13 s); passing rows by datagram (needs an order of its own; versions suffice).

Finding: hosts_of_a_domain_renew_together failed once, its hosts were not ready within 30 s; output not kept, six repetitions passed; being repeated.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -14,6 +14,7 @@
 pub mod group;
 pub mod lease;
 pub mod quota;
+pub mod renewal;
 pub mod session;
 pub mod statement;
 pub mod suspicion;
--- /dev/null
+++ b/crates/core/src/ledger/renewal.rs
@@ -0,0 +1,219 @@
+//! Renewal of the leases of several hosts in one transaction.
+//!
+//! The hosts of a failure domain ask one of them, their relay, to renew for them. All ask at the same
+//! moment by the store's clock, so that the relay can write all rows at once. It does so under the
+//! conditions that each host would have used: its own row is the one it knows, and the rows that it
+//! relies on are the ones that the relay knows. A host counts its lease from the moment at which it
+//! asked, which is before the relay wrote. One that gets no answer, or a negative one, renews itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tanagerdeal_wire::wire_type;
+
+use super::book::share_hosts;
+use super::clock::{BootInstant, StoreInstant};
+use super::lease::{HostEntry, HostRecord};
+use crate::hash::hash_bytes;
+
+/// Time for which a relay collects requests. Hosts know the store's clock to a few milliseconds, and
+/// a busy processor may wake a host some tens of milliseconds late.
+pub const GATHER_TIME: Duration = Duration::from_millis(150);
+/// Time that a relay has to answer: the gathering, a call of a store that is slow by a factor of ten,
+/// and the way there and back. A host that has waited in vain renews itself well within its lease.
+pub const ANSWER_LIMIT: Duration = Duration::from_millis(600);
+/// Time for which a relay that did not answer is not asked again: two renewals.
+pub const SILENT_TERM: Duration = Duration::from_secs(8);
+/// Hosts that one transaction renews at most. The store takes 100 entries; each host needs two, and
+/// the rows that all rely on take up to 20.
+pub const MAX_BATCH: usize = 40;
+
+wire_type! {
+    /// A host's request to have its lease renewed.
+    pub struct RenewalRequest {
+        /// Version of the host's row; 0 for none.
+        pub own_version: u64,
+        /// Digest of the versions of the rows that the host relies on.
+        pub basis: u64,
+        /// The row to write; the relay sets the end of the lease.
+        pub record: HostRecord,
+    }
+
+    /// What the relay knows of the endpoints' registrations.
+    #[derive(Copy)]
+    pub struct RegistrationView {
+        /// Version of the table up to which the relay has read.
+        pub as_of: u64,
+        /// Version of the last change that was more than a heartbeat.
+        pub changed: u64,
+    }
+
+    /// What the relay knows of the hosts.
+    #[derive(Copy)]
+    pub struct HostListView {
+        /// Digest of the list, without what changes with each renewal.
+        pub digest: u64,
+        /// When the list was read.
+        pub read_at: StoreInstant,
+        /// Earliest end of the leases that were valid then.
+        pub until: StoreInstant,
+    }
+
+    /// Answer to a host whose lease was renewed.
+    pub struct RenewalAnswer {
+        /// New version of the host's row.
+        pub version: u64,
+        /// Registrations, if the relay could read them after it was asked.
+        pub registrations: Option<RegistrationView>,
+        /// Hosts, if the relay could read them after it was asked.
+        pub hosts: Option<HostListView>,
+    }
+}
+
+/// A request that waits at the relay.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QueuedRenewal {
+    /// Number of the call at the asking host.
+    pub call: u64,
+    /// Address to answer; nothing for the relay's own request.
+    pub address: Option<SocketAddr>,
+    /// When it arrived.
+    pub arrived_at: BootInstant,
+    /// The request.
+    pub request: RenewalRequest,
+}
+
+/// Requests that wait at the relay.
+#[derive(Default)]
+pub struct RenewalQueue {
+    waiting: Vec<QueuedRenewal>,
+}
+
+/// Requests that were taken out of the queue.
+#[derive(Debug, Default, Eq, PartialEq)]
+pub struct RenewalBatch {
+    /// To be renewed together.
+    pub agreed: Vec<QueuedRenewal>,
+    /// To be answered negatively: they rely on other rows than the relay, or came too long ago.
+    pub declined: Vec<QueuedRenewal>,
+}
+
+impl RenewalQueue {
+    /// Adds a request; an earlier one of the same host is replaced, as its asker has gone on.
+    pub fn add(&mut self, renewal: QueuedRenewal) {
+        let host = renewal.request.record.host.clone();
+        self.waiting.retain(|other| other.request.record.host != host);
+        self.waiting.push(renewal);
+    }
+
+    /// Takes out what can be renewed together by a relay that relies on the rows of `basis`. What
+    /// exceeds a batch stays.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    /// use tanagerdeal_core::ledger::renewal::RenewalQueue;
+    ///
+    /// let batch = RenewalQueue::default().take(7, BootInstant::from_micros(0));
+    /// assert!(batch.agreed.is_empty() && batch.declined.is_empty());
+    /// ```
+    pub fn take(&mut self, basis: u64, now: BootInstant) -> RenewalBatch {
+        let mut batch = RenewalBatch::default();
+        for renewal in std::mem::take(&mut self.waiting) {
+            let is_current = now < renewal.arrived_at.after(ANSWER_LIMIT);
+            match renewal.request.basis == basis && is_current {
+                true if batch.agreed.len() < MAX_BATCH => batch.agreed.push(renewal),
+                true => self.waiting.push(renewal),
+                false => batch.declined.push(renewal),
+            }
+        }
+        batch
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
+
+/// Digest of the rows that a lease relies on, given as table, key and version in any order.
+///
+/// ```
+/// use tanagerdeal_core::ledger::renewal::renewal_basis;
+///
+/// let basis = |version| renewal_basis([("groups", "g1", version)].into_iter());
+/// assert_eq!(basis(3), basis(3));
+/// assert_ne!(basis(3), basis(4));
+/// ```
+pub fn renewal_basis<'a>(rows: impl Iterator<Item = (&'a str, &'a str, u64)>) -> u64 {
+    let hashes = rows.map(|(table, key, version)| {
+        let names = table.bytes().chain([0]).chain(key.bytes()).chain([0]);
+        hash_bytes(names.chain(version.to_le_bytes()))
+    });
+    hashes.fold(0, u64::wrapping_add)
+}
+
+/// The host that renews for the others of a failure domain: the first live one in an order that
+/// differs for each domain, and that is not known to be silent. A host that is alone has none.
+pub fn relay<'a>(
+    hosts: &'a [HostEntry],
+    read_at: StoreInstant,
+    domain: &str,
+    is_silent: &dyn Fn(&str) -> bool,
+) -> Option<&'a str> {
+    let live = share_hosts(hosts, read_at).into_iter().filter(|host| host.domain == domain);
+    let names: Vec<&str> = live.map(|host| host.name).collect();
+    let weight = |name: &str| hash_bytes(domain.bytes().chain([0]).chain(name.bytes()));
+    let known = names.iter().filter(|name| !is_silent(name));
+    known.min_by_key(|name| weight(name)).copied().filter(|_| names.len() > 1)
+}
+
+/// Time until the hosts of a failure domain renew next. They meet at multiples of the interval in the
+/// store's clock, at another moment in each domain.
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerdeal_core::ledger::clock::StoreInstant;
+/// use tanagerdeal_core::ledger::renewal::time_to_slot;
+///
+/// let interval = Duration::from_millis(4_000);
+/// let wait = time_to_slot(StoreInstant::from_millis(9_000), interval, "d");
+/// let meeting = StoreInstant::from_millis(9_000).after(wait);
+/// assert!(wait <= interval && time_to_slot(meeting, interval, "d") == interval);
+/// ```
+pub fn time_to_slot(now: StoreInstant, interval: Duration, domain: &str) -> Duration {
+    let interval_ms = u64::try_from(interval.as_millis()).unwrap_or(u64::MAX).max(1);
+    let phase_ms = hash_bytes(domain.bytes()) % interval_ms;
+    Duration::from_millis(interval_ms - (now.as_millis() + phase_ms) % interval_ms)
+}
+
+/// What a relay passes on of its list of hosts.
+pub fn list_view(hosts: &[HostEntry], read_at: StoreInstant) -> HostListView {
+    let live = hosts.iter().filter(|entry| entry.record.until > read_at);
+    let until = live.map(|entry| entry.record.until).min().unwrap_or(read_at);
+    let bytes = hosts.iter().flat_map(|entry| {
+        let record = &entry.record;
+        let is_live = record.until > read_at;
+        let names = record.host.bytes().chain([0]).chain(record.domain.bytes()).chain([0]);
+        let peers = record.peers.to_string().into_bytes();
+        let flags = [u8::from(record.is_leaving), u8::from(is_live)];
+        let suspects = record.suspects.iter().flat_map(|id| id.bytes().chain([0]));
+        names.chain(record.incarnation.to_le_bytes()).chain(peers).chain(flags).chain(suspects)
+    });
+    HostListView { digest: hash_bytes(bytes), read_at, until }
+}
+
+/// Takes over what a relay knows of the hosts, if the own list is the same but for renewals. Returns
+/// whether it is; otherwise it has to be read.
+pub fn adopt_view(
+    hosts: &mut [HostEntry],
+    read_at: &mut StoreInstant,
+    view: &HostListView,
+) -> bool {
+    let is_same = list_view(hosts, *read_at).digest == view.digest;
+    if is_same && view.read_at > *read_at {
+        let live = hosts.iter_mut().filter(|entry| entry.record.until > *read_at);
+        live.for_each(|entry| entry.record.until = entry.record.until.max(view.until));
+        *read_at = view.read_at;
+    }
+    is_same
+}
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -6,7 +6,6 @@
 
 use serde_json::json;
 use tanagerdeal_adapter::operator::OPERATOR_TABLE;
-use tanagerdeal_adapter::server::SERVER_TABLE;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
@@ -15,7 +14,9 @@
 use super::context::{HostContext, HostPhase, boot_now};
 use super::follow::{GROUP_TABLE, HOST_TABLE, adopt_hosts, follow, load_table, read_table};
 use super::settings::SiteSettings;
-use super::{admin, doubt, journal, keeper, lending, session, sharing, takeover};
+use super::{
+    admin, doubt, journal, keeper, peers, registrations, relay, session, sharing, takeover,
+};
 
 /// Part of the shutdown's time after which the process ends in any case, in tenths.
 const STOP_TENTHS: u32 = 9;
@@ -72,7 +73,7 @@
     let HostSignals { mut terminate, mut interrupt, hangup } = signals;
     let admin = TcpListener::bind(host.settings.admin).await.map_err(text)?;
     let callers = TcpListener::bind(host.settings.callers).await.map_err(text)?;
-    let peers = UdpSocket::bind(host.settings.peers).await.map_err(text)?;
+    let socket = UdpSocket::bind(host.settings.peers).await.map_err(text)?;
     journal::event(
         "process",
         "started",
@@ -81,7 +82,7 @@
     );
     spawn_local(admin::serve(host.clone(), admin));
     spawn_local(reload(host.clone(), file, hangup));
-    spawn_local(start(host.clone(), callers, peers));
+    spawn_local(start(host.clone(), callers, socket));
     tokio::select! {
         _ = terminate.recv() => (),
         _ = interrupt.recv() => (),
@@ -91,9 +92,9 @@
 }
 
 /// Loads what the host has to know, and then accepts clients.
-async fn start(host: Rc<HostContext>, callers: TcpListener, peers: UdpSocket) {
+async fn start(host: Rc<HostContext>, callers: TcpListener, socket: UdpSocket) {
     let operator = load_table(&host, OPERATOR_TABLE).await;
-    let servers = load_table(&host, SERVER_TABLE).await;
+    registrations::load(&host).await;
     let groups = load_table(&host, GROUP_TABLE).await;
     let hosts = read_table(&host, HOST_TABLE).await;
     adopt_hosts(&host, &hosts);
@@ -104,10 +105,11 @@
         load_table(&host, GROUP_TABLE).await;
         keeper::create_groups(&host).await;
     }
-    let secret = lending::fleet_secret(&host).await;
-    spawn_local(lending::serve(host.clone(), peers, secret));
+    let secret = peers::fleet_secret(&host).await;
+    spawn_local(peers::serve(host.clone(), socket, secret));
+    spawn_local(relay::serve(host.clone()));
     spawn_local(follow(host.clone(), OPERATOR_TABLE, operator));
-    spawn_local(follow(host.clone(), SERVER_TABLE, servers));
+    spawn_local(registrations::follow(host.clone()));
     spawn_local(follow(host.clone(), GROUP_TABLE, groups));
     spawn_local(keeper::keep_lease(host.clone()));
     spawn_local(sharing::keep_shares(host.clone()));
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -15,9 +15,11 @@
 use tokio::sync::{Notify, watch};
 
 use super::journal;
-use super::lending::LoanDesk;
 use super::metrics::HostMetrics;
+use super::peers::{AnswerDesk, PeerSender};
 use super::pool::EndpointPool;
+use super::registrations::RegistrationFeed;
+use super::relay::RenewalDesk;
 use super::settings::SiteSettings;
 
 /// Phase of the process.
@@ -63,8 +65,15 @@
     pub(super) probes: RefCell<HashSet<EndpointKey>>,
     /// Primaries that other hosts suspect, and until when this one looks at them.
     pub(super) doubts: RefCell<HashMap<String, BootInstant>>,
-    /// Loans that were asked for.
-    pub(super) loans: LoanDesk,
+    /// Way to other hosts.
+    pub(super) peers: PeerSender,
+    /// Loans that were asked for, answered with tokens.
+    pub(super) loans: AnswerDesk<u64>,
+    /// Renewals that were asked for.
+    pub(super) renewals: RenewalDesk,
+    pub(super) registrations: RegistrationFeed,
+    /// When this host, or a relay for it, last asked for all hosts.
+    pub(super) hosts_asked_at: Cell<BootInstant>,
     /// Wakes the task that renews the lease.
     pub(super) renew: Notify,
     pub(super) phase: watch::Sender<HostPhase>,
@@ -113,7 +122,11 @@
             incarnation: rand::random(),
             probes: RefCell::default(),
             doubts: RefCell::default(),
-            loans: LoanDesk::default(),
+            peers: PeerSender::default(),
+            loans: AnswerDesk::default(),
+            renewals: RenewalDesk::default(),
+            registrations: RegistrationFeed::new(now),
+            hosts_asked_at: Cell::new(now),
             renew: Notify::new(),
             phase: watch::Sender::new(HostPhase::Serving),
             is_ready: Cell::new(false),
--- a/crates/proxy/src/ledger/doubt.rs
+++ b/crates/proxy/src/ledger/doubt.rs
@@ -9,12 +9,14 @@
 use super::context::{HostContext, boot_now};
 use super::follow::HOST_TABLE;
 use super::journal;
-use super::lending;
+use super::peers::PeerMessage;
 use super::sharing::refresh;
 use super::takeover;
 
 /// Time between two reads of all hosts while this host suspects a primary.
 const SUSPICION_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which a host looks at a primary that another one suspects; a suspicion needs 0.6 s.
+const DOUBT_SPAN: Duration = Duration::from_millis(2_500);
 /// Time between two looks at the own suspicions.
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -31,6 +33,21 @@
     }
 }
 
+/// Notes that another host gets no reply from a primary.
+pub(super) fn note(host: &HostContext, endpoint: String) {
+    host.doubts.borrow_mut().insert(endpoint, boot_now().after(DOUBT_SPAN));
+}
+
+/// Tells all other hosts that this one gets no reply from a primary, so that those without traffic
+/// to it look as well.
+fn spread(host: &HostContext, endpoint: &str) {
+    let book = host.book.borrow();
+    for entry in book.hosts.iter().filter(|entry| entry.record.host != book.host) {
+        // A host that is not told notices by its own traffic, or not at all.
+        host.peers.send(entry.record.peers, PeerMessage::Suspect { endpoint: endpoint.to_owned() });
+    }
+}
+
 /// Reports changes of the own suspicions at once, and reads those of others while there are any.
 pub(super) async fn watch_suspicions(host: Rc<HostContext>) {
     let mut reported: Vec<String> = Vec::new();
@@ -44,7 +61,7 @@
         suspects.iter().chain(&doubted).for_each(|id| probe(&host, id));
         // What other hosts have spread already needs no further message.
         let is_news = |id: &&String| !reported.contains(*id) && !doubted.contains(*id);
-        suspects.iter().filter(is_news).for_each(|id| lending::spread_doubt(&host, id));
+        suspects.iter().filter(is_news).for_each(|id| spread(&host, id));
         if suspects != reported {
             journal::event("suspicion", "changed", json!({ "primaries": suspects }));
             reported = suspects;
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -1,4 +1,4 @@
-//! Taking over rows of the store: the configuration, evacuations, registrations, groups.
+//! Taking over rows of the store: the configuration, evacuations, groups, shares, hosts.
 
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use serde_json::json;
 use tanagerdeal_adapter::operator::{CONFIG_KEY, OPERATOR_TABLE, decode_config, evacuated_domain};
-use tanagerdeal_adapter::server::{SERVER_TABLE, decode_registration};
+use tanagerdeal_adapter::server::SERVER_TABLE;
 use tanagerdeal_adapter::store::{RowPage, StoreError, StoreRow};
 use tanagerdeal_core::ledger::group::{GroupEntry, GroupRecord};
 use tanagerdeal_core::ledger::lease::{HostEntry, HostRecord};
@@ -16,7 +16,7 @@
 use tokio::time::sleep;
 
 use super::context::{HostContext, boot_now};
-use super::journal;
+use super::{journal, registrations};
 
 /// Table of the groups' rows.
 pub(super) const GROUP_TABLE: &str = "groups";
@@ -31,15 +31,8 @@
 
 /// Wait of a long poll. The renewal of the lease finds a change that a silent poll misses.
 const POLL_WAIT: Duration = Duration::from_secs(25);
-/// Wait of a poll of the registrations, which change with every heartbeat.
-const REGISTRATION_WAIT: Duration = Duration::from_millis(1_000);
 /// Pause after a call of the store that failed.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Time for which an endpoint is kept after its registration is gone. An endpoint that was cut off
-/// from the store is back within 2 s of the end of the cut; work to one that has left must have
-/// stopped after 7 s.
-const MISSING_GRACE: Duration = Duration::from_millis(5_000);
-
 /// Content of a row to write. A record that cannot be encoded is logged and not written.
 pub(super) fn encode(record: &impl Serialize) -> Option<Vec<u8>> {
     match serde_json::to_vec(record) {
@@ -77,10 +70,8 @@
 /// Follows a table from a version on.
 pub(super) async fn follow(host: Rc<HostContext>, table: &'static str, version: u64) {
     let mut after = version;
-    let is_registrations = table == SERVER_TABLE;
-    let wait = if is_registrations { REGISTRATION_WAIT } else { POLL_WAIT };
     loop {
-        let result = host.store.follow(table, after, wait).await;
+        let result = host.store.follow(table, after, POLL_WAIT).await;
         host.note_store("follow", &result);
         match result {
             Ok(page) => {
@@ -95,10 +86,6 @@
             }
             Err(_) => sleep(RETRY_PAUSE).await,
         }
-        if is_registrations {
-            remove_missing(&host);
-            sleep(host.settings.registration_pause).await;
-        }
     }
 }
 
@@ -137,7 +124,7 @@
                 adopt_evacuation(host, domain, row.version, row.value.is_some());
             }
         }
-        (SERVER_TABLE, id) => adopt_registration(host, id, row),
+        (SERVER_TABLE, id) => registrations::adopt(host, id, row),
         (GROUP_TABLE, _) => adopt_group(host, row),
         (SHARE_TABLE, customer) => adopt_share(host, customer, row),
         (HOST_TABLE, name) if name == host.settings.host => {
@@ -206,44 +193,6 @@
     );
 }
 
-fn adopt_registration(host: &HostContext, id: &str, row: &StoreRow) {
-    let now = boot_now();
-    let mut book = host.book.borrow_mut();
-    let Some(value) = row.value.as_deref() else {
-        book.endpoints.note_missing(id, now);
-        return journal::event("endpoint", "missing", json!({ "endpoint": id }));
-    };
-    match decode_registration(id, value) {
-        Ok(record) => {
-            let former = book.endpoints.find(id).and_then(|key| book.endpoints.get(key));
-            let former = former.map(|state| state.record.clone());
-            if former.as_ref() == Some(&record) {
-                if let Some(key) = book.endpoints.find(id) {
-                    book.endpoints.get_mut(key).into_iter().for_each(|state| {
-                        state.missing_since = None;
-                    });
-                }
-                return;
-            }
-            let fields = json!({ "endpoint": id, "group": record.group, "domain": record.domain,
-                "role": format!("{:?}", record.role), "draining": record.is_draining,
-                "born": record.born, "row_version": row.version, "is_new": former.is_none() });
-            book.endpoints.register(record, now);
-            journal::event("endpoint", "registered", fields);
-        }
-        Err(error) => {
-            let was_known = book.endpoints.find(id).is_some();
-            if was_known {
-                book.endpoints.note_missing(id, now);
-            }
-            journal::request(
-                "registration_unreadable",
-                || json!({ "endpoint": id, "reason": error.to_string(), "was_known": was_known }),
-            );
-        }
-    }
-}
-
 fn adopt_group(host: &HostContext, row: &StoreRow) {
     let Some(value) = row.value.as_deref() else { return };
     let record: GroupRecord = match serde_json::from_slice(value) {
@@ -281,7 +230,7 @@
     }
 }
 
-/// Takes over the rows of all hosts.
+/// Takes over the rows of all hosts, unless newer ones are known.
 pub(super) fn adopt_hosts(host: &HostContext, page: &RowPage) {
     let entries = page.rows.iter().filter_map(|row| {
         let value = row.value.as_deref()?;
@@ -296,6 +245,9 @@
     });
     let entries: Vec<HostEntry> = entries.collect();
     let mut book = host.book.borrow_mut();
+    if page.now < book.hosts_read_at {
+        return;
+    }
     let names = |entries: &[HostEntry]| -> Vec<String> {
         entries.iter().map(|entry| entry.record.host.clone()).collect()
     };
@@ -305,19 +257,3 @@
     }
     (book.hosts, book.hosts_read_at) = (entries, page.now);
 }
-
-fn remove_missing(host: &HostContext) {
-    let gone_before = boot_now().before(MISSING_GRACE);
-    let removed = host.book.borrow_mut().endpoints.remove_missing(gone_before);
-    for id in removed {
-        journal::event("endpoint", "removed", json!({ "endpoint": id }));
-    }
-    let book = host.book.borrow();
-    host.pools.borrow_mut().retain(|endpoint, pool| {
-        let is_known = book.endpoints.get(*endpoint).is_some();
-        if !is_known {
-            pool.clear();
-        }
-        is_known
-    });
-}
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -11,13 +11,14 @@
 use tanagerdeal_core::ledger::endpoint::EndpointRole;
 use tanagerdeal_core::ledger::group::GroupRecord;
 use tanagerdeal_core::ledger::lease::{HostRecord, RENEW_RETRY};
+use tanagerdeal_core::ledger::renewal::time_to_slot;
 use tokio::time::timeout;
 
 use super::context::{HostContext, HostPhase, boot_now};
 use super::follow::{
     GROUP_TABLE, HOST_TABLE, SHARE_TABLE, adopt_row, encode, load_table, read_table,
 };
-use super::journal;
+use super::{journal, relay};
 
 /// Time that a conditional write may take.
 pub(super) const WRITE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -39,18 +40,45 @@
 /// Renews the lease until the process ends.
 pub(super) async fn keep_lease(host: Rc<HostContext>) {
     let mut left: HashMap<String, u64> = HashMap::new();
+    // What must be reported at once does not wait for the other hosts of the failure domain.
+    let mut is_urgent = true;
     loop {
         leave_changed(&host, &mut left).await;
-        let pause = match renew(&host).await {
-            RenewalResult::Renewed => host.settings.renew_interval,
-            RenewalResult::Conflict => continue,
+        let result = match is_urgent {
+            true => renew(&host).await,
+            false if renew_with_others(&host).await => RenewalResult::Renewed,
+            false => RenewalResult::Conflict,
+        };
+        let pause = match result {
+            RenewalResult::Renewed => time_to_renewal(&host),
+            RenewalResult::Conflict => {
+                is_urgent = true;
+                continue;
+            }
             RenewalResult::Failed => RENEW_RETRY,
         };
         // Either the time is over or something has changed that must be reported.
-        let _ = timeout(pause, host.renew.notified()).await;
+        let is_notified = timeout(pause, host.renew.notified()).await.is_ok();
+        is_urgent = is_notified || result == RenewalResult::Failed;
+    }
+}
+
+/// Renews through the relay, unless something comes up that must be reported at once.
+async fn renew_with_others(host: &HostContext) -> bool {
+    tokio::select! {
+        is_renewed = relay::renew(host) => is_renewed,
+        () = host.renew.notified() => false,
     }
 }
 
+fn time_to_renewal(host: &HostContext) -> Duration {
+    let (book, interval) = (host.book.borrow(), host.settings.renew_interval);
+    let clock = book.lease.clock();
+    clock.map_or(interval, |clock| {
+        time_to_slot(clock.latest(boot_now()), interval, &host.settings.domain)
+    })
+}
+
 /// Waits until nothing runs under a former right to a group whose row has changed, so that the
 /// renewal that follows is true for others.
 async fn leave_changed(host: &HostContext, left: &mut HashMap<String, u64>) {
@@ -79,8 +107,9 @@
         read_table(host, HOST_TABLE).await;
     }
     let sent_at = boot_now();
-    let (record, expected) = renewal(host, sent_at);
-    let Some(record) = record else { return RenewalResult::Failed };
+    let Some(record) = renewed_record(host, sent_at) else { return RenewalResult::Failed };
+    let mut expected = relied_rows(host);
+    expected.push((HOST_TABLE, host.settings.host.clone(), host.versions.borrow().own));
     let Some(value) = encode(&record) else { return RenewalResult::Failed };
     let own = RowName { table: HOST_TABLE, key: &host.settings.host };
     let names = expected.iter().map(|(table, key, version)| (RowName { table, key }, *version));
@@ -102,12 +131,13 @@
     }
 }
 
-type ExpectedRow = (&'static str, String, u64);
+/// Table, key and version of a row on which a write depends.
+pub(super) type ExpectedRow = (&'static str, String, u64);
 
-/// The own row to write, and the rows that must be unchanged for it.
-fn renewal(host: &HostContext, sent_at: BootInstant) -> (Option<HostRecord>, Vec<ExpectedRow>) {
-    let (book, versions) = (host.book.borrow(), host.versions.borrow());
-    let record = book.lease.stored_end(sent_at).map(|until| HostRecord {
+/// The own row to write; nothing before a reply of the store has shown its clock.
+pub(super) fn renewed_record(host: &HostContext, sent_at: BootInstant) -> Option<HostRecord> {
+    let book = host.book.borrow();
+    book.lease.stored_end(sent_at).map(|until| HostRecord {
         host: host.settings.host.clone(),
         incarnation: host.incarnation,
         domain: host.settings.domain.clone(),
@@ -115,11 +145,14 @@
         until,
         suspects: book.suspects(sent_at),
         is_leaving: *host.phase.borrow() != HostPhase::Serving,
-    });
-    let mut expected = vec![
-        (HOST_TABLE, host.settings.host.clone(), versions.own),
-        (OPERATOR_TABLE, CONFIG_KEY.to_owned(), versions.config),
-    ];
+    })
+}
+
+/// The rows that must be unchanged for a renewal, beside the own one, in an order that is the same on
+/// all hosts.
+pub(super) fn relied_rows(host: &HostContext) -> Vec<ExpectedRow> {
+    let (book, versions) = (host.book.borrow(), host.versions.borrow());
+    let mut expected = vec![(OPERATOR_TABLE, CONFIG_KEY.to_owned(), versions.config)];
     for domain in &host.settings.domains {
         let version = versions.evacuations.get(domain).copied().unwrap_or(0);
         expected.push((OPERATOR_TABLE, evacuation_key(domain), version));
@@ -127,7 +160,8 @@
     for entry in book.groups.entries() {
         expected.push((GROUP_TABLE, entry.record.group.clone(), entry.version));
     }
-    (record, expected)
+    expected.sort_unstable();
+    expected
 }
 
 async fn note_renewed(
@@ -154,7 +188,7 @@
 }
 
 /// Takes over the rows of a renewal whose conditions did not hold.
-fn adopt_conflict(
+pub(super) fn adopt_conflict(
     host: &HostContext,
     expected: &[ExpectedRow],
     rows: &[tanagerdeal_adapter::store::StoreRow],
--- /dev/null
+++ b/crates/proxy/src/ledger/peers.rs
@@ -0,0 +1,215 @@
+//! Messages between hosts, by datagrams that carry a code under the fleet's secret.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use hmac::{Hmac, Mac as _};
+use serde_json::json;
+use sha2::Sha256;
+use tanagerdeal_adapter::store::{RowName, RowTransaction};
+use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::renewal::{RenewalAnswer, RenewalRequest};
+use tanagerdeal_wire::wire_type;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+
+use super::context::HostContext;
+use super::follow::{RETRY_PAUSE, read_table};
+use super::keeper::WRITE_LIMIT;
+use super::{doubt, journal, lending, relay};
+
+/// Table of what all hosts share, and the key of the secret in it.
+const FLEET_TABLE: &str = "fleet";
+const SECRET_KEY: &str = "secret";
+/// Bytes of the secret.
+const SECRET_BYTES: usize = 32;
+/// Bytes of the code that a datagram begins with.
+const CODE_BYTES: usize = 16;
+/// Longest datagram that is read; a request for a renewal with eight suspects has about 400 bytes.
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Pause after an error of the socket.
+const SOCKET_PAUSE: Duration = Duration::from_millis(40);
+/// Messages that wait to be sent.
+const MAX_WAITING: usize = 256;
+
+wire_type! {
+    /// A message between hosts.
+    pub(super) enum PeerMessage {
+        /// Asks for tokens of a customer's rate.
+        Ask { loan: u64, customer: String, tokens: u64 },
+        /// Tells that the sender gets no reply from a primary.
+        Suspect { endpoint: String },
+        /// Gives tokens.
+        Give { loan: u64, customer: String, tokens: u64 },
+        /// Asks a relay to renew the sender's lease.
+        AskRenewal { call: u64, request: RenewalRequest },
+        /// Tells that the lease was renewed, or that the relay does not do it.
+        Renewal { call: u64, answer: Option<RenewalAnswer> },
+    }
+}
+
+/// Questions to other hosts that wait for an answer, and hosts that did not answer one.
+pub(super) struct AnswerDesk<T> {
+    open: RefCell<HashMap<u64, oneshot::Sender<T>>>,
+    silent: RefCell<HashMap<String, BootInstant>>,
+}
+
+/// Way to the socket.
+#[derive(Default)]
+pub(super) struct PeerSender {
+    waiting: RefCell<Option<mpsc::Sender<(SocketAddr, PeerMessage)>>>,
+}
+
+impl<T> Default for AnswerDesk<T> {
+    fn default() -> Self {
+        Self { open: RefCell::default(), silent: RefCell::default() }
+    }
+}
+
+impl<T> AnswerDesk<T> {
+    /// Sends a question and waits for its answer, up to `limit`. The question gets its number.
+    pub(super) async fn ask(&self, limit: Duration, send: impl FnOnce(u64) -> bool) -> Option<T> {
+        let (answer, answered) = oneshot::channel();
+        let call: u64 = rand::random();
+        self.open.borrow_mut().insert(call, answer);
+        let answer = match send(call) {
+            true => timeout(limit, answered).await.ok().and_then(Result::ok),
+            false => None,
+        };
+        self.open.borrow_mut().remove(&call);
+        answer
+    }
+
+    /// Hands over an answer; whoever asked may have given up.
+    pub(super) fn complete(&self, call: u64, answer: T) {
+        let asked = self.open.borrow_mut().remove(&call);
+        asked.map(|asked| asked.send(answer));
+    }
+
+    /// Whether a host is not asked now because it did not answer.
+    pub(super) fn is_silent(&self, host: &str, now: BootInstant) -> bool {
+        self.silent.borrow().get(host).is_some_and(|until| now < *until)
+    }
+
+    /// Notes that a host did not answer and is not asked until an instant.
+    pub(super) fn note_silent(&self, host: &str, until: BootInstant) {
+        self.silent.borrow_mut().insert(host.to_owned(), until);
+    }
+}
+
+impl PeerSender {
+    /// Sends a message if the socket is open and its line is not full. It may be lost on its way.
+    pub(super) fn send(&self, to: SocketAddr, message: PeerMessage) -> bool {
+        let waiting = self.waiting.borrow();
+        waiting.as_ref().is_some_and(|waiting| waiting.try_send((to, message)).is_ok())
+    }
+}
+
+/// Reads the fleet's secret, or creates it if this is the first host.
+pub(super) async fn fleet_secret(host: &HostContext) -> Vec<u8> {
+    loop {
+        let page = read_table(host, FLEET_TABLE).await;
+        let row = page.rows.into_iter().find(|row| row.key == SECRET_KEY);
+        if let Some(secret) = row.and_then(|row| row.value) {
+            return secret;
+        }
+        let secret: [u8; SECRET_BYTES] = rand::random();
+        let name = RowName { table: FLEET_TABLE, key: SECRET_KEY };
+        let value = STANDARD.encode(secret).into_bytes();
+        let transaction = RowTransaction { expected: vec![(name, 0)], writes: vec![(name, value)] };
+        let result = host.store.transact(&transaction, WRITE_LIMIT).await;
+        host.note_store("secret", &result);
+        if result.is_err() {
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+fn code(secret: &[u8], body: &[u8]) -> Vec<u8> {
+    // A key of any length is accepted.
+    let Ok(mut mac) = Hmac::<Sha256>::new_from_slice(secret) else { return Vec::new() };
+    mac.update(body);
+    mac.finalize().into_bytes()[..CODE_BYTES].to_vec()
+}
+
+fn encode(secret: &[u8], message: &PeerMessage) -> Option<Vec<u8>> {
+    let body = postcard::to_stdvec(message).ok()?;
+    Some([code(secret, &body), body].concat())
+}
+
+fn decode(secret: &[u8], datagram: &[u8]) -> Option<PeerMessage> {
+    let (found, body) = datagram.split_at_checked(CODE_BYTES)?;
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret).ok()?;
+    mac.update(body);
+    mac.verify_truncated_left(found).ok()?;
+    postcard::from_bytes(body).ok()
+}
+
+/// Answers and sends messages until the process ends.
+pub(super) async fn serve(host: Rc<HostContext>, socket: UdpSocket, secret: Vec<u8>) {
+    let (sender, mut waiting) = mpsc::channel(MAX_WAITING);
+    host.peers.waiting.replace(Some(sender));
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => {
+                    let answer = receive(&host, &secret, &buffer[..length], from);
+                    if let Some(datagram) = answer.and_then(|answer| encode(&secret, &answer)) {
+                        // A lost answer is one that the asking host does not wait for.
+                        let _ = socket.send_to(&datagram, from).await;
+                    }
+                }
+                Err(error) => {
+                    journal::request("peer_socket", || json!({ "reason": error.to_string() }));
+                    sleep(SOCKET_PAUSE).await;
+                }
+            },
+            message = waiting.recv() => {
+                let Some((to, message)) = message else { return };
+                if let Some(datagram) = encode(&secret, &message) {
+                    // As above.
+                    let _ = socket.send_to(&datagram, to).await;
+                }
+            }
+        }
+    }
+}
+
+/// Takes a datagram; the result is to be sent back.
+fn receive(
+    host: &HostContext,
+    secret: &[u8],
+    datagram: &[u8],
+    from: SocketAddr,
+) -> Option<PeerMessage> {
+    match decode(secret, datagram) {
+        Some(PeerMessage::Ask { loan, customer, tokens }) => {
+            let tokens = lending::lend(host, &customer, tokens);
+            return Some(PeerMessage::Give { loan, customer, tokens });
+        }
+        Some(PeerMessage::Give { loan, customer, tokens }) => {
+            lending::take(host, loan, &customer, tokens);
+        }
+        Some(PeerMessage::Suspect { endpoint }) => doubt::note(host, endpoint),
+        Some(PeerMessage::AskRenewal { call, request }) => {
+            relay::enqueue(host, call, Some(from), request);
+        }
+        Some(PeerMessage::Renewal { call, answer }) => host.renewals.desk.complete(call, answer),
+        None => journal::request("peer_unreadable", || json!({ "bytes": datagram.len() })),
+    }
+    None
+}
+
+/// The address at which another host takes messages, if it is known.
+pub(super) fn address_of(host: &HostContext, name: &str) -> Option<SocketAddr> {
+    let book = host.book.borrow();
+    let entry = book.hosts.iter().find(|entry| entry.record.host == name);
+    entry.map(|entry| entry.record.peers)
+}
--- a/crates/proxy/src/ledger/sharing.rs
+++ b/crates/proxy/src/ledger/sharing.rs
@@ -19,10 +19,10 @@
 
 /// Time between two looks at the shares.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between two reads of all hosts.
+/// Time between two reads of all hosts by a host that hears of no relay's.
 const HOST_INTERVAL: Duration = Duration::from_millis(8_000);
-/// Time from the start to the first of these reads. Hosts that start together have their rows by then.
-const FIRST_LIST_PAUSE: Duration = Duration::from_millis(1_000);
+/// The same until this host finds itself in the list.
+const FIRST_HOST_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two reads of all shares; a change that meets a newer row learns of it anyway.
 const SHARES_INTERVAL: Duration = Duration::from_millis(20_000);
 /// Age that a host's ended lease has before its shares are taken, for the uncertainty of the
@@ -40,19 +40,24 @@
 
 /// Keeps the shares in line with the demand, and the lists of hosts and groups current.
 pub(super) async fn keep_shares(host: Rc<HostContext>) {
-    // Both lists have been read during the start, but hosts that start together, and this one, were
-    // not in the first.
-    let (mut hosts_at, mut shares_at) =
-        (boot_now().after(FIRST_LIST_PAUSE), boot_now().after(SHARES_INTERVAL));
+    // The shares have been read during the start. So have the hosts, but hosts that start together,
+    // and this one, were not among them.
+    let (mut groups_at, mut shares_at) = (boot_now(), boot_now().after(SHARES_INTERVAL));
     loop {
         sleep(SHARE_INTERVAL).await;
         let now = boot_now();
         note_lease(&host, now);
         host.book.borrow_mut().quota.tick(now);
         trim_pools(&host, now);
-        if now >= hosts_at {
-            hosts_at = now.after(HOST_INTERVAL);
+        if now >= groups_at {
+            groups_at = now.after(HOST_INTERVAL);
             create_groups(&host).await;
+        }
+        let interval = match is_listed(&host) || host.is_stopping() {
+            true => HOST_INTERVAL,
+            false => FIRST_HOST_INTERVAL,
+        };
+        if now >= host.hosts_asked_at.get().after(interval) {
             refresh(&host, HOST_TABLE).await;
         }
         if now >= shares_at {
@@ -63,6 +68,11 @@
     }
 }
 
+fn is_listed(host: &HostContext) -> bool {
+    let book = host.book.borrow();
+    book.share_hosts().iter().any(|live| live.name == book.host)
+}
+
 fn note_lease(host: &HostContext, now: BootInstant) {
     let is_valid = host.book.borrow().lease.is_valid(now);
     let is_serving = is_valid && !host.is_stopping() && host.book.borrow().catalog.is_some();
@@ -91,6 +101,9 @@
 /// Reads a table of which the host holds a copy.
 pub(super) async fn refresh(host: &HostContext, table: &str) {
     let sent_at = boot_now();
+    if table == HOST_TABLE {
+        host.hosts_asked_at.set(sent_at);
+    }
     let result = host.store.read(table, READ_LIMIT).await;
     host.note_store("list", &result);
     let Ok(page) = result else { return };
--- a/crates/proxy/tests/site/failures.rs
+++ b/crates/proxy/tests/site/failures.rs
@@ -105,3 +105,45 @@
     until_done(&mut client, "WRITE item one").await;
     assert_that!(site.hosts[0].log(), contains_substring("registration_unreadable"));
 }
+
+/// Guards against a priced call of the store by each host for each renewal: hosts of a failure domain
+/// renew in one transaction.
+#[tokio::test]
+async fn hosts_of_a_domain_renew_together() {
+    let site = SiteDeployment::start(4).await;
+    let has_batch = async || (0..4).any(|host| batches(&site.hosts[host].log()) >= 2);
+    until("two batches of both hosts", has_batch).await;
+}
+
+/// Guards against a host whose lease ends because the relay is frozen: it renews itself and asks
+/// another one, and the relay is asked again when it is back.
+#[tokio::test]
+async fn a_frozen_relay_costs_no_lease() {
+    let site = SiteDeployment::start(4).await;
+    // Hosts 0 and 3 are in the same failure domain.
+    let pair = [0, 3];
+    let relay_of = || pair.into_iter().find(|host| batches(&site.hosts[*host].log()) > 0);
+    until("a batch", async || relay_of().is_some()).await;
+    let relay = relay_of().unwrap();
+    let other = pair.into_iter().find(|host| *host != relay).unwrap();
+    site.hosts[relay].signal("STOP");
+    let is_silent = async || site.hosts[other].log().contains("\"silent\"");
+    until("the relay is found silent", is_silent).await;
+    // Longer than a lease.
+    for _ in 0..30 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_that!(site.hosts[other].is_ready().await, eq(true));
+    }
+    assert_that!(
+        site.hosts[other].log().contains("\"event\":\"ended\",\"part\":\"lease\""),
+        eq(false)
+    );
+    let before = batches(&site.hosts[relay].log());
+    site.hosts[relay].signal("CONT");
+    until("batches again", async || batches(&site.hosts[relay].log()) > before).await;
+}
+
+/// Batches of two hosts that a host has renewed.
+fn batches(log: &str) -> usize {
+    log.lines().filter(|line| line.contains("\"batch\"") && line.contains("\"hosts\":2")).count()
+}
