--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -239,14 +239,16 @@
         }
     }
 
-    /// Identities of primaries that do not reply to this host.
+    /// Whether an endpoint does not reply to this host.
+    pub fn is_suspect(&self, id: &str, now: BootInstant) -> bool {
+        let state = self.endpoints.find(id).and_then(|key| self.endpoints.get(key));
+        state.is_some_and(|state| suspicion::is_suspect(state, now))
+    }
+
+    /// Identities of primaries that do not reply to this host, without those that are being replaced.
     pub fn suspects(&self, now: BootInstant) -> Vec<String> {
         let primaries = self.groups.entries().filter(|entry| entry.record.change.is_none());
-        let suspected = primaries.filter(|entry| {
-            let key = self.endpoints.find(&entry.record.primary);
-            let state = key.and_then(|key| self.endpoints.get(key));
-            state.is_some_and(|state| suspicion::is_suspect(state, now))
-        });
+        let suspected = primaries.filter(|entry| self.is_suspect(&entry.record.primary, now));
         let mut ids: Vec<String> = suspected.map(|entry| entry.record.primary.clone()).collect();
         ids.sort();
         ids
--- a/crates/core/tests/ledger/book.rs
+++ b/crates/core/tests/ledger/book.rs
@@ -153,3 +153,19 @@
     book.lease.note_clock(at(9_000), store_at(9_000));
     expect_that!(book.share_hosts().len(), eq(1));
 }
+
+/// Guards against a host that gives statements on a silent primary time to end while it is replaced:
+/// a mark does not end the suspicion, although a primary that is being changed is no longer reported.
+#[gtest]
+fn a_marked_primary_stays_suspected() {
+    let mut book = book();
+    let key = book.endpoints.find("p").unwrap();
+    for millis in [100, 400, 800] {
+        book.endpoints.get_mut(key).unwrap().note_failure(at(millis));
+    }
+    expect_that!(book.is_suspect("p", at(900)), eq(true));
+    book.adopt_group(group(2, "p", mark(9_000)));
+    expect_that!(book.suspects(at(900)), is_empty());
+    expect_that!(book.is_suspect("p", at(900)), eq(true));
+    expect_that!(book.is_suspect("r1", at(900)), eq(false));
+}
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -29,7 +29,8 @@
 pub(super) const READ_LIMIT: Duration = Duration::from_secs(2);
 
 /// Wait of a long poll. The renewal of the lease finds a change that a silent poll misses.
-const POLL_WAIT: Duration = Duration::from_secs(25);
+const POLL_WAIT: Duration = Duration::from_secs(29);
+
 /// Content of a row to write. A record that cannot be encoded is logged and not written.
 pub(super) fn encode(record: &impl Serialize) -> Option<Vec<u8>> {
     match serde_json::to_vec(record) {
@@ -207,10 +208,15 @@
         "changing": record.change.is_some(), "token": record.change.as_ref().map(|mark| mark.token),
         "holder": record.change.as_ref().map(|mark| mark.holder.clone()),
         "row_version": row.version });
+    let is_marked = record.change.is_some();
     let entry = GroupEntry { version: row.version, record };
     if host.book.borrow_mut().adopt_group(entry) {
         journal::event("group", "adopted", fields);
-        host.renew.notify_one();
+        // The host that has marked the group waits for a renewal; nobody waits for one after a
+        // result.
+        if is_marked {
+            host.renew.notify_one();
+        }
     }
 }
 
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -22,7 +22,8 @@
 
 /// Time that a conditional write may take.
 pub(super) const WRITE_LIMIT: Duration = Duration::from_millis(1_500);
-/// Time that statements on a primary have to end when it is being changed.
+/// Time that statements on a primary have to end when it is being changed; none when it does not
+/// reply, as they would only delay its successor.
 const LEAVE_LIMIT: Duration = Duration::from_millis(400);
 
 /// Entries of one transaction at most; the store takes up to 100.
@@ -84,13 +85,13 @@
 async fn leave_changed(host: &HostContext, left: &mut HashMap<String, u64>) {
     let changed: Vec<(String, u64, bool)> = {
         let book = host.book.borrow();
-        let suspects = book.suspects(boot_now());
+        let now = boot_now();
         let changed = book.groups.entries().filter(|entry| {
             left.get(&entry.record.group).is_none_or(|version| *version < entry.version)
         });
         changed
             .map(|entry| {
-                let is_lost = suspects.contains(&entry.record.primary);
+                let is_lost = book.is_suspect(&entry.record.primary, now);
                 (entry.record.group.clone(), entry.version, is_lost)
             })
             .collect()
--- a/crates/proxy/src/ledger/sharing.rs
+++ b/crates/proxy/src/ledger/sharing.rs
@@ -24,7 +24,7 @@
 /// The same until this host finds itself in the list.
 const FIRST_HOST_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two reads of all shares; a change that meets a newer row learns of it anyway.
-const SHARES_INTERVAL: Duration = Duration::from_millis(20_000);
+const SHARES_INTERVAL: Duration = Duration::from_millis(60_000);
 /// Age that a host's ended lease has before its shares are taken, for the uncertainty of the
 /// store's clock.
 const ENDED_MARGIN: Duration = Duration::from_millis(1_000);
