Let the soak disturb connections through a relay

The relay of the test bed had delays, losses and one-way cuts; it now also resets or silences the open connections between two domains. The soak puts it between hosts and store, hosts and endpoints, and clients and hosts; series of these faults mix with those of processes, store, replicas and primary.

--- a/crates/proxy/tests/site/main.rs
+++ b/crates/proxy/tests/site/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod failures;
+mod lanes;
 mod logs;
 mod process;
 mod soak;
--- a/crates/proxy/tests/site/soak.rs
+++ b/crates/proxy/tests/site/soak.rs
@@ -14,7 +14,8 @@
 use tanagerdeal_standin::{ClientReply, StandinClient, StandinGroup, configuration};
 use tokio::time::sleep;
 
-use crate::support::{KEY, OTHER_KEY, SiteDeployment, until_done};
+use crate::lanes::{Lane, RelayedSite};
+use crate::support::{KEY, OTHER_KEY, until_done};
 
 /// Hosts of a run.
 const HOSTS: usize = 4;
@@ -154,11 +155,47 @@
     }
 }
 
+/// Disturbs the connections on one way for a while. Faults of several ways overlap.
+async fn disturb_lane(relayed: &RelayedSite, random: &mut StdRng) {
+    let lane = match random.random_range(0..3) {
+        0 => Lane::to_store(random.random_range(0..HOSTS)),
+        1 => Lane::to_endpoint(random.random_range(0..3)),
+        _ => Lane::to_host(random.random_range(0..HOSTS)),
+    };
+    let direction = if random.random_range(0..2) == 0 { lane.back() } else { lane.clone() };
+    let other = Lane::to_endpoint(random.random_range(0..3));
+    let pause = Duration::from_millis(random.random_range(100..2_500));
+    match random.random_range(0..5) {
+        0 => {
+            relayed.delay(&direction, random.random_range(2_000..300_000)).await;
+            relayed.break_open(&other, "reset").await;
+            sleep(pause).await;
+            relayed.delay(&direction, 0).await;
+        }
+        1 | 2 => {
+            relayed.cut(&direction, true).await;
+            sleep(pause).await;
+            // Bytes that were held up may go on, or die with their connection.
+            if random.random_range(0..2) == 0 {
+                relayed.break_open(&lane, "reset").await;
+            }
+            relayed.cut(&direction, false).await;
+        }
+        3 => relayed.break_open(&lane, "reset").await,
+        _ => relayed.break_open(&lane, "silence").await,
+    }
+}
+
 /// Injects faults in series until the time is over, and takes them back.
-async fn disturb(site: &mut SiteDeployment, random: &mut StdRng, span: Duration) {
+async fn disturb(relayed: &mut RelayedSite, random: &mut StdRng, span: Duration) {
     let end = Instant::now() + span;
     let (mut version, mut killed) = (1_001, false);
     while Instant::now() < end {
+        if random.random_range(0..2) == 0 {
+            disturb_lane(relayed, random).await;
+            continue;
+        }
+        let site = &mut relayed.site;
         let host = random.random_range(0..HOSTS);
         let pause = Duration::from_millis(random.random_range(50..900));
         match random.random_range(0..9) {
@@ -223,9 +260,9 @@
 
 async fn soak(seed: u64, span: Duration) -> Vec<String> {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut site = SiteDeployment::start(HOSTS).await;
-    site.store.put("op", "config", &configuration(1_000, "g1", &[("acme", &[KEY], 5_000)]));
-    let hosts: Vec<_> = site.hosts.iter().map(|host| host.callers).collect();
+    let mut relayed = RelayedSite::start(HOSTS).await;
+    relayed.site.store.put("op", "config", &configuration(1_000, "g1", &[("acme", &[KEY], 5_000)]));
+    let hosts = relayed.callers.clone();
     let (is_over, done) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|index| {
@@ -241,7 +278,8 @@
             tokio::spawn(client.run(is_over.clone()))
         })
         .collect();
-    disturb(&mut site, &mut random, span).await;
+    disturb(&mut relayed, &mut random, span).await;
+    let site = &mut relayed.site;
     // Afterwards every host serves again.
     for index in 0..HOSTS {
         // A signal may reach a process before it can handle any, which ends it.
@@ -274,7 +312,8 @@
 
 /// Guards against writes that run twice or get lost, refusals that are not true, sessions that miss
 /// their own writes, and hosts that do not serve again, while processes are killed, paused and
-/// restarted, the store refuses calls, replicas fall behind and a primary is lost.
+/// restarted, connections are delayed, reset, cut one way and silenced, the store refuses calls,
+/// replicas fall behind and a primary is lost.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_random_faults() {
     let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|text| text.parse().ok());
--- a/crates/proxy/tests/site/support.rs
+++ b/crates/proxy/tests/site/support.rs
@@ -46,7 +46,7 @@
         let store = StandinStore::start().await.unwrap();
         let group = StandinGroup::start(&store, "g1", &["d1", "d2", "d3"]).await.unwrap();
         store.put("op", "config", &configuration(1, "g1", &[("acme", &[KEY, OTHER_KEY], 500)]));
-        let hosts = (0..hosts).map(|index| SiteHost::start(&store, index)).collect();
+        let hosts = (0..hosts).map(|index| SiteHost::start(store.address(), index)).collect();
         let deployment = Self { store, group, hosts };
         for host in &deployment.hosts {
             host.wait_ready().await;
@@ -102,8 +102,8 @@
 }
 
 impl SiteHost {
-    /// Starts a host.
-    pub fn start(store: &StandinStore, index: usize) -> Self {
+    /// Starts a host that reaches the store at an address.
+    pub fn start(store: SocketAddr, index: usize) -> Self {
         let directory = TempDir::new().unwrap();
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let (callers, admin) = (address(free_port()), address(free_port()));
@@ -115,7 +115,6 @@
              [listen]\ncallers = {callers}\nadmin = {admin}\npeers = {peers}\n\
              [platform]\nstore = {store}\ncontrol = {store}\n\
              [limits]\nshutdown_s = 6\ndescriptors = 2048\n",
-            store = store.address(),
         );
         std::fs::write(&settings, text).unwrap();
         let child = spawn(&settings, &directory.path().join("log"));
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -21,6 +21,7 @@
 use rand::rngs::SmallRng;
 use tanagerdeal_wire::wire_type;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::broadcast;
 
 pub use link::{LinkFaults, LinkRule};
 use link::{LinkTable, Transit};
@@ -58,6 +59,26 @@
         pub address: SocketAddr,
     }
 
+    /// What becomes of open connections; new ones are not affected.
+    #[derive(Copy)]
+    #[serde(rename_all = "lowercase")]
+    pub enum BreakKind {
+        /// Both ends see a reset.
+        Reset,
+        /// Nothing passes any more, and neither end is told.
+        Silence,
+    }
+
+    /// Body of `POST /control/breaks`: breaks the connections from one failure domain to another.
+    pub struct LinkBreak {
+        /// Domain of the callers.
+        pub from: String,
+        /// Domain of the targets.
+        pub to: String,
+        /// What happens to them.
+        pub kind: BreakKind,
+    }
+
     /// Answer to `GET /control/state`.
     pub struct RelayState {
         /// Failure domains by source address.
@@ -75,8 +96,12 @@
     links: LinkTable,
     bytes: BTreeMap<String, u64>,
     random: SmallRng,
+    breaks: broadcast::Sender<LinkBreak>,
 }
 
+/// Breaks that wait for a connection to take notice.
+const BREAKS_WAITING: usize = 64;
+
 #[derive(Clone)]
 struct RelayHandle(Arc<Mutex<RelayData>>);
 
@@ -87,6 +112,7 @@
             links: LinkTable::default(),
             bytes: BTreeMap::new(),
             random: SmallRng::seed_from_u64(seed),
+            breaks: broadcast::Sender::new(BREAKS_WAITING),
         })))
     }
 
@@ -158,6 +184,7 @@
         .route("/control/ports", post(open_port))
         .route("/control/sources", post(set_sources))
         .route("/control/links", post(set_links))
+        .route("/control/breaks", post(break_connections))
         .route("/control/state", get(show_state))
         .with_state(handle)
 }
@@ -204,6 +231,15 @@
     StatusCode::NO_CONTENT
 }
 
+async fn break_connections(
+    State(handle): State<RelayHandle>,
+    Json(link): Json<LinkBreak>,
+) -> StatusCode {
+    // Without an open connection nobody listens.
+    let _ = handle.lock().breaks.send(link);
+    StatusCode::NO_CONTENT
+}
+
 async fn show_state(State(handle): State<RelayHandle>) -> Json<RelayState> {
     let data = handle.lock();
     Json(RelayState {
