Test the table of metrics, a log that nobody reads, and broken connections of the relay

The table in docs/OPERATIONS.md is compared with what two hosts serve; a host whose output is a pipe that is never read answers over 1,000 refused statements in 4 s, each within 0.4 s; the relay's reset and silence reach the open connections of one way only. No change of the product.

--- a/crates/proxy/tests/site/logs.rs
+++ b/crates/proxy/tests/site/logs.rs
@@ -1,5 +1,8 @@
 //! What an engineer finds afterwards: log lines and metrics.
 
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
 use googletest::prelude::*;
 use serde_json::Value;
 
@@ -64,3 +67,50 @@
     }
     assert_that!(body, not(contains_substring("MARKED")));
 }
+
+/// Guards against metrics that the page for operators does not list, and lists that are out of date.
+#[tokio::test]
+async fn the_page_for_operators_lists_the_metrics_that_are_served() {
+    let site = SiteDeployment::start(2).await;
+    let mut client = site.session(0, "current").await;
+    until_done(&mut client, "READ item").await;
+    client.query("COMMIT").await;
+    // Some counters are there once something was counted.
+    site.group.kill(0);
+    until_done(&mut client, "WRITE item one").await;
+    let mut served = BTreeSet::new();
+    for host in &site.hosts {
+        let (_, text) = host.page("/metrics").await;
+        let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+        served.extend(types.filter_map(|line| Some(line.split_once(' ')?.0.to_owned())));
+    }
+    let page = include_str!("../../../../docs/OPERATIONS.md");
+    let rows = page.lines().filter(|line| line.starts_with("| `tanagerdeal_"));
+    let first_cells = rows.filter_map(|row| row.split('|').nth(1));
+    let names = first_cells.flat_map(|cell| cell.split('`').skip(1).step_by(2));
+    let listed: BTreeSet<String> = names.map(str::to_owned).collect();
+    assert_that!(served, eq(&listed));
+}
+
+/// Guards against statements that wait for a reader of the log: with a reader that takes nothing, far
+/// more lines than any pipe holds are logged while statements are answered as usual.
+#[tokio::test]
+async fn a_log_that_nobody_reads_delays_no_statement() {
+    let mut site = SiteDeployment::start(1).await;
+    site.hosts[0].restart_unread();
+    site.hosts[0].wait_ready().await;
+    let end = Instant::now() + Duration::from_secs(4);
+    let mut slowest = Duration::ZERO;
+    let mut refused = 0;
+    let mut client = site.session(0, "current").await;
+    while Instant::now() < end {
+        // Each refusal is a line of some 300 bytes, up to 150 a second.
+        let began_at = Instant::now();
+        let reply = client.query("COMMIT").await;
+        slowest = slowest.max(began_at.elapsed());
+        refused += usize::from(reply.failure.is_some());
+    }
+    until_done(&mut client, "READ item").await;
+    assert_that!(refused, ge(1_000));
+    assert_that!(slowest, lt(Duration::from_millis(400)));
+}
--- a/crates/proxy/tests/site/support.rs
+++ b/crates/proxy/tests/site/support.rs
@@ -117,14 +117,21 @@
              [limits]\nshutdown_s = 6\ndescriptors = 2048\n",
         );
         std::fs::write(&settings, text).unwrap();
-        let child = spawn(&settings, &directory.path().join("log"));
+        let child = spawn(&settings, &directory.path().join("log"), None);
         Self { child, directory, callers, admin }
     }
 
+    /// Starts the process again with a log that nobody reads.
+    pub fn restart_unread(&mut self) {
+        self.kill();
+        let settings = self.directory.path().join("host.ini");
+        self.child = spawn(&settings, &self.directory.path().join("log"), Some(Stdio::piped()));
+    }
+
     /// Restarts the process with the same settings.
     pub fn restart(&mut self) {
         let settings = self.directory.path().join("host.ini");
-        self.child = spawn(&settings, &self.directory.path().join("log"));
+        self.child = spawn(&settings, &self.directory.path().join("log"), None);
     }
 
     /// Starts the process again if it has ended, as the platform does.
@@ -198,11 +205,13 @@
     }
 }
 
-fn spawn(settings: &Path, log: &Path) -> Child {
+/// Starts a process that logs to a file, or to `output`.
+fn spawn(settings: &Path, log: &Path, output: Option<Stdio>) -> Child {
     let open = |path: &Path| {
         std::fs::OpenOptions::new().create(true).append(true).open(path).map(Stdio::from).unwrap()
     };
-    let (output, errors) = (open(log), open(&log.with_extension("errors")));
+    let output = output.unwrap_or_else(|| open(log));
+    let errors = open(&log.with_extension("errors"));
     Command::new(env!("CARGO_BIN_EXE_tanagerdeal"))
         .args(["serve", "--config"])
         .arg(settings)
--- a/crates/testbed/tests/relay.rs
+++ b/crates/testbed/tests/relay.rs
@@ -153,3 +153,29 @@
     }
     expect_that!(answers, all!(gt(5), lt(35)));
 }
+
+/// Guards against tests of resets whose connections end in an orderly way, and against breaks that
+/// reach other connections or new ones.
+#[gtest]
+#[tokio::test]
+async fn open_connections_are_reset_or_silenced() {
+    let relay = TestRelay::start().await;
+    let port = relay.open("tcp", stream_echo().await).await;
+    let mut from_a = connect_from("127.0.1.1", port).await;
+    let mut from_b = connect_from("127.0.2.1", port).await;
+    expect_that!(echo(&mut from_a).await, ok(eq(&b'x')));
+    expect_that!(echo(&mut from_b).await, ok(eq(&b'x')));
+    relay.post("breaks", json!({"from": "a", "to": "t", "kind": "reset"})).await;
+    let error = echo(&mut from_a).await.expect_err("a reset");
+    expect_that!(error.kind(), eq(std::io::ErrorKind::ConnectionReset));
+    relay.post("breaks", json!({"from": "b", "to": "t", "kind": "silence"})).await;
+    let silent = tokio::time::timeout(Duration::from_millis(300), echo(&mut from_b)).await;
+    expect_that!(silent.is_err(), eq(true));
+    let mut later = connect_from("127.0.2.1", port).await;
+    expect_that!(echo(&mut later).await, ok(eq(&b'x')));
+}
+
+async fn echo(stream: &mut TcpStream) -> std::io::Result<u8> {
+    stream.write_all(b"x").await?;
+    stream.read_u8().await
+}
