--- a/crates/proxy/src/ledger/relay.rs
+++ b/crates/proxy/src/ledger/relay.rs
@@ -184,7 +184,7 @@
         if relied_rows(host) != relied {
             return None;
         }
-        let is_current = |renewal: &QueuedRenewal| stored_version(&page, &renewal.request);
+        let is_current = |renewal: &QueuedRenewal| is_row_current(&page, &renewal.request);
         let (current, changed): (Vec<_>, Vec<_>) =
             std::mem::take(agreed).into_iter().partition(is_current);
         changed.iter().for_each(|renewal| answer(host, renewal, None));
@@ -197,7 +197,7 @@
 }
 
 /// Whether a host's row is the one that its request names.
-fn stored_version(page: &RowPage, request: &RenewalRequest) -> bool {
+fn is_row_current(page: &RowPage, request: &RenewalRequest) -> bool {
     let row =
         page.rows.iter().find(|row| row.table == HOST_TABLE && row.key == request.record.host);
     row.map_or(0, |row| row.version) == request.own_version
