Leave primaries until no row has changed meanwhile; store the deadline of a queued renewal

Found by reading: while a host waits for statements on one primary to end, a mark of another group may come in; the renewal that followed then named the new row although statements of that group were still running. Their results are checked against the row again before a client gets them, so no wrong answer is known of; there is no test, as the stand-ins have one group. The host now looks again until nothing has changed.

--- a/crates/core/src/ledger/renewal.rs
+++ b/crates/core/src/ledger/renewal.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tanagerdeal_wire::wire_type;
+use tanagerdeal_wire::{value_type, wire_type};
 
 use super::book::share_hosts;
 use super::clock::{BootInstant, StoreInstant};
@@ -70,17 +70,27 @@
     }
 }
 
-/// A request that waits at the relay.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct QueuedRenewal {
-    /// Number of the call at the asking host.
-    pub call: u64,
-    /// Address to answer; nothing for the relay's own request.
-    pub address: Option<SocketAddr>,
-    /// When it arrived.
-    pub arrived_at: BootInstant,
-    /// The request.
-    pub request: RenewalRequest,
+value_type! {
+    /// A request that waits at the relay.
+    pub struct QueuedRenewal {
+        /// Number of the call at the asking host.
+        pub call: u64,
+        /// Address to answer; nothing for the relay's own request.
+        pub address: Option<SocketAddr>,
+        /// When the asking host goes on without an answer.
+        pub deadline: BootInstant,
+        /// The request.
+        pub request: RenewalRequest,
+    }
+
+    /// Requests that were taken out of the queue.
+    #[derive(Default)]
+    pub struct RenewalBatch {
+        /// To be renewed together.
+        pub agreed: Vec<QueuedRenewal>,
+        /// To be answered negatively: they rely on other rows than the relay, or came too long ago.
+        pub declined: Vec<QueuedRenewal>,
+    }
 }
 
 /// Requests that wait at the relay.
@@ -89,17 +99,16 @@
     waiting: Vec<QueuedRenewal>,
 }
 
-/// Requests that were taken out of the queue.
-#[derive(Debug, Default, Eq, PartialEq)]
-pub struct RenewalBatch {
-    /// To be renewed together.
-    pub agreed: Vec<QueuedRenewal>,
-    /// To be answered negatively: they rely on other rows than the relay, or came too long ago.
-    pub declined: Vec<QueuedRenewal>,
-}
-
 impl RenewalQueue {
     /// Adds a request; an earlier one of the same host is replaced, as its asker has gone on.
+    ///
+    /// ```
+    /// # use tanagerdeal_core::ledger::renewal::{QueuedRenewal, RenewalQueue};
+    /// fn take_in(queue: &mut RenewalQueue, renewal: QueuedRenewal) {
+    ///     queue.add(renewal);
+    ///     assert!(!queue.is_empty());
+    /// }
+    /// ```
     pub fn add(&mut self, renewal: QueuedRenewal) {
         let host = renewal.request.record.host.clone();
         self.waiting.retain(|other| other.request.record.host != host);
@@ -119,7 +128,7 @@
     pub fn take(&mut self, basis: u64, now: BootInstant) -> RenewalBatch {
         let mut batch = RenewalBatch::default();
         for renewal in std::mem::take(&mut self.waiting) {
-            let is_current = now < renewal.arrived_at.after(ANSWER_LIMIT);
+            let is_current = now < renewal.deadline;
             match renewal.request.basis == basis && is_current {
                 true if batch.agreed.len() < MAX_BATCH => batch.agreed.push(renewal),
                 true => self.waiting.push(renewal),
@@ -130,6 +139,10 @@
     }
 
     /// Whether nothing waits.
+    ///
+    /// ```
+    /// assert!(tanagerdeal_core::ledger::renewal::RenewalQueue::default().is_empty());
+    /// ```
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
@@ -154,6 +167,13 @@
 
 /// The host that renews for the others of a failure domain: the first live one in an order that
 /// differs for each domain, and that is not known to be silent. A host that is alone has none.
+///
+/// ```
+/// use tanagerdeal_core::ledger::clock::StoreInstant;
+/// use tanagerdeal_core::ledger::renewal::relay;
+///
+/// assert_eq!(relay(&[], StoreInstant::from_millis(0), "d1", &|_| false), None);
+/// ```
 pub fn relay<'a>(
     hosts: &'a [HostEntry],
     read_at: StoreInstant,
@@ -187,6 +207,14 @@
 }
 
 /// What a relay passes on of its list of hosts.
+///
+/// ```
+/// use tanagerdeal_core::ledger::clock::StoreInstant;
+/// use tanagerdeal_core::ledger::renewal::list_view;
+///
+/// let read_at = StoreInstant::from_millis(5);
+/// assert_eq!(list_view(&[], read_at).until, read_at);
+/// ```
 pub fn list_view(hosts: &[HostEntry], read_at: StoreInstant) -> HostListView {
     let live = hosts.iter().filter(|entry| entry.record.until > read_at);
     let until = live.map(|entry| entry.record.until).min().unwrap_or(read_at);
@@ -204,6 +232,16 @@
 
 /// Takes over what a relay knows of the hosts, if the own list is the same but for renewals. Returns
 /// whether it is; otherwise it has to be read.
+///
+/// ```
+/// use tanagerdeal_core::ledger::clock::StoreInstant;
+/// use tanagerdeal_core::ledger::renewal::{adopt_view, list_view};
+///
+/// let mut read_at = StoreInstant::from_millis(5);
+/// let view = list_view(&[], StoreInstant::from_millis(9));
+/// assert!(adopt_view(&mut [], &mut read_at, &view));
+/// assert_eq!(read_at, view.read_at);
+/// ```
 pub fn adopt_view(
     hosts: &mut [HostEntry],
     read_at: &mut StoreInstant,
--- a/crates/core/tests/ledger/renewal.rs
+++ b/crates/core/tests/ledger/renewal.rs
@@ -15,7 +15,7 @@
 
 fn request(name: &str, call: u64, basis: u64, millis: u64) -> QueuedRenewal {
     let request = RenewalRequest { own_version: 1, basis, record: host(name, 1, 0, &[]).record };
-    QueuedRenewal { call, address: None, arrived_at: at(millis), request }
+    QueuedRenewal { call, address: None, deadline: at(millis).after(ANSWER_LIMIT), request }
 }
 
 fn calls(renewals: &[QueuedRenewal]) -> Vec<u64> {
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -33,8 +33,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum RenewalResult {
     Renewed,
-    /// Rows have changed and were taken over.
-    Conflict,
+    /// Rows have changed and were taken over, or the relay did not renew.
+    Retry,
     Failed,
 }
 
@@ -45,15 +45,16 @@
     // that the store does not answer asks the relay, which it may answer.
     let mut is_urgent = true;
     loop {
-        leave_changed(&host, &mut left).await;
+        // While statements end, rows of other groups may change.
+        while leave_changed(&host, &mut left).await {}
         let result = match is_urgent {
             true => renew(&host).await,
             false if renew_with_others(&host).await => RenewalResult::Renewed,
-            false => RenewalResult::Conflict,
+            false => RenewalResult::Retry,
         };
         let pause = match result {
             RenewalResult::Renewed => time_to_renewal(&host),
-            RenewalResult::Conflict => {
+            RenewalResult::Retry => {
                 is_urgent = true;
                 continue;
             }
@@ -81,8 +82,8 @@
 }
 
 /// Waits until nothing runs under a former right to a group whose row has changed, so that the
-/// renewal that follows is true for others.
-async fn leave_changed(host: &HostContext, left: &mut HashMap<String, u64>) {
+/// renewal that follows is true for others. Returns whether there was such a group.
+async fn leave_changed(host: &HostContext, left: &mut HashMap<String, u64>) -> bool {
     let changed: Vec<(String, u64, bool)> = {
         let book = host.book.borrow();
         let now = boot_now();
@@ -96,11 +97,13 @@
             })
             .collect()
     };
+    let has_changed = !changed.is_empty();
     for (group, version, is_lost) in changed {
         let limit = if is_lost { Duration::ZERO } else { LEAVE_LIMIT };
         host.leave_primary(&group, version, limit).await;
         left.insert(group, version);
     }
+    has_changed
 }
 
 async fn renew(host: &HostContext) -> RenewalResult {
@@ -126,7 +129,7 @@
         Ok(TransactionOutcome::Conflict(page)) => {
             host.book.borrow_mut().lease.note_clock(sent_at, page.now);
             adopt_conflict(host, &expected, &page.rows);
-            RenewalResult::Conflict
+            RenewalResult::Retry
         }
         Err(_) => RenewalResult::Failed,
     }
--- a/crates/proxy/src/ledger/relay.rs
+++ b/crates/proxy/src/ledger/relay.rs
@@ -116,7 +116,8 @@
     address: Option<SocketAddr>,
     request: RenewalRequest,
 ) {
-    let renewal = QueuedRenewal { call, address, arrived_at: boot_now(), request };
+    let deadline = boot_now().after(ANSWER_LIMIT);
+    let renewal = QueuedRenewal { call, address, deadline, request };
     host.renewals.queue.borrow_mut().add(renewal);
     host.renewals.queued.notify_one();
 }
