--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -1,9 +1,10 @@
 //! Decisions of a host whose fleet coordinates through a table service alone.
 //!
-//! Hosts do not talk to each other. Everything they have to agree on is a row: the primary of each
-//! group, the leases of the hosts, the shares of each customer's rate. A host renews its lease under
-//! the condition that all rows it relies on are still the ones it knows, so one call proves at once
-//! that its catalog, its primaries and its own lease are current.
+//! Everything that hosts have to agree on is a row: the primary of each group, the leases of the
+//! hosts, the shares of each customer's rate. A host renews its lease under the condition that all
+//! rows it relies on are still the ones it knows, so one call proves at once that its catalog, its
+//! primaries and its own lease are current. Messages between hosts carry loans, hints and requests;
+//! each may be lost.
 
 pub mod book;
 pub mod catalog;
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -245,7 +245,8 @@
         state.is_some_and(|state| suspicion::is_suspect(state, now))
     }
 
-    /// Identities of primaries that do not reply to this host, without those that are being replaced.
+    /// Identities of primaries that do not reply to this host, without those that are being
+    /// replaced.
     pub fn suspects(&self, now: BootInstant) -> Vec<String> {
         let primaries = self.groups.entries().filter(|entry| entry.record.change.is_none());
         let suspected = primaries.filter(|entry| self.is_suspect(&entry.record.primary, now));
--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -257,7 +257,8 @@
     /// and `hosts` are the live ones.
     ///
     /// A part that shrinks is used at its new size from this call on. A host that is not among the
-    /// live ones has only just started: it cannot tell yet whether it is a home, so it changes nothing.
+    /// live ones has only just started: it cannot tell yet whether it is a home, so it changes
+    /// nothing.
     pub fn changes(
         &mut self,
         now: BootInstant,
--- a/crates/core/src/ledger/renewal.rs
+++ b/crates/core/src/ledger/renewal.rs
@@ -1,10 +1,11 @@
 //! Renewal of the leases of several hosts in one transaction.
 //!
-//! The hosts of a failure domain ask one of them, their relay, to renew for them. All ask at the same
-//! moment by the store's clock, so that the relay can write all rows at once. It does so under the
-//! conditions that each host would have used: its own row is the one it knows, and the rows that it
-//! relies on are the ones that the relay knows. A host counts its lease from the moment at which it
-//! asked, which is before the relay wrote. One that gets no answer, or a negative one, renews itself.
+//! The hosts of a failure domain ask one of them, their relay, to renew for them. All ask at the
+//! same moment by the store's clock, so that the relay can write all rows at once. It does so under
+//! the conditions that each host would have used: its own row is the one it knows, and the rows
+//! that it relies on are the ones that the relay knows. A host counts its lease from the moment at
+//! which it asked, which is before the relay wrote. One that gets no answer, or a negative one,
+//! renews itself.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,11 +17,12 @@
 use super::lease::{HostEntry, HostRecord};
 use crate::hash::hash_bytes;
 
-/// Time for which a relay collects requests. Hosts know the store's clock to a few milliseconds, and
-/// a busy processor may wake a host some tens of milliseconds late.
+/// Time for which a relay collects requests. Hosts know the store's clock to a few milliseconds,
+/// and a busy processor may wake a host some tens of milliseconds late.
 pub const GATHER_TIME: Duration = Duration::from_millis(150);
-/// Time that a relay has to answer: the gathering, a call of a store that is slow by a factor of ten,
-/// and the way there and back. A host that has waited in vain renews itself well within its lease.
+/// Time that a relay has to answer: the gathering, a call of a store that is slow by a factor of
+/// ten, and the way there and back. A host that has waited in vain renews itself well within its
+/// lease.
 pub const ANSWER_LIMIT: Duration = Duration::from_millis(600);
 /// Time for which a relay that did not answer is not asked again: two renewals.
 pub const SILENT_TERM: Duration = Duration::from_secs(8);
@@ -187,8 +189,8 @@
     known.min_by_key(|name| weight(name)).copied().filter(|_| names.len() > 1)
 }
 
-/// Time until the hosts of a failure domain renew next. They meet at multiples of the interval in the
-/// store's clock, at another moment in each domain.
+/// Time until the hosts of a failure domain renew next. They meet at multiples of the interval in
+/// the store's clock, at another moment in each domain.
 ///
 /// ```
 /// use std::time::Duration;
@@ -230,8 +232,8 @@
     HostListView { digest: hash_bytes(bytes), read_at, until }
 }
 
-/// Takes over what a relay knows of the hosts, if the own list is the same but for renewals. Returns
-/// whether it is; otherwise it has to be read.
+/// Takes over what a relay knows of the hosts, if the own list is the same but for renewals.
+/// Returns whether it is; otherwise it has to be read.
 ///
 /// ```
 /// use tanagerdeal_core::ledger::clock::StoreInstant;
--- a/crates/core/src/schedule.rs
+++ b/crates/core/src/schedule.rs
@@ -20,8 +20,8 @@
 const MAX_WAITING: usize = 20_000;
 
 /// Part of the expected wait, as a divisor, that is added before it is compared with the deadline.
-/// Without it, requests at the edge are accepted and then refused shortly before their deadline. With
-/// an eighth, an endpoint that turned slow made requests wait 1.8 s for their refusal.
+/// Without it, requests at the edge are accepted and then refused shortly before their deadline.
+/// With an eighth, an endpoint that turned slow made requests wait 1.8 s for their refusal.
 const WAIT_MARGIN_DIVISOR: u32 = 2;
 
 /// Shortest remaining time with which a request is still worth placing.
@@ -193,8 +193,8 @@
     }
 
     /// Waiting requests that cannot be on time any more, with the time at which each would be
-    /// served. The longest queue relative to its weight waits longest, so requests are shed from the
-    /// customer that is furthest over its share.
+    /// served. The longest queue relative to its weight waits longest, so requests are shed from
+    /// the customer that is furthest over its share.
     pub(crate) fn late(
         &self,
         policy: SchedulerPolicy,
@@ -228,8 +228,8 @@
         self.loads.get(endpoint).map_or(0, |load| load.held)
     }
 
-    /// Notes that a lane waits for an endpoint without room. Its requests count as demand for as many
-    /// connections as the window has room for.
+    /// Notes that a lane waits for an endpoint without room. Its requests count as demand for as
+    /// many connections as the window has room for.
     pub(crate) fn note_short(&mut self, group: GroupKey, lane: WorkLane, endpoint: EndpointKey) {
         let waiting = self.groups.get(&group).map_or(0, |queue| queue.waiting(lane));
         let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
@@ -238,7 +238,8 @@
         }
     }
 
-    /// Connections wanted to an endpoint: those held and those that were lacking since the last call.
+    /// Connections wanted to an endpoint: those held and those that were lacking since the last
+    /// call.
     pub(crate) fn take_wanted(&mut self, endpoint: EndpointKey) -> u64 {
         let Some(load) = self.loads.get_mut(endpoint) else { return 0 };
         u64::from(load.held) + u64::from(std::mem::take(&mut load.short))
@@ -272,7 +273,8 @@
         }
     }
 
-    /// Notes that a statement ended; `took` is absent when its time says nothing about the endpoint.
+    /// Notes that a statement ended; `took` is absent when its time says nothing about the
+    /// endpoint.
     pub(crate) fn end(
         &mut self,
         now: Instant,
--- a/crates/core/src/schedule/flow.rs
+++ b/crates/core/src/schedule/flow.rs
@@ -20,8 +20,8 @@
 /// shows after three services, and one long interval moves the average by a quarter of itself.
 const INTERVAL_GAIN: f64 = 0.25;
 
-/// Largest multiple of the average that one interval counts for, so that a stall that is over is not
-/// taken for the new rate. A rate that stays low passes it after a few services.
+/// Largest multiple of the average that one interval counts for, so that a stall that is over is
+/// not taken for the new rate. A rate that stays low passes it after a few services.
 const MOST_RISE: f64 = 4.0;
 
 /// Intervals after which the average is used. The first ones contain the time to open connections.
--- a/crates/core/tests/ledger/book.rs
+++ b/crates/core/tests/ledger/book.rs
@@ -50,9 +50,9 @@
     expect_that!(book.groups.get("g").unwrap().record.primary.as_str(), eq("r1"));
 }
 
-/// Guards against a suspicion that outlives its reason: after a cut had healed no statement was sent
-/// to a suspected primary, so nothing ended the suspicion, and changes of primary began in vain
-/// (trouble-1 of sleeperdesk, seconds 38 to 41).
+/// Guards against a suspicion that outlives its reason: after a cut had healed no statement was
+/// sent to a suspected primary, so nothing ended the suspicion, and changes of primary began in
+/// vain (trouble-1 of sleeperdesk, seconds 38 to 41).
 #[gtest]
 fn a_changed_row_ends_suspicions_from_before() {
     let mut book = book();
@@ -154,8 +154,9 @@
     expect_that!(book.share_hosts().len(), eq(1));
 }
 
-/// Guards against a host that gives statements on a silent primary time to end while it is replaced:
-/// a mark does not end the suspicion, although a primary that is being changed is no longer reported.
+/// Guards against a host that gives statements on a silent primary time to end while it is
+/// replaced: a mark does not end the suspicion, although a primary that is being changed is no
+/// longer reported.
 #[gtest]
 fn a_marked_primary_stays_suspected() {
     let mut book = book();
--- a/crates/core/tests/ledger/fleet.rs
+++ b/crates/core/tests/ledger/fleet.rs
@@ -320,8 +320,8 @@
 
 /// Load pattern: many hosts, each with about one operation a second of a customer, which comes
 /// irregularly (the large customers of the grown sites). Guards against parts that are taken and
-/// returned again and again: each change is a priced call of the store. On average a host may change
-/// its part once a minute.
+/// returned again and again: each change is a priced call of the store. On average a host may
+/// change its part once a minute.
 #[gtest]
 fn an_irregular_demand_leaves_parts_alone() {
     for seed in 0..3 {
--- a/crates/core/tests/ledger/renewal.rs
+++ b/crates/core/tests/ledger/renewal.rs
@@ -117,8 +117,8 @@
     }
 }
 
-/// Guards against a lease that its host relies on for longer than its row says: the host counts from
-/// when it asked, the relay stores an end that counts from when it wrote.
+/// Guards against a lease that its host relies on for longer than its row says: the host counts
+/// from when it asked, the relay stores an end that counts from when it wrote.
 #[gtest]
 fn a_relayed_lease_ends_before_its_row_does() {
     let (mut lease, mut relay) = (HostLease::default(), HostLease::default());
--- a/crates/core/tests/ledger/shares.rs
+++ b/crates/core/tests/ledger/shares.rs
@@ -215,9 +215,9 @@
     }
 }
 
-/// Guards against a restarted host that does not find itself among the live ones yet and returns the
-/// share of a home: on trouble-2 of pcfc-tanager, where hosts restart in turn, 1,430 operations were
-/// refused in 14 s because homes had returned their shares.
+/// Guards against a restarted host that does not find itself among the live ones yet and returns
+/// the share of a home: on trouble-2 of pcfc-tanager, where hosts restart in turn, 1,430 operations
+/// were refused in 14 s because homes had returned their shares.
 #[gtest]
 fn a_host_that_is_not_listed_yet_keeps_its_share() {
     let mut table = table(LimitTolerance::default());
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -152,8 +152,8 @@
     })
 }
 
-/// The rows that must be unchanged for a renewal, beside the own one, in an order that is the same on
-/// all hosts.
+/// The rows that must be unchanged for a renewal, beside the own one, in an order that is the same
+/// on all hosts.
 pub(super) fn relied_rows(host: &HostContext) -> Vec<ExpectedRow> {
     let (book, versions) = (host.book.borrow(), host.versions.borrow());
     let mut expected = vec![(OPERATOR_TABLE, CONFIG_KEY.to_owned(), versions.config)];
--- a/crates/proxy/src/ledger/registrations.rs
+++ b/crates/proxy/src/ledger/registrations.rs
@@ -50,8 +50,8 @@
         }
     }
 
-    /// Takes over what a relay read after `asked_at`: either nothing has changed, or this host reads
-    /// the changes itself.
+    /// Takes over what a relay read after `asked_at`: either nothing has changed, or this host
+    /// reads the changes itself.
     pub(super) fn adopt_view(&self, view: RegistrationView, asked_at: BootInstant) {
         match view.changed > self.version.get() {
             true => self.behind.notify_one(),
--- a/crates/proxy/tests/site/failures.rs
+++ b/crates/proxy/tests/site/failures.rs
@@ -108,8 +108,8 @@
     assert_that!(site.hosts[0].log(), contains_substring("registration_unreadable"));
 }
 
-/// Guards against a priced call of the store by each host for each renewal: hosts of a failure domain
-/// renew in one transaction.
+/// Guards against a priced call of the store by each host for each renewal: hosts of a failure
+/// domain renew in one transaction.
 #[tokio::test]
 async fn hosts_of_a_domain_renew_together() {
     let site = SiteDeployment::start(4).await;
@@ -150,9 +150,9 @@
     log.lines().filter(|line| line.contains("\"batch\"") && line.contains("\"hosts\":2")).count()
 }
 
-/// Load pattern: the store is away for some hosts or for all (`platform_down`). Guards against tasks
-/// that each try again twice a second: a store that is away gets few calls from a host, and a host
-/// that it answers again takes a change over soon.
+/// Load pattern: the store is away for some hosts or for all (`platform_down`). Guards against
+/// tasks that each try again twice a second: a store that is away gets few calls from a host, and a
+/// host that it answers again takes a change over soon.
 #[tokio::test]
 async fn a_store_that_is_away_gets_few_calls() {
     let site = SiteDeployment::start(1).await;
--- a/crates/proxy/tests/site/logs.rs
+++ b/crates/proxy/tests/site/logs.rs
@@ -68,7 +68,8 @@
     assert_that!(body, not(contains_substring("MARKED")));
 }
 
-/// Guards against metrics that the page for operators does not list, and lists that are out of date.
+/// Guards against metrics that the page for operators does not list, and lists that are out of
+/// date.
 #[tokio::test]
 async fn the_page_for_operators_lists_the_metrics_that_are_served() {
     let site = SiteDeployment::start(2).await;
@@ -92,8 +93,8 @@
     assert_that!(served, eq(&listed));
 }
 
-/// Guards against statements that wait for a reader of the log: with a reader that takes nothing, far
-/// more lines than any pipe holds are logged while statements are answered as usual.
+/// Guards against statements that wait for a reader of the log: with a reader that takes nothing,
+/// far more lines than any pipe holds are logged while statements are answered as usual.
 #[tokio::test]
 async fn a_log_that_nobody_reads_delays_no_statement() {
     let mut site = SiteDeployment::start(1).await;
--- a/crates/proxy/tests/site/soak.rs
+++ b/crates/proxy/tests/site/soak.rs
@@ -25,10 +25,10 @@
 const FIXED_SEED: u64 = 7;
 /// Length of that run.
 const FIXED_SECONDS: u64 = 8;
-/// Seeds that failed once, with the cause. 101: a stand-in that was held as a replica stayed held as
-/// a primary, and answered reads without the commits that it took itself. 102: a hangup that reached a
-/// process in its first moments ended it; handlers are now installed first, and the run starts a
-/// process that has ended again.
+/// Seeds that failed once, with the cause. 101: a stand-in that was held as a replica stayed held
+/// as a primary, and answered reads without the commits that it took itself. 102: a hangup that
+/// reached a process in its first moments ended it; handlers are now installed first, and the run
+/// starts a process that has ended again.
 const REGRESSION_SEEDS: [u64; 2] = [101, 102];
 
 /// What a client knows of its own item; only this client writes it.
--- a/crates/testbed/tests/proofs/support.rs
+++ b/crates/testbed/tests/proofs/support.rs
@@ -59,9 +59,10 @@
     pub violations: Vec<String>,
 }
 
-/// The small deployment with links through the relay, on loopback addresses of its own: a host binds
-/// ports that were found free before, which outgoing connections of another deployment on the same
-/// address could take meanwhile. Aged reads accept half a second, so that the load starts soon.
+/// The small deployment with links through the relay, on loopback addresses of its own: a host
+/// binds ports that were found free before, which outgoing connections of another deployment on the
+/// same address could take meanwhile. Aged reads accept half a second, so that the load starts
+/// soon.
 pub fn small_plan() -> DeploymentPlan {
     static STARTED: AtomicU8 = AtomicU8::new(10);
     let mut plan = DeploymentPlan { relayed: true, ..DeploymentPlan::small() };
