Let a home without its part read the shares again

Ruled out: loans that fail (nobody had tokens to lend), the relay (the hosts concerned had no part in it).

A test without network.

--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -360,6 +360,15 @@
         }
     }
 
+    /// Whether this host, as a home of a customer among the live `hosts`, holds far less than its
+    /// part as far as it knows. What it knows may be old: another host may have returned its part.
+    pub fn is_starved(&self, hosts: &[ShareHost<'_>]) -> bool {
+        self.shares.iter().any(|(customer, share)| {
+            let homes = homes(customer, hosts);
+            homes.contains(self.host.as_str()) && share.is_starved(homes.len())
+        })
+    }
+
     /// Millionths of a customer's rate that this host holds.
     pub fn units(&self, customer: &str) -> u64 {
         self.shares.get(customer).map_or(0, |share| share.units)
--- a/crates/core/src/ledger/quota/share.rs
+++ b/crates/core/src/ledger/quota/share.rs
@@ -110,6 +110,11 @@
         Some((ShareChange { customer, version: self.version, record, removed }, units))
     }
 
+    /// Whether a home holds less than a third of its part of the whole.
+    pub(super) fn is_starved(&self, homes: usize) -> bool {
+        self.units * 3 < (RATE_UNITS - FREE_RESERVE) / homes.max(1) as u64
+    }
+
     /// Units of a home: what the other hosts leave, divided among the homes.
     fn home_units(&self, own: u64, record: &ShareRecord, homes: &HashSet<&str>) -> u64 {
         let others = record.shares.iter().filter(|(name, _)| !homes.contains(name.as_str()));
--- a/crates/core/tests/ledger/shares.rs
+++ b/crates/core/tests/ledger/shares.rs
@@ -215,6 +215,26 @@
     }
 }
 
+/// Guards against a home that takes an old row for the truth: a host that started first held all and
+/// has returned it, and all others refused everything until they read the rows again (soak, seed 410
+/// with 15 s).
+#[gtest]
+fn a_home_without_its_part_is_starved() {
+    let mut table = table(LimitTolerance::default());
+    let other = HostShare { units: 937_500, demand: 0 };
+    let held = ShareRecord { shares: [("h9".to_owned(), other)].into() };
+    table.adopt("c", 1, held, at(0));
+    // As far as it knows there is nothing to take.
+    expect_that!(table.changes(at(100), &|_| false, &HOSTS), is_empty());
+    expect_that!(table.is_starved(&HOSTS), eq(true));
+    table.adopt("c", 2, ShareRecord::default(), at(200));
+    expect_that!(table.changes(at(300), &|_| false, &HOSTS), len(eq(1)));
+    table.adopt("c", 3, record(400_000), at(400));
+    expect_that!(table.is_starved(&HOSTS), eq(false));
+    let without = [ShareHost { name: "h2", domain: "d1" }];
+    expect_that!(table.is_starved(&without), eq(false));
+}
+
 /// Guards against a restarted host that does not find itself among the live ones yet and returns
 /// the share of a home: on trouble-2 of pcfc-tanager, where hosts restart in turn, 1,430 operations
 /// were refused in 14 s because homes had returned their shares.
--- a/crates/proxy/src/ledger/sharing.rs
+++ b/crates/proxy/src/ledger/sharing.rs
@@ -24,7 +24,10 @@
 /// The same until this host finds itself in the list.
 const FIRST_HOST_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two reads of all shares; a change that meets a newer row learns of it anyway.
-const SHARES_INTERVAL: Duration = Duration::from_millis(60_000);
+const SHARES_INTERVAL: Duration = Duration::from_millis(20_000);
+/// The same while this host holds too little for a home. It doubles with each read, as customers
+/// with a large demand leave their homes little for good reason.
+const STARVED_INTERVAL: Duration = Duration::from_millis(500);
 /// Age that a host's ended lease has before its shares are taken, for the uncertainty of the
 /// store's clock.
 const ENDED_MARGIN: Duration = Duration::from_millis(1_000);
@@ -42,7 +45,9 @@
 pub(super) async fn keep_shares(host: Rc<HostContext>) {
     // The shares have been read during the start. So have the hosts, but hosts that start together,
     // and this one, were not among them.
-    let (mut groups_at, mut shares_at) = (boot_now(), boot_now().after(SHARES_INTERVAL));
+    let mut groups_at = boot_now();
+    let (mut shares_at, mut starved_at) = (boot_now().after(SHARES_INTERVAL), boot_now());
+    let mut starved_interval = STARVED_INTERVAL;
     loop {
         sleep(SHARE_INTERVAL).await;
         let now = boot_now();
@@ -60,6 +65,16 @@
         if now >= host.hosts_asked_at.get().after(interval) {
             refresh(&host, HOST_TABLE).await;
         }
+        if now >= starved_at {
+            starved_interval = match is_starved(&host) {
+                true => {
+                    shares_at = now;
+                    (starved_interval * 2).min(SHARES_INTERVAL)
+                }
+                false => STARVED_INTERVAL,
+            };
+            starved_at = now.after(starved_interval);
+        }
         if now >= shares_at {
             shares_at = now.after(SHARES_INTERVAL);
             refresh(&host, SHARE_TABLE).await;
@@ -68,6 +83,11 @@
     }
 }
 
+fn is_starved(host: &HostContext) -> bool {
+    let book = host.book.borrow();
+    book.quota.is_starved(&book.share_hosts())
+}
+
 fn is_listed(host: &HostContext) -> bool {
     let book = host.book.borrow();
     book.share_hosts().iter().any(|live| live.name == book.host)
