Read once, set up once, and find homes with fewer hashes

Found at a last read of the whole change; behaviour stays as it is.

- EndpointLink::exchange and set_up each wrote, timed and gave up by themselves, and three callers worked out the steps of a set-up: one send, one deadline, and set_up takes the session.
- Reading a table, counting the call and noting the store's clock stood in three places: read_once.
- Conditions of a renewal were built in keeper and relay: conditions.
- SessionEnd told two ends apart that nobody distinguishes; the drop that depended on it came anyway.
- RunError has a text of its own, which two matches built.
- Every look at the shares (four a second, and two for starved homes) hashed all hosts for each customer.
Whether a host is a home shows after a few hosts of its own failure domain; the homes are worked out for its own customers only.

--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -12,7 +12,7 @@
 
 use tanagerdeal_wire::wire_type;
 
-use self::share::{CustomerShare, homes};
+use self::share::{CustomerShare, homes, is_home};
 use super::clock::BootInstant;
 use crate::limit::{CustomerRate, RATE_UNITS, TokenBucket};
 
@@ -273,8 +273,7 @@
         let host = self.host.as_str();
         let mut changes = Vec::new();
         for (customer, share) in &mut self.shares {
-            let homes = homes(customer, hosts);
-            let planned = share.change(host, &homes, customer, is_ended);
+            let planned = share.change(host, hosts, customer, is_ended);
             let Some((change, units)) = planned else {
                 continue;
             };
@@ -364,8 +363,7 @@
     /// part as far as it knows. What it knows may be old: another host may have returned its part.
     pub fn is_starved(&self, hosts: &[ShareHost<'_>]) -> bool {
         self.shares.iter().any(|(customer, share)| {
-            let homes = homes(customer, hosts);
-            homes.contains(self.host.as_str()) && share.is_starved(homes.len())
+            is_home(customer, &self.host, hosts) && share.is_starved(homes(customer, hosts).len())
         })
     }
 
--- a/crates/core/src/ledger/quota/share.rs
+++ b/crates/core/src/ledger/quota/share.rs
@@ -40,13 +40,26 @@
     pub(super) loan_until: BootInstant,
 }
 
+/// Order in which the hosts of a failure domain become the home of a customer.
+fn home_order<'a>(customer: &str, host: &'a str) -> (u64, &'a str) {
+    (hash_bytes(customer.bytes().chain([0]).chain(host.bytes())), host)
+}
+
+/// Whether a host is one of the [`homes`] of a customer. Most are not, which shows after a few hosts
+/// of the same failure domain.
+pub(super) fn is_home(customer: &str, host: &str, hosts: &[ShareHost<'_>]) -> bool {
+    let Some(own) = hosts.iter().find(|live| live.name == host) else { return false };
+    let own_order = home_order(customer, host);
+    let mut neighbours = hosts.iter().filter(|live| live.domain == own.domain);
+    !neighbours.any(|live| home_order(customer, live.name) < own_order)
+}
+
 /// The homes of a customer: one live host of each failure domain. They hold what no other host
 /// needs of its rate, and lend from it.
 pub(super) fn homes<'a>(customer: &str, hosts: &[ShareHost<'a>]) -> HashSet<&'a str> {
-    let weight = |name: &str| hash_bytes(customer.bytes().chain([0]).chain(name.bytes()));
     let mut first: HashMap<&str, (u64, &'a str)> = HashMap::new();
     for host in hosts {
-        let candidate = (weight(host.name), host.name);
+        let candidate = home_order(customer, host.name);
         let known = first.entry(host.domain).or_insert(candidate);
         *known = candidate.min(*known);
     }
@@ -84,7 +97,7 @@
     pub(super) fn change(
         &self,
         host: &str,
-        homes: &HashSet<&str>,
+        hosts: &[ShareHost<'_>],
         customer: &str,
         is_ended: &dyn Fn(&str) -> bool,
     ) -> Option<(ShareChange, u64)> {
@@ -97,8 +110,8 @@
         let demand = (self.demand * 1_000.0) as u64;
         let own = record.shares.get(host).map_or(0, |part| part.units);
         record.shares.insert(host.to_owned(), HostShare { units: own, demand });
-        let units = match homes.contains(host) {
-            true => self.home_units(own, &record, homes),
+        let units = match is_home(customer, host, hosts) {
+            true => self.home_units(own, &record, &homes(customer, hosts)),
             false => self.next_units(own, &record),
         };
         let is_due = units != own || own > self.units;
--- a/crates/core/tests/ledger/shares.rs
+++ b/crates/core/tests/ledger/shares.rs
@@ -246,3 +246,32 @@
     expect_that!(table.changes(at(10_000), &|_| false, &others), is_empty());
     expect_that!(table.units("c"), eq(500_000));
 }
+
+/// Guards against hosts that disagree on who the homes are: those that take the parts of homes are the
+/// ones that borrowers ask.
+#[gtest]
+fn the_homes_that_take_parts_are_the_lenders() {
+    let names: Vec<String> = (0..12).map(|index| format!("h{index}")).collect();
+    let domains = ["d1", "d2", "d3"];
+    let hosts: Vec<ShareHost<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(index, name)| ShareHost { name, domain: domains[index % 3] })
+        .collect();
+    for customer in (0..40).map(|index| format!("c{index}")) {
+        let started = |name: &str| {
+            let mut table = QuotaTable::new(name, LimitTolerance::default(), at(0));
+            table.set_rate(&customer, 100, 100, at(0));
+            table
+        };
+        let takes = |host: &&ShareHost<'_>| {
+            !started(host.name).changes(at(100), &|_| false, &hosts).is_empty()
+        };
+        let takers: Vec<&str> = hosts.iter().filter(takes).map(|host| host.name).collect();
+        let plan = started("h99").loan(&customer, &hosts, "d9", &|_| false, at(100)).unwrap();
+        let mut lenders: Vec<&str> = plan.lenders.iter().map(String::as_str).collect();
+        lenders.sort_by_key(|name| names.iter().position(|known| known == name));
+        expect_that!(takers, eq(&lenders), "{customer}");
+        expect_that!(takers.len(), eq(3));
+    }
+}
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -5,8 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::context::{HostContext, RETRY_PAUSE, boot_now};
-use super::{journal, registrations};
 use serde::Serialize;
 use serde_json::json;
 use tanagerdeal_adapter::operator::{CONFIG_KEY, OPERATOR_TABLE, decode_config, evacuated_domain};
@@ -17,6 +15,9 @@
 use tanagerdeal_core::ledger::quota::ShareRecord;
 use tokio::time::sleep;
 
+use super::context::{HostContext, RETRY_PAUSE, boot_now};
+use super::{journal, registrations};
+
 /// Table of the groups' rows.
 pub(super) const GROUP_TABLE: &str = "groups";
 /// Table of the hosts' rows.
@@ -42,20 +43,25 @@
     }
 }
 
+/// Reads all rows of a table and the store's clock, if the store answers; `call` is the purpose by
+/// which the read is counted.
+pub(super) async fn read_once(host: &HostContext, table: &str, call: &str) -> Option<RowPage> {
+    let sent_at = boot_now();
+    let result = host.store.read(table, READ_LIMIT).await;
+    host.note_store(call, &result);
+    let page = result.ok()?;
+    host.book.borrow_mut().lease.note_clock(sent_at, page.now);
+    Some(page)
+}
+
 /// Reads all rows of a table, again and again until the store answers.
 pub(super) async fn read_table(host: &HostContext, table: &str) -> RowPage {
     loop {
-        let sent_at = boot_now();
-        let result = host.store.read(table, READ_LIMIT).await;
-        host.note_store("read", &result);
-        match result {
-            Ok(page) => {
-                host.book.borrow_mut().lease.note_clock(sent_at, page.now);
-                return page;
-            }
-            // During the start no other task would notice that the store is back.
-            Err(_) => sleep(RETRY_PAUSE).await,
+        if let Some(page) = read_once(host, table, "read").await {
+            return page;
         }
+        // During the start no other task would notice that the store is back.
+        sleep(RETRY_PAUSE).await;
     }
 }
 
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -116,8 +116,8 @@
     expected.push((HOST_TABLE, host.settings.host.clone(), host.versions.borrow().own));
     let Some(value) = encode(&record) else { return RenewalResult::Failed };
     let own = RowName { table: HOST_TABLE, key: &host.settings.host };
-    let names = expected.iter().map(|(table, key, version)| (RowName { table, key }, *version));
-    let transaction = RowTransaction { expected: names.collect(), writes: vec![(own, value)] };
+    let expected_rows = conditions(&expected).collect();
+    let transaction = RowTransaction { expected: expected_rows, writes: vec![(own, value)] };
     let result = host.store.transact(&transaction, WRITE_LIMIT).await;
     host.note_store("renew", &result);
     match result {
@@ -138,6 +138,11 @@
 /// Table, key and version of a row on which a write depends.
 pub(super) type ExpectedRow = (&'static str, String, u64);
 
+/// The rows as conditions of a write.
+pub(super) fn conditions(rows: &[ExpectedRow]) -> impl Iterator<Item = (RowName<'_>, u64)> {
+    rows.iter().map(|(table, key, version)| (RowName { table, key }, *version))
+}
+
 /// The own row to write; nothing before a reply of the store has shown its clock.
 pub(super) fn renewed_record(host: &HostContext, sent_at: BootInstant) -> Option<HostRecord> {
     let book = host.book.borrow();
--- a/crates/proxy/src/ledger/link.rs
+++ b/crates/proxy/src/ledger/link.rs
@@ -8,7 +8,7 @@
 use tanagerdeal_adapter::reply::{ReplyLine, decode_reply};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::LogPosition;
-use tanagerdeal_core::ledger::session::{ConnectionImage, SetupStep};
+use tanagerdeal_core::ledger::session::{ConnectionImage, PreparedShape, SessionImage};
 use tanagerdeal_core::ledger::statement::{FailureReason, SessionState};
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
@@ -134,18 +134,19 @@
         text: &str,
         deadline: BootInstant,
     ) -> Result<EndpointReply, LinkError> {
-        let limit = deadline.since(boot_now());
-        match timeout(limit, self.exchange_now(text)).await {
-            Ok(result) => result,
-            Err(_) => Err(LinkError::TimedOut),
-        }
+        let exchange = async {
+            let sent_at = self.send(text).await?;
+            self.read_reply(sent_at).await
+        };
+        until(deadline, exchange).await
     }
 
-    async fn exchange_now(&mut self, text: &str) -> Result<EndpointReply, LinkError> {
+    /// Sends a text and returns the moment before it was sent.
+    async fn send(&mut self, text: &str) -> Result<BootInstant, LinkError> {
         let sent_at = boot_now();
         let sent = self.writer.write_all(text.as_bytes()).await;
         sent.map_err(|error| LinkError::Lost(error.to_string()))?;
-        self.read_reply(sent_at).await
+        Ok(sent_at)
     }
 
     async fn read_reply(&mut self, sent_at: BootInstant) -> Result<EndpointReply, LinkError> {
@@ -173,26 +174,29 @@
         }
     }
 
-    /// Brings the connection to a session's image, and sends `last` after that. The statement that
-    /// follows may be sent only when all of it has succeeded.
+    /// Brings the connection to a session's image, with the prepared statement that is needed next,
+    /// and sends `last` after that. The statement that follows may be sent only when all of it has
+    /// succeeded.
     ///
     /// # Errors
     ///
     /// Fails as [`EndpointLink::exchange`] does, or with the reason for which a step was refused.
     pub(super) async fn set_up(
         &mut self,
-        steps: &[SetupStep],
+        session: &SessionImage,
+        prepared: Option<&PreparedShape>,
         last: Option<&str>,
         deadline: BootInstant,
     ) -> Result<Option<EndpointReply>, LinkError> {
+        let steps = self.image.steps(session, prepared);
+        if steps.is_empty() && last.is_none() {
+            return Ok(None);
+        }
         let mut batch: String = steps.iter().map(line::setup).collect();
         batch.push_str(last.unwrap_or_default());
-        let limit = deadline.since(boot_now());
         let exchange = async {
-            let sent_at = boot_now();
-            let sent = self.writer.write_all(batch.as_bytes()).await;
-            sent.map_err(|error| LinkError::Lost(error.to_string()))?;
-            for step in steps {
+            let sent_at = self.send(&batch).await?;
+            for step in &steps {
                 let reply = self.read_reply(sent_at).await?;
                 match reply.failure {
                     None => self.image.note(step),
@@ -204,10 +208,7 @@
                 None => Ok(None),
             }
         };
-        match timeout(limit, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(LinkError::TimedOut),
-        }
+        until(deadline, exchange).await
     }
 
     /// Whether the endpoint has closed the connection or sent something unasked while it was idle.
@@ -222,3 +223,12 @@
         let _ = self.writer.write_all(line::TERMINATE.as_bytes()).await;
     }
 }
+
+/// Gives an exchange up at its deadline.
+async fn until<T>(
+    deadline: BootInstant,
+    exchange: impl Future<Output = Result<T, LinkError>>,
+) -> Result<T, LinkError> {
+    let result = timeout(deadline.since(boot_now()), exchange).await;
+    result.unwrap_or(Err(LinkError::TimedOut))
+}
--- a/crates/proxy/src/ledger/operation.rs
+++ b/crates/proxy/src/ledger/operation.rs
@@ -142,11 +142,7 @@
             }
             _ => return ReadStep::Answer(reply),
         },
-        Err(RunError::NoConnection(error)) => {
-            let failure = OperationFailure::busy(&error.to_string(), FULL_RETRY);
-            (error.to_string(), ReadStep::Next(failure))
-        }
-        Err(RunError::NotSent(error)) => {
+        Err(error @ (RunError::NoConnection(_) | RunError::NotSent(_))) => {
             let failure = OperationFailure::busy(&error.to_string(), FULL_RETRY);
             (error.to_string(), ReadStep::Next(failure))
         }
--- a/crates/proxy/src/ledger/relay.rs
+++ b/crates/proxy/src/ledger/relay.rs
@@ -17,7 +17,9 @@
 use super::context::{HostContext, boot_now};
 use super::follow::{HOST_TABLE, encode};
 use super::journal;
-use super::keeper::{ExpectedRow, WRITE_LIMIT, adopt_conflict, relied_rows, renewed_record};
+use super::keeper::{
+    ExpectedRow, WRITE_LIMIT, adopt_conflict, conditions, relied_rows, renewed_record,
+};
 use super::peers::{AnswerDesk, PeerMessage, address_of};
 use super::registrations;
 use super::sharing::refresh;
@@ -79,7 +81,7 @@
 }
 
 fn basis(rows: &[ExpectedRow]) -> u64 {
-    renewal_basis(rows.iter().map(|(table, key, version)| (*table, key.as_str(), *version)))
+    renewal_basis(conditions(rows).map(|(name, version)| (name.table, name.key, version)))
 }
 
 /// Takes over the answer of the relay to a request that was sent at `sent_at`.
@@ -163,9 +165,8 @@
 ) -> Option<u64> {
     for _ in 0..ATTEMPTS {
         let until = host.book.borrow().lease.stored_end(boot_now())?;
-        let mut transaction = RowTransaction::default();
-        let names = relied.iter().map(|(table, key, version)| (RowName { table, key }, *version));
-        transaction.expected.extend(names);
+        let mut transaction =
+            RowTransaction { expected: conditions(relied).collect(), writes: Vec::new() };
         for renewal in agreed.iter() {
             let record = &renewal.request.record;
             let name = RowName { table: HOST_TABLE, key: &record.host };
--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -29,15 +29,6 @@
 /// Part of the shutdown's time in which open transactions may end.
 const TRANSACTION_DIVISOR: u32 = 2;
 
-/// Why a session ends.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum SessionEnd {
-    /// The client has left, or its connection broke.
-    Client,
-    /// The session has to be closed by this host.
-    Host,
-}
-
 /// A session of a client.
 struct ClientSession {
     host: Rc<HostContext>,
@@ -97,12 +88,9 @@
         last_request: boot_now(),
     };
     session.host.metrics.sessions.inc();
-    let end = session.run().await;
-    session.host.metrics.sessions.dec();
+    session.run().await;
     // An open transaction ends with its connection, which rolls back.
-    if let (SessionEnd::Host, Some(transaction)) = (end, session.transaction.take()) {
-        drop(transaction);
-    }
+    session.host.metrics.sessions.dec();
 }
 
 fn catalog_version(host: &HostContext) -> Option<u64> {
@@ -129,30 +117,25 @@
 }
 
 impl ClientSession {
-    async fn run(&mut self) -> SessionEnd {
+    async fn run(&mut self) {
         if self.send(&line::ready(SessionState::Idle)).await.is_err() {
-            return SessionEnd::Client;
+            return;
         }
-        loop {
-            let Some(line) = self.next_line().await else { return SessionEnd::Host };
-            let line = match line {
-                Ok(line) => line,
-                Err(end) => return end,
-            };
+        while let Some(line) = self.next_line().await {
             self.last_request = boot_now();
             match line::decode_client(&line) {
                 Ok(ClientMessage::Query { id, text }) => {
                     let (answer, is_over) = self.answer(id, text).await;
                     if self.send(&answer).await.is_err() || is_over {
-                        return SessionEnd::Host;
+                        return;
                     }
                 }
-                Ok(ClientMessage::Terminate) => return SessionEnd::Client,
+                Ok(ClientMessage::Terminate) => return,
                 Ok(ClientMessage::Startup { .. }) | Err(_) => {
                     let text = line::failure(FailureReason::Malformed, "unknown message");
                     // The session ends in any case.
                     let _ = self.send(&text).await;
-                    return SessionEnd::Host;
+                    return;
                 }
             }
         }
@@ -181,8 +164,8 @@
         [idle_end, stop_end].into_iter().flatten().min()
     }
 
-    /// The next line; nothing when the host ends the session.
-    async fn next_line(&mut self) -> Option<Result<String, SessionEnd>> {
+    /// The next line; nothing when the client has left or the host ends the session.
+    async fn next_line(&mut self) -> Option<String> {
         let mut phase = self.host.phase.subscribe();
         loop {
             let deadline = self.quiet_deadline();
@@ -194,10 +177,8 @@
             };
             tokio::select! {
                 biased;
-                line = self.reader.next() => return Some(match line {
-                    Some(Ok(line)) => Ok(line),
-                    Some(Err(_)) | None => Err(SessionEnd::Client),
-                }),
+                // A line that cannot be read ends the session as a broken connection does.
+                line = self.reader.next() => return line?.ok(),
                 () = quiet => return None,
                 // The phase changes once, at the start of a shutdown.
                 _ = phase.changed() => (),
--- a/crates/proxy/src/ledger/sharing.rs
+++ b/crates/proxy/src/ledger/sharing.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use super::context::{HostContext, boot_now};
-use super::follow::{HOST_TABLE, READ_LIMIT, SHARE_TABLE, adopt_hosts, adopt_row, encode};
+use super::follow::{HOST_TABLE, SHARE_TABLE, adopt_hosts, adopt_row, encode, read_once};
 use super::journal;
 use super::keeper::{MAX_ENTRIES, WRITE_LIMIT, create_groups};
 use super::pool::connection_limits;
@@ -120,14 +120,10 @@
 
 /// Reads a table of which the host holds a copy.
 pub(super) async fn refresh(host: &HostContext, table: &str) {
-    let sent_at = boot_now();
     if table == HOST_TABLE {
-        host.hosts_asked_at.set(sent_at);
+        host.hosts_asked_at.set(boot_now());
     }
-    let result = host.store.read(table, READ_LIMIT).await;
-    host.note_store("list", &result);
-    let Ok(page) = result else { return };
-    host.book.borrow_mut().lease.note_clock(sent_at, page.now);
+    let Some(page) = read_once(host, table, "list").await else { return };
     match table {
         HOST_TABLE => adopt_hosts(host, &page),
         _ => page.rows.iter().for_each(|row| adopt_row(host, row)),
--- a/crates/proxy/src/ledger/statement.rs
+++ b/crates/proxy/src/ledger/statement.rs
@@ -39,13 +39,16 @@
 }
 
 /// Why a statement has no reply, and whether a byte of it was sent.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, thiserror::Error)]
 pub(super) enum RunError {
     /// No connection could be had; nothing was sent.
+    #[error("{0}")]
     NoConnection(AcquireError),
     /// The connection could not be prepared; the statement was not sent.
+    #[error("{0}")]
     NotSent(LinkError),
     /// The statement was sent and has no reply.
+    #[error("{0}")]
     Sent(LinkError),
 }
 
@@ -115,10 +118,8 @@
     let acquired = acquire(place.host, endpoint, place.customer, wait_until).await;
     let mut borrowed = acquired.map_err(RunError::NoConnection)?;
     let link = borrowed.link().map_err(RunError::NotSent)?;
-    let steps = link.image.steps(place.session, request.prepared);
-    if !steps.is_empty() {
-        link.set_up(&steps, None, deadline).await.map_err(RunError::NotSent)?;
-    }
+    let done = link.set_up(place.session, request.prepared, None, deadline).await;
+    done.map_err(RunError::NotSent)?;
     Ok(borrowed)
 }
 
--- a/crates/proxy/src/ledger/takeover/change.rs
+++ b/crates/proxy/src/ledger/takeover/change.rs
@@ -20,7 +20,7 @@
 use super::{ChangeReason, OWN_NAME, STATUS_LIMIT, endpoint_status};
 use crate::ledger::context::{HostContext, boot_now};
 use crate::ledger::follow::{
-    DUTY_TABLE, GROUP_TABLE, HOST_TABLE, READ_LIMIT, adopt_hosts, adopt_row, encode,
+    DUTY_TABLE, GROUP_TABLE, HOST_TABLE, READ_LIMIT, adopt_hosts, adopt_row, encode, read_once,
 };
 use crate::ledger::journal;
 use crate::ledger::keeper::WRITE_LIMIT;
@@ -243,11 +243,7 @@
         let mut look_at = boot_now().after(RECOVERY_INTERVAL);
         loop {
             self.ensure_duty(Duration::from_millis(1_500)).await?;
-            let sent_at = boot_now();
-            let page = self.host.store.read(HOST_TABLE, READ_LIMIT).await;
-            self.host.note_store("confirm", &page);
-            if let Ok(page) = page {
-                self.host.book.borrow_mut().lease.note_clock(sent_at, page.now);
+            if let Some(page) = read_once(&self.host, HOST_TABLE, "confirm").await {
                 adopt_hosts(&self.host, &page);
                 let book = self.host.book.borrow();
                 let missing = missing_hosts(&book.hosts, marked, page.now);
--- a/crates/proxy/src/ledger/transaction.rs
+++ b/crates/proxy/src/ledger/transaction.rs
@@ -154,11 +154,8 @@
         match self.bound.as_mut() {
             Some(bound) => {
                 let link = bound.link.link().map_err(|error| aborted(RunError::NotSent(error)))?;
-                let steps = link.image.steps(place.session, request.prepared);
-                if !steps.is_empty() {
-                    let done = link.set_up(&steps, None, times.deadline).await;
-                    done.map_err(|error| aborted(RunError::NotSent(error)))?;
-                }
+                let done = link.set_up(place.session, request.prepared, None, times.deadline).await;
+                done.map_err(|error| aborted(RunError::NotSent(error)))?;
                 Ok(())
             }
             None if self.is_read_only && self.route.consistency != ReadConsistency::Current => {
@@ -228,9 +225,8 @@
     let acquired = acquire(host, endpoint, place.customer, times.wait_until).await;
     let mut borrowed = acquired.map_err(RunError::NoConnection)?;
     let link = borrowed.link().map_err(RunError::NotSent)?;
-    let steps = link.image.steps(place.session, request.prepared);
     let text = line::begin(is_read_only, floor);
-    let outcome = link.set_up(&steps, Some(&text), times.deadline).await;
+    let outcome = link.set_up(place.session, request.prepared, Some(&text), times.deadline).await;
     let outcome = outcome.and_then(|reply| {
         reply.ok_or_else(|| LinkError::Lost("no reply to the beginning".to_owned()))
     });
@@ -252,13 +248,9 @@
 
 /// A statement of an open transaction failed: the connection is closed, which rolls back.
 fn aborted(error: RunError) -> OperationFailure {
-    let text = match error {
-        RunError::NoConnection(error) => error.to_string(),
-        RunError::NotSent(error) | RunError::Sent(error) => error.to_string(),
-    };
     OperationFailure {
         reason: FailureReason::Aborted,
-        text: format!("rolled back: {text}"),
+        text: format!("rolled back: {error}"),
         retry_after: Some(BEGIN_RETRY),
     }
 }
