Size batches of renewals by the rows that all leases rely on

Cause: with 20 groups and five failure domains a batch of 40 hosts has 106 entries, over the store's 100.

Change: a batch holds as many hosts as the entries leave; shares use the same limit.

--- a/crates/core/src/ledger/renewal.rs
+++ b/crates/core/src/ledger/renewal.rs
@@ -26,9 +26,10 @@
 pub const ANSWER_LIMIT: Duration = Duration::from_millis(600);
 /// Time for which a relay that did not answer is not asked again: two renewals.
 pub const SILENT_TERM: Duration = Duration::from_secs(8);
-/// Hosts that one transaction renews at most. The store takes 100 entries; each host needs two, and
-/// the rows that all rely on take up to 20.
-pub const MAX_BATCH: usize = 40;
+/// Entries that the store takes in one transaction.
+pub const MAX_ENTRIES: usize = 100;
+/// Entries of a host in a batch: the condition on its row and the new row.
+const HOST_ENTRIES: usize = 2;
 
 wire_type! {
     /// A host's request to have its lease renewed.
@@ -117,22 +118,22 @@
         self.waiting.push(renewal);
     }
 
-    /// Takes out what can be renewed together by a relay that relies on the rows of `basis`. What
-    /// exceeds a batch stays.
+    /// Takes out what can be renewed together by a relay that relies on the rows of `basis`, `most`
+    /// hosts at most. What exceeds that stays.
     ///
     /// ```
     /// use tanagerdeal_core::ledger::clock::BootInstant;
     /// use tanagerdeal_core::ledger::renewal::RenewalQueue;
     ///
-    /// let batch = RenewalQueue::default().take(7, BootInstant::from_micros(0));
+    /// let batch = RenewalQueue::default().take(7, 30, BootInstant::from_micros(0));
     /// assert!(batch.agreed.is_empty() && batch.declined.is_empty());
     /// ```
-    pub fn take(&mut self, basis: u64, now: BootInstant) -> RenewalBatch {
+    pub fn take(&mut self, basis: u64, most: usize, now: BootInstant) -> RenewalBatch {
         let mut batch = RenewalBatch::default();
         for renewal in std::mem::take(&mut self.waiting) {
             let is_current = now < renewal.deadline;
             match renewal.request.basis == basis && is_current {
-                true if batch.agreed.len() < MAX_BATCH => batch.agreed.push(renewal),
+                true if batch.agreed.len() < most => batch.agreed.push(renewal),
                 true => self.waiting.push(renewal),
                 false => batch.declined.push(renewal),
             }
@@ -150,6 +151,18 @@
     }
 }
 
+/// Hosts that one transaction can renew when all of them rely on `relied` rows; at least one.
+///
+/// ```
+/// use tanagerdeal_core::ledger::renewal::max_batch;
+///
+/// // A large site: the configuration, five failure domains and 20 groups.
+/// assert_eq!(max_batch(26), 37);
+/// ```
+pub fn max_batch(relied: usize) -> usize {
+    (MAX_ENTRIES.saturating_sub(relied) / HOST_ENTRIES).max(1)
+}
+
 /// Digest of the rows that a lease relies on, given as table, key and version in any order.
 ///
 /// ```
--- a/crates/core/tests/ledger/renewal.rs
+++ b/crates/core/tests/ledger/renewal.rs
@@ -5,8 +5,8 @@
 use googletest::prelude::*;
 use tanagerdeal_core::ledger::lease::{HostEntry, HostLease, LEASE_TERM};
 use tanagerdeal_core::ledger::renewal::{
-    ANSWER_LIMIT, GATHER_TIME, MAX_BATCH, QueuedRenewal, RenewalQueue, RenewalRequest, adopt_view,
-    list_view, relay, renewal_basis, time_to_slot,
+    ANSWER_LIMIT, GATHER_TIME, MAX_ENTRIES, QueuedRenewal, RenewalQueue, RenewalRequest,
+    adopt_view, list_view, max_batch, relay, renewal_basis, time_to_slot,
 };
 
 use crate::support::{at, host, store_at};
@@ -29,7 +29,7 @@
     queue.add(request("h1", 1, BASIS, 0));
     queue.add(request("h2", 2, BASIS + 1, 0));
     queue.add(request("h3", 3, BASIS, 0));
-    let batch = queue.take(BASIS, at(150));
+    let batch = queue.take(BASIS, 40, at(150));
     expect_that!(calls(&batch.agreed), elements_are![eq(&1), eq(&3)]);
     expect_that!(calls(&batch.declined), elements_are![eq(&2)]);
     expect_that!(queue.is_empty(), eq(true));
@@ -43,7 +43,7 @@
     queue.add(request("h2", 2, BASIS, 500));
     queue.add(request("h1", 3, BASIS, 500));
     queue.add(request("h3", 4, BASIS, 0));
-    let batch = queue.take(BASIS, at(600));
+    let batch = queue.take(BASIS, 40, at(600));
     expect_that!(calls(&batch.agreed), elements_are![eq(&2), eq(&3)]);
     expect_that!(calls(&batch.declined), elements_are![eq(&4)]);
 }
@@ -54,11 +54,22 @@
 fn a_large_domain_is_renewed_in_several_batches() {
     let mut queue = RenewalQueue::default();
     (0..100).for_each(|index| queue.add(request(&format!("h{index}"), index, BASIS, 0)));
-    let sizes: Vec<usize> = (0..3).map(|_| queue.take(BASIS, at(100)).agreed.len()).collect();
-    expect_that!(sizes, elements_are![eq(&MAX_BATCH), eq(&MAX_BATCH), eq(&20)]);
+    let sizes: Vec<usize> = (0..3).map(|_| queue.take(BASIS, 40, at(100)).agreed.len()).collect();
+    expect_that!(sizes, elements_are![eq(&40), eq(&40), eq(&20)]);
     expect_that!(queue.is_empty(), eq(true));
 }
 
+/// Load pattern: a site with many groups, on whose rows each lease relies (20 groups and 44 hosts in
+/// a failure domain of the large sleeperdesk). Guards against a transaction of 106 entries, which the
+/// store refused: all hosts renewed one by one.
+#[gtest]
+fn a_batch_leaves_room_for_the_rows_that_all_rely_on() {
+    for relied in [6, 26, 60, 97] {
+        expect_that!(relied + 2 * max_batch(relied), le(MAX_ENTRIES), "{relied} rows");
+    }
+    expect_that!(max_batch(26), ge(35));
+}
+
 /// Guards against hosts that never agree because they list the same rows in another order.
 #[gtest]
 fn the_basis_does_not_depend_on_the_order_of_the_rows() {
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -11,7 +11,7 @@
 use tanagerdeal_core::ledger::endpoint::EndpointRole;
 use tanagerdeal_core::ledger::group::GroupRecord;
 use tanagerdeal_core::ledger::lease::{HostRecord, RENEW_RETRY};
-use tanagerdeal_core::ledger::renewal::time_to_slot;
+use tanagerdeal_core::ledger::renewal::{MAX_ENTRIES, time_to_slot};
 use tokio::time::timeout;
 
 use super::context::{HostContext, HostPhase, boot_now};
@@ -26,9 +26,6 @@
 /// reply, as they would only delay its successor.
 const LEAVE_LIMIT: Duration = Duration::from_millis(400);
 
-/// Entries of one transaction at most; the store takes up to 100.
-pub(super) const MAX_ENTRIES: usize = 96;
-
 /// Result of one renewal.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum RenewalResult {
--- a/crates/proxy/src/ledger/relay.rs
+++ b/crates/proxy/src/ledger/relay.rs
@@ -9,7 +9,8 @@
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::renewal::{
     ANSWER_LIMIT, GATHER_TIME, HostListView, QueuedRenewal, RenewalAnswer, RenewalBatch,
-    RenewalQueue, RenewalRequest, SILENT_TERM, adopt_view, list_view, relay, renewal_basis,
+    RenewalQueue, RenewalRequest, SILENT_TERM, adopt_view, list_view, max_batch, relay,
+    renewal_basis,
 };
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -138,7 +139,7 @@
 async fn serve_batch(host: &HostContext) {
     let relied = relied_rows(host);
     let RenewalBatch { mut agreed, declined } =
-        host.renewals.queue.borrow_mut().take(basis(&relied), boot_now());
+        host.renewals.queue.borrow_mut().take(basis(&relied), max_batch(relied.len()), boot_now());
     declined.iter().for_each(|renewal| answer(host, renewal, None));
     if agreed.is_empty() {
         return;
--- a/crates/proxy/src/ledger/sharing.rs
+++ b/crates/proxy/src/ledger/sharing.rs
@@ -9,12 +9,13 @@
 use tanagerdeal_core::ledger::book::{HostBook, share_hosts};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::quota::ShareChange;
+use tanagerdeal_core::ledger::renewal::MAX_ENTRIES;
 use tokio::time::sleep;
 
 use super::context::{HostContext, boot_now};
 use super::follow::{HOST_TABLE, SHARE_TABLE, adopt_hosts, adopt_row, encode, read_once};
 use super::journal;
-use super::keeper::{MAX_ENTRIES, WRITE_LIMIT, create_groups};
+use super::keeper::{WRITE_LIMIT, create_groups};
 use super::pool::connection_limits;
 
 /// Time between two looks at the shares.
