Share what hosts see of primaries through their relay

Cause: a read that accepts data of some age needs a position of the primary that its host has seen within that age (1.5 and 2.5 s).

Ruled out: connections alone (the replicas accepted them), the surge of clients (fewer tries than before the cut).

A primary that a host does not reach, and others do, no longer costs its reads. Answers to renewals carry the store's clock.

The test of real hosts fails when the relay is not asked (no read ran on a replica).

--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -8,7 +8,7 @@
 use super::choose::ReadChoice;
 use super::clock::{BootInstant, StoreInstant};
 use super::endpoint::{EndpointKey, EndpointState, EndpointTable, LogPosition};
-use super::floor::{FloorHistory, PrimaryObservation};
+use super::floor::{FloorHistory, PrimaryObservation, SharedObservation};
 use super::group::{GroupEntry, GroupTable};
 use super::lease::{HostEntry, HostLease, HostRecord};
 use super::quota::{LimitTolerance, QuotaTable, ShareHost};
@@ -63,6 +63,8 @@
     pub groups: GroupTable,
     /// Positions of the primaries.
     pub floors: HashMap<String, FloorHistory>,
+    /// Newest own observations that other hosts have not been told of.
+    observed: HashMap<String, PrimaryObservation>,
     /// The own lease.
     pub lease: HostLease,
     /// Shares of the customers' rates.
@@ -93,6 +95,7 @@
             endpoints: EndpointTable::default(),
             groups: GroupTable::default(),
             floors: HashMap::new(),
+            observed: HashMap::new(),
             lease: HostLease::default(),
             quota: QuotaTable::new(host, tolerance, now),
             hosts: Vec::new(),
@@ -148,6 +151,7 @@
         let is_new = self.groups.adopt(entry);
         if is_new && is_moved {
             self.floors.remove(&group);
+            self.observed.remove(&group);
         }
         // What was seen of the primary before the row changed says nothing about it now.
         let primary = self.groups.primary(&group).map(|record| record.primary.clone());
@@ -168,9 +172,41 @@
     ) {
         if self.is_right_good(group, right, now) {
             self.floors.entry(group.to_owned()).or_default().observe(observation);
+            self.observed.insert(group.to_owned(), observation);
         }
     }
 
+    /// Takes over what another host has seen of a group's primary.
+    pub fn adopt_observation(&mut self, group: &str, shared: &SharedObservation) {
+        let Some(clock) = self.lease.clock().filter(|_| self.groups.get(group).is_some()) else {
+            return;
+        };
+        let observation = PrimaryObservation::adopt(shared, &clock);
+        self.floors.entry(group.to_owned()).or_default().observe(observation);
+    }
+
+    /// What this host has seen of primaries since the last call, for other hosts.
+    pub fn take_observed(&mut self) -> Vec<(String, SharedObservation)> {
+        let Some(clock) = self.lease.clock() else { return Vec::new() };
+        let observed = std::mem::take(&mut self.observed).into_iter();
+        observed.map(|(group, observation)| (group, observation.share(&clock))).collect()
+    }
+
+    /// What another host needs for a read of a group that began now and accepts data of an age.
+    pub fn observations(
+        &self,
+        group: &str,
+        staleness: Duration,
+        now: BootInstant,
+    ) -> Vec<SharedObservation> {
+        let Some(clock) = self.lease.clock() else { return Vec::new() };
+        let history = self.floors.get(group).into_iter();
+        history
+            .flat_map(|history| history.sample(now, staleness))
+            .map(|observation| observation.share(&clock))
+            .collect()
+    }
+
     /// The position that a read which began at `began_at` has to see on a replica; nothing when
     /// only the primary will do.
     pub fn read_floor(
--- a/crates/core/src/ledger/clock.rs
+++ b/crates/core/src/ledger/clock.rs
@@ -88,4 +88,14 @@
     pub fn after(self, duration: Duration) -> Self {
         Self(self.0.saturating_add(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)))
     }
+
+    /// The instant a duration earlier, at the earliest the start of the clock.
+    pub fn before(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)))
+    }
+
+    /// Time since an earlier instant; zero for a later one.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
 }
--- a/crates/core/src/ledger/endpoint.rs
+++ b/crates/core/src/ledger/endpoint.rs
@@ -6,6 +6,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 use tanagerdeal_wire::{scalar_type, value_type};
 
@@ -25,7 +26,7 @@
 
 scalar_type! {
     /// A position in the log of a group; positions of a later term are greater.
-    #[derive(Default)]
+    #[derive(Default, Deserialize, Serialize)]
     pub struct LogPosition {
         /// Term of the primary that wrote it.
         pub term: u64,
--- a/crates/core/src/ledger/floor.rs
+++ b/crates/core/src/ledger/floor.rs
@@ -7,10 +7,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tanagerdeal_wire::scalar_type;
 
-use super::clock::BootInstant;
+use super::clock::{BootInstant, StoreInstant};
 use super::endpoint::LogPosition;
+use super::lease::StoreClock;
 
 /// Smallest distance of two observations that are kept; a denser history gives no lower floors.
 const OBSERVATION_SPACING: Duration = Duration::from_millis(20);
@@ -25,6 +27,44 @@
         /// Position in its reply.
         pub position: LogPosition,
     }
+
+    /// An observation as hosts tell each other of it: they have the store's clock in common.
+    #[derive(Deserialize, Serialize)]
+    pub struct SharedObservation {
+        /// Time that the store's clock had reached when the statement was sent.
+        pub sent_at: StoreInstant,
+        /// Position in its reply.
+        pub position: LogPosition,
+    }
+}
+
+impl PrimaryObservation {
+    /// The observation for other hosts.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::clock::{BootInstant, StoreInstant};
+    /// use tanagerdeal_core::ledger::endpoint::LogPosition;
+    /// use tanagerdeal_core::ledger::floor::PrimaryObservation;
+    /// use tanagerdeal_core::ledger::lease::HostLease;
+    ///
+    /// let at = |millis: u64| BootInstant::from_micros(millis * 1_000);
+    /// let mut lease = HostLease::default();
+    /// lease.note_clock(at(0), at(4), StoreInstant::from_millis(900));
+    /// let clock = lease.clock().unwrap();
+    /// let observation = PrimaryObservation { sent_at: at(50), position: LogPosition::default() };
+    /// let shared = observation.share(&clock);
+    /// // Its age is overstated by no more than the clock is uncertain.
+    /// let known = PrimaryObservation::adopt(&shared, &clock);
+    /// assert!(known.sent_at <= at(50) && known.sent_at >= at(44));
+    /// ```
+    pub fn share(&self, clock: &StoreClock) -> SharedObservation {
+        SharedObservation { sent_at: clock.earliest(self.sent_at), position: self.position }
+    }
+
+    /// An observation of another host; it counts as older than it is, never as newer.
+    pub fn adopt(shared: &SharedObservation, clock: &StoreClock) -> Self {
+        Self { sent_at: clock.not_after(shared.sent_at), position: shared.position }
+    }
 }
 
 /// Observations of one group's primary, oldest first.
@@ -81,6 +121,18 @@
         spaced.or(newest).map(|entry| entry.position)
     }
 
+    /// The observations with which another host knows the floor of a read of that age and of those
+    /// that follow it: the one for the floor, and the newest one.
+    pub fn sample(&self, began_at: BootInstant, staleness: Duration) -> Vec<PrimaryObservation> {
+        let oldest = began_at.before(staleness);
+        let index = self.observations.partition_point(|entry| entry.sent_at < oldest);
+        let newest = self.newest.filter(|entry| entry.sent_at >= oldest);
+        let mut sample: Vec<PrimaryObservation> =
+            self.observations.get(index).copied().into_iter().chain(newest).collect();
+        sample.dedup();
+        sample
+    }
+
     /// The newest observation.
     pub fn newest(&self) -> Option<PrimaryObservation> {
         self.newest
--- a/crates/core/src/ledger/lease.rs
+++ b/crates/core/src/ledger/lease.rs
@@ -21,6 +21,9 @@
 /// Margin by which the stored end of a lease exceeds the end that its holder keeps; it covers the
 /// drift of two steady clocks over a lease.
 const LEASE_MARGIN: Duration = Duration::from_millis(250);
+/// Inverse of the rate at which two steady clocks drift apart at most; quartz clocks stay below a
+/// tenth of that.
+const DRIFT_DIVISOR: u32 = 1_000;
 
 wire_type! {
     /// The row of a host.
@@ -58,6 +61,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreClock {
     sent_at: BootInstant,
+    received_at: BootInstant,
     now: StoreInstant,
 }
 
@@ -73,12 +77,61 @@
     pub fn latest(&self, now: BootInstant) -> StoreInstant {
         self.now.after(now.since(self.sent_at) + Duration::from_millis(1))
     }
+
+    /// The earliest time that the store's clock can show at an instant.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::clock::{BootInstant, StoreInstant};
+    /// use tanagerdeal_core::ledger::lease::HostLease;
+    ///
+    /// let at = |millis: u64| BootInstant::from_micros(millis * 1_000);
+    /// let mut lease = HostLease::default();
+    /// lease.note_clock(at(10), at(30), StoreInstant::from_millis(500));
+    /// let clock = lease.clock().unwrap();
+    /// assert_eq!(clock.earliest(at(40)), StoreInstant::from_millis(510));
+    /// assert_eq!(clock.latest(at(40)), StoreInstant::from_millis(531));
+    /// // Whoever reads 510 there knows that it was not before 19 here.
+    /// assert_eq!(clock.not_after(StoreInstant::from_millis(510)), at(19));
+    /// ```
+    pub fn earliest(&self, now: BootInstant) -> StoreInstant {
+        let passed = now.since(self.received_at);
+        let missing = self.received_at.since(now) + Duration::from_micros(999);
+        match passed.is_zero() {
+            true => self.now.before(missing),
+            false => self.now.after(passed),
+        }
+    }
+
+    /// An instant of this host that is not after the one at which the store's clock showed a time.
+    pub fn not_after(&self, time: StoreInstant) -> BootInstant {
+        let forward = time.since(self.now);
+        let instant = match forward.is_zero() {
+            true => self.sent_at.before(self.now.since(time)),
+            false => self.sent_at.after(forward),
+        };
+        instant.before(Duration::from_millis(1))
+    }
+
+    /// How far the bounds of the store's clock are apart at an instant.
+    fn uncertainty(&self, now: BootInstant) -> Duration {
+        self.received_at.since(self.sent_at) + now.since(self.received_at) / DRIFT_DIVISOR
+    }
 }
 
 impl HostLease {
-    /// Notes the store's clock in the reply to a call sent at `sent_at`.
-    pub fn note_clock(&mut self, sent_at: BootInstant, now: StoreInstant) {
-        self.clock = Some(StoreClock { sent_at, now });
+    /// Notes the store's clock in the reply to a call that was sent at `sent_at` and received at
+    /// `received_at`, unless a former reply tells it more closely.
+    pub fn note_clock(
+        &mut self,
+        sent_at: BootInstant,
+        received_at: BootInstant,
+        now: StoreInstant,
+    ) {
+        let clock = StoreClock { sent_at, received_at, now };
+        let uncertainty = clock.uncertainty(received_at);
+        if self.clock.is_none_or(|known| uncertainty <= known.uncertainty(received_at)) {
+            self.clock = Some(clock);
+        }
     }
 
     /// The store's clock, once a reply has shown it.
--- a/crates/core/src/ledger/renewal.rs
+++ b/crates/core/src/ledger/renewal.rs
@@ -67,6 +67,8 @@
     pub struct RenewalAnswer {
         /// New version of the host's row.
         pub version: u64,
+        /// Clock of the store when it was written.
+        pub now: StoreInstant,
         /// Registrations, if the relay could read them after it was asked.
         pub registrations: Option<RegistrationView>,
         /// Hosts, if the relay could read them after it was asked.
--- a/crates/core/tests/ledger/book.rs
+++ b/crates/core/tests/ledger/book.rs
@@ -150,7 +150,7 @@
     let mut book = book();
     book.hosts = vec![crate::support::host("h2", 1, 5_000, &[])];
     book.hosts_read_at = store_at(1_000);
-    book.lease.note_clock(at(9_000), store_at(9_000));
+    book.lease.note_clock(at(9_000), at(9_000), store_at(9_000));
     expect_that!(book.share_hosts().len(), eq(1));
 }
 
--- a/crates/core/tests/ledger/floors.rs
+++ b/crates/core/tests/ledger/floors.rs
@@ -3,10 +3,15 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
+use tanagerdeal_core::ledger::book::HostBook;
 use tanagerdeal_core::ledger::catalog::ReadConsistency;
+use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::floor::{FloorHistory, PrimaryObservation};
+use tanagerdeal_core::ledger::lease::HostLease;
 
-use crate::support::{at, book, group, position, route};
+use crate::support::{at, book, group, position, route, store_at};
 
 const AGE: Duration = Duration::from_millis(1_500);
 
@@ -92,3 +97,69 @@
     book.observe_primary("g", right, observation(10, 9), at(20));
     expect_that!(book.read_floor(&route(ReadConsistency::Current), None, at(30)), none());
 }
+
+/// Guards against observations of other hosts that count as newer than they are, whatever the hosts
+/// know of the store's clock: a read would miss a commit that was acknowledged before it.
+#[gtest]
+fn an_observation_of_another_host_is_never_newer_than_it_was() {
+    let mut random = StdRng::seed_from_u64(1);
+    for round in 0..2_000 {
+        // True instants in microseconds; each host's clock and the store's are apart by an offset.
+        let (store, here, there) =
+            (random.random_range(0..9_000_000), random.random_range(0..9_000_000), 50_000);
+        let clock = |random: &mut StdRng, offset: u64| {
+            let (sent, way) = (random.random_range(9_000_000..20_000_000u64), 40_000);
+            let (seen, received) = (sent + random.random_range(0..way), sent + way);
+            let mut lease = HostLease::default();
+            let instant = |micros: u64| BootInstant::from_micros(micros + offset);
+            lease.note_clock(instant(sent), instant(received), store_at((seen + store) / 1_000));
+            lease.clock().unwrap()
+        };
+        let (own, other) = (clock(&mut random, here), clock(&mut random, there));
+        let sent = random.random_range(9_000_000..20_000_000u64);
+        let sent_at = BootInstant::from_micros(sent + there);
+        let shared = PrimaryObservation { sent_at, position: position(1, 1) }.share(&other);
+        let known = PrimaryObservation::adopt(&shared, &own);
+        let truly_at = BootInstant::from_micros(sent + here);
+        expect_that!(known.sent_at, le(truly_at), "round {round}");
+        expect_that!(known.sent_at, ge(truly_at.before(Duration::from_millis(83))));
+    }
+}
+
+/// Load pattern: each of 40 hosts of a failure domain talks to a primary every three seconds, and
+/// reads accept data that is 1.5 s old (the large sleeperdesk). Guards against reads that go to the
+/// primary because their host alone knows too little: the busiest endpoint had ten times the
+/// statements of the average one.
+#[gtest]
+fn a_host_with_little_traffic_reads_on_replicas() {
+    let mut random = StdRng::seed_from_u64(2);
+    let route = route(ReadConsistency::Bounded(Duration::from_millis(1_500)));
+    let mut hosts: Vec<HostBook> = (0..40).map(|_| book()).collect();
+    let (mut with_floor, mut reads) = (0, 0);
+    for millis in (10..12_000).step_by(10) {
+        let now = at(millis);
+        for index in 0..hosts.len() {
+            if random.random_range(0..300) != 0 {
+                continue;
+            }
+            // Three of ten statements go to the primary in any case.
+            if random.random_range(0..10) < 3 {
+                let right = hosts[index].primary_right("g", now).unwrap();
+                let observation =
+                    PrimaryObservation { sent_at: now, position: position(1, millis) };
+                hosts[index].observe_primary("g", right, observation, now);
+                let observed = hosts[index].take_observed();
+                observed
+                    .iter()
+                    .for_each(|(group, shared)| hosts[0].adopt_observation(group, shared));
+                continue;
+            }
+            reads += 1;
+            for shared in hosts[0].observations("g", Duration::from_millis(1_500), now) {
+                hosts[index].adopt_observation("g", &shared);
+            }
+            with_floor += usize::from(hosts[index].read_floor(&route, None, now).is_some());
+        }
+    }
+    expect_that!(with_floor * 10, ge(reads * 9), "{with_floor} of {reads}");
+}
--- a/crates/core/tests/ledger/renewal.rs
+++ b/crates/core/tests/ledger/renewal.rs
@@ -153,7 +153,7 @@
 fn a_relayed_lease_ends_before_its_row_does() {
     let (mut lease, mut relay) = (HostLease::default(), HostLease::default());
     // The relay saw the store at 5,000 ms when its own clock showed 1,000 ms.
-    relay.note_clock(at(1_000), store_at(5_000));
+    relay.note_clock(at(1_000), at(1_000), store_at(5_000));
     lease.renewed(at(2_000));
     let written_at = at(2_000).after(GATHER_TIME).after(ANSWER_LIMIT);
     let stored = relay.stored_end(written_at).unwrap();
--- a/crates/core/tests/ledger/support.rs
+++ b/crates/core/tests/ledger/support.rs
@@ -77,7 +77,7 @@
 /// A host with a lease from 0 ms on, one primary `p` and two replicas.
 pub fn book() -> HostBook {
     let mut book = HostBook::new("h1", "d1", Default::default(), at(0));
-    book.lease.note_clock(at(0), store_at(0));
+    book.lease.note_clock(at(0), at(0), store_at(0));
     book.lease.renewed(at(0));
     book.endpoints.register(endpoint("p", "d1", EndpointRole::Primary), at(0));
     book.endpoints.register(endpoint("r1", "d1", EndpointRole::Replica), at(0));
--- a/crates/proxy/src/ledger.rs
+++ b/crates/proxy/src/ledger.rs
@@ -8,6 +8,7 @@
 mod boot;
 mod context;
 mod doubt;
+mod floors;
 mod follow;
 mod journal;
 mod keeper;
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -15,7 +15,8 @@
 use super::follow::{GROUP_TABLE, HOST_TABLE, follow, load_table};
 use super::settings::SiteSettings;
 use super::{
-    admin, doubt, journal, keeper, mirror, peers, registrations, relay, session, sharing, takeover,
+    admin, doubt, floors, journal, keeper, mirror, peers, registrations, relay, session, sharing,
+    takeover,
 };
 
 /// Part of the shutdown's time after which the process ends in any case, in tenths.
@@ -127,6 +128,7 @@
     spawn_local(doubt::watch_suspicions(host.clone()));
     spawn_local(summarize(host.clone()));
     spawn_local(takeover::watch(host.clone()));
+    spawn_local(floors::report(host.clone()));
     accept(host, callers).await;
 }
 
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -12,6 +12,7 @@
 use tanagerdeal_core::ledger::book::{HostBook, PrimaryRight};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::EndpointKey;
+use tanagerdeal_core::ledger::floor::SharedObservation;
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
@@ -79,6 +80,8 @@
     pub(super) peers: PeerSender,
     /// Loans that were asked for, answered with tokens.
     pub(super) loans: AnswerDesk<u64>,
+    /// Observations of primaries that were asked for.
+    pub(super) floors: AnswerDesk<Vec<SharedObservation>>,
     /// Renewals that were asked for.
     pub(super) renewals: RenewalDesk,
     pub(super) registrations: RegistrationFeed,
@@ -139,6 +142,7 @@
             doubts: RefCell::default(),
             peers: PeerSender::default(),
             loans: AnswerDesk::default(),
+            floors: AnswerDesk::default(),
             renewals: RenewalDesk::default(),
             registrations: RegistrationFeed::new(now),
             mirrors: MirrorDesk::new(),
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -54,7 +54,7 @@
     let result = host.store.read(table, READ_LIMIT).await;
     host.note_store(call, &result);
     let page = result.ok()?;
-    host.book.borrow_mut().lease.note_clock(sent_at, page.now);
+    host.book.borrow_mut().lease.note_clock(sent_at, boot_now(), page.now);
     Some(page)
 }
 
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -122,7 +122,7 @@
             RenewalResult::Renewed
         }
         Ok(TransactionOutcome::Conflict(page)) => {
-            host.book.borrow_mut().lease.note_clock(sent_at, page.now);
+            host.book.borrow_mut().lease.note_clock(sent_at, boot_now(), page.now);
             adopt_conflict(host, &expected, &page.rows);
             RenewalResult::Retry
         }
@@ -180,7 +180,7 @@
         if !was_valid {
             book.quota.forfeit(boot_now());
         }
-        book.lease.note_clock(sent_at, now);
+        book.lease.note_clock(sent_at, boot_now(), now);
         was_valid
     };
     if !was_valid {
--- a/crates/proxy/src/ledger/mirror.rs
+++ b/crates/proxy/src/ledger/mirror.rs
@@ -181,12 +181,15 @@
     update_from_store(host, read).await
 }
 
-/// The relay, unless that is this host or others take it for one.
+/// Whom to ask for rows: the relay, unless others take this host for one.
 fn source(host: &HostContext) -> Option<(String, SocketAddr)> {
+    let is_relay = boot_now() < host.mirrors.relay_until.get();
+    relay_address(host).filter(|_| !is_relay)
+}
+
+/// Name and address of the relay, unless that is this host.
+pub(super) fn relay_address(host: &HostContext) -> Option<(String, SocketAddr)> {
     let now = boot_now();
-    if now < host.mirrors.relay_until.get() {
-        return None;
-    }
     let name = {
         let book = host.book.borrow();
         let is_silent = |name: &str| host.renewals.desk.is_silent(name, now);
--- a/crates/proxy/src/ledger/operation.rs
+++ b/crates/proxy/src/ledger/operation.rs
@@ -9,6 +9,7 @@
 use tanagerdeal_core::ledger::statement::{AccessMode, FailureReason};
 
 use super::context::{HostContext, boot_now};
+use super::floors;
 use super::journal;
 use super::link::{EndpointReply, LinkError};
 use super::pool::AcquireError;
@@ -92,7 +93,7 @@
         return primary(place, request, times).await;
     }
     let (host, group) = (place.host, place.group);
-    let floor = host.book.borrow().read_floor(route, written, times.began_at);
+    let floor = floors::read_floor(host, route, written, times.began_at).await;
     let mut tried: Vec<EndpointKey> = Vec::new();
     let mut last = OperationFailure::busy("no endpoint can serve the read now", FULL_RETRY);
     for _ in 0..MAX_READ_ATTEMPTS {
--- a/crates/proxy/src/ledger/peers.rs
+++ b/crates/proxy/src/ledger/peers.rs
@@ -15,6 +15,7 @@
 use sha2::Sha256;
 use tanagerdeal_adapter::store::{RowName, RowTransaction};
 use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::floor::SharedObservation;
 use tanagerdeal_core::ledger::renewal::{RenewalAnswer, RenewalRequest};
 use tanagerdeal_wire::wire_type;
 use tokio::net::UdpSocket;
@@ -24,7 +25,7 @@
 use super::context::HostContext;
 use super::follow::read_table;
 use super::keeper::WRITE_LIMIT;
-use super::{doubt, journal, lending, relay};
+use super::{doubt, floors, journal, lending, relay};
 
 /// Table of what all hosts share, and the key of the secret in it.
 const FLEET_TABLE: &str = "fleet";
@@ -53,6 +54,12 @@
         AskRenewal { call: u64, request: RenewalRequest },
         /// Tells that the lease was renewed, or that the relay does not do it.
         Renewal { call: u64, answer: Option<RenewalAnswer> },
+        /// Tells a relay what the sender has seen of the primaries of some groups.
+        Observed { observations: Vec<(String, SharedObservation)> },
+        /// Asks a relay what it knows of a group's primary.
+        AskObservations { call: u64, group: String, age_ms: u64 },
+        /// Gives observations of a primary, oldest first.
+        Observations { call: u64, observations: Vec<SharedObservation> },
     }
 }
 
@@ -209,6 +216,13 @@
             relay::enqueue(host, call, Some(from), request);
         }
         Some(PeerMessage::Renewal { call, answer }) => host.renewals.desk.complete(call, answer),
+        Some(PeerMessage::Observed { observations }) => floors::adopt(host, &observations),
+        Some(PeerMessage::AskObservations { call, group, age_ms }) => {
+            return Some(floors::answer(host, call, &group, age_ms));
+        }
+        Some(PeerMessage::Observations { call, observations }) => {
+            host.floors.complete(call, observations);
+        }
         None => journal::request("peer_unreadable", || json!({ "bytes": datagram.len() })),
     }
     None
--- a/crates/proxy/src/ledger/relay.rs
+++ b/crates/proxy/src/ledger/relay.rs
@@ -6,7 +6,7 @@
 
 use serde_json::json;
 use tanagerdeal_adapter::store::{RowName, RowPage, RowTransaction, TransactionOutcome};
-use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::clock::{BootInstant, StoreInstant};
 use tanagerdeal_core::ledger::renewal::{
     ANSWER_LIMIT, GATHER_TIME, HostListView, QueuedRenewal, RenewalAnswer, RenewalBatch,
     RenewalQueue, RenewalRequest, SILENT_TERM, adopt_view, list_view, max_batch, relay,
@@ -87,7 +87,7 @@
 
 /// Takes over the answer of the relay to a request that was sent at `sent_at`.
 fn adopt_answer(host: &HostContext, sent_at: BootInstant, answer: RenewalAnswer) -> bool {
-    let RenewalAnswer { version, registrations, hosts } = answer;
+    let RenewalAnswer { version, now, registrations, hosts } = answer;
     let is_list_same = {
         let mut book = host.book.borrow_mut();
         // A lease that has ended meanwhile is begun anew, with what that entails.
@@ -95,6 +95,7 @@
             return false;
         }
         host.versions.borrow_mut().own = version;
+        book.lease.note_clock(sent_at, boot_now(), now);
         book.lease.renewed(sent_at);
         let book = &mut *book;
         hosts.map(|view| adopt_view(&mut book.hosts, &mut book.hosts_read_at, &view))
@@ -146,24 +147,35 @@
     }
     // Both are read after the requests have come, so that they are news to the hosts that asked.
     let views = async { (registrations::poll_view(host).await, read_view(host).await) };
-    let (version, (registrations, hosts)) = tokio::join!(write(host, &relied, &mut agreed), views);
+    let (written, (registrations, hosts)) = tokio::join!(write(host, &relied, &mut agreed), views);
+    let version = written.map(|written| written.version);
     journal::event(
         "relay",
         "batch",
         json!({ "hosts": agreed.len(), "declined": declined.len(), "row_version": version,
                 "registrations": registrations.map(|view| view.as_of) }),
     );
-    let answered = version.map(|version| RenewalAnswer { version, registrations, hosts });
+    let answered = written.map(|written| {
+        let WrittenBatch { version, now } = written;
+        RenewalAnswer { version, now, registrations, hosts }
+    });
     agreed.iter().for_each(|renewal| answer(host, renewal, answered.clone()));
 }
 
-/// Writes the rows of a batch and returns their version. Hosts whose rows had changed are declined
+/// The rows of a batch as the store has taken them.
+#[derive(Clone, Copy)]
+struct WrittenBatch {
+    version: u64,
+    now: StoreInstant,
+}
+
+/// Writes the rows of a batch. Hosts whose rows had changed are declined
 /// and left out.
 async fn write(
     host: &HostContext,
     relied: &[ExpectedRow],
     agreed: &mut Vec<QueuedRenewal>,
-) -> Option<u64> {
+) -> Option<WrittenBatch> {
     for _ in 0..ATTEMPTS {
         let until = host.book.borrow().lease.stored_end(boot_now())?;
         let mut transaction =
@@ -179,7 +191,9 @@
         let result = host.store.transact(&transaction, WRITE_LIMIT).await;
         host.note_store("relay", &result);
         let page = match result {
-            Ok(TransactionOutcome::Applied { version, .. }) => return Some(version),
+            Ok(TransactionOutcome::Applied { version, now }) => {
+                return Some(WrittenBatch { version, now });
+            }
             Ok(TransactionOutcome::Conflict(page)) => page,
             Err(_) => return None,
         };
--- a/crates/proxy/src/ledger/session/answer.rs
+++ b/crates/proxy/src/ledger/session/answer.rs
@@ -16,6 +16,7 @@
 
 use super::{ClientSession, access_reason, identify};
 use crate::ledger::context::{boot_now, sleep_until};
+use crate::ledger::floors;
 use crate::ledger::journal;
 use crate::ledger::lending;
 use crate::ledger::link::EndpointReply;
@@ -113,7 +114,7 @@
             }
             (SessionState::Failed, _) => Err(malformed("the transaction has failed")),
             (SessionState::Idle, ClientStatement::Begin { is_read_only }) => {
-                self.check_served(route, is_read_only)?;
+                self.check_served(route, is_read_only).await?;
                 self.admit(identity, route).await?;
                 self.transaction = Some(OpenTransaction::new(route.clone(), is_read_only));
                 self.state = SessionState::Open;
@@ -184,10 +185,19 @@
     }
 
     /// Refuses what cannot be served now before it costs anything.
-    fn check_served(&self, route: &DatabaseRoute, is_read: bool) -> Result<(), OperationFailure> {
-        let book = self.host.book.borrow();
-        let served = book.is_served(route, is_read, self.written, boot_now());
-        served.map_err(|refusal| OperationFailure::busy(&refusal.to_string(), UNSERVED_RETRY))
+    async fn check_served(
+        &self,
+        route: &DatabaseRoute,
+        is_read: bool,
+    ) -> Result<(), OperationFailure> {
+        let now = boot_now();
+        let served = self.host.book.borrow().is_served(route, is_read, self.written, now);
+        let Err(refusal) = served else { return Ok(()) };
+        // Other hosts of the failure domain may reach the primary.
+        if is_read && floors::read_floor(&self.host, route, self.written, now).await.is_some() {
+            return Ok(());
+        }
+        Err(OperationFailure::busy(&refusal.to_string(), UNSERVED_RETRY))
     }
 
     /// Returns the token of an operation of which nothing has run.
@@ -229,7 +239,7 @@
             }
             None => {
                 let is_read = request.mode == AccessMode::Read;
-                self.check_served(route, is_read)?;
+                self.check_served(route, is_read).await?;
                 self.admit(identity, route).await?;
                 let times = StatementTimes::new(route, self.last_request);
                 let (host, session) = (&self.host, &self.image);
--- a/crates/proxy/src/ledger/transaction.rs
+++ b/crates/proxy/src/ledger/transaction.rs
@@ -12,6 +12,7 @@
 use tanagerdeal_core::ledger::statement::{AccessMode, FailureReason, SessionState};
 
 use super::context::boot_now;
+use super::floors;
 use super::link::{EndpointReply, LinkError};
 use super::operation::{OperationFailure, StatementTimes, primary_failure};
 use super::pool::{BorrowedLink, acquire};
@@ -173,7 +174,7 @@
         times: StatementTimes,
     ) -> Result<(), OperationFailure> {
         let (host, group) = (place.host, place.group);
-        let floor = host.book.borrow().read_floor(&self.route, written, self.began_at);
+        let floor = floors::read_floor(host, &self.route, written, self.began_at).await;
         let mut tried: Vec<EndpointKey> = Vec::new();
         for _ in 0..MAX_BEGIN_ATTEMPTS {
             let target = host.book.borrow().read_target(group, floor, &tried, boot_now());
--- a/crates/proxy/tests/site/relays.rs
+++ b/crates/proxy/tests/site/relays.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use crate::lanes::{Lane, RelayedSite};
-use crate::support::{KEY, SiteDeployment, until};
+use crate::support::{KEY, SiteDeployment, until, until_done};
 
 /// Hosts 0 and 3 are in the same failure domain.
 const PAIR: [usize; 2] = [0, 3];
@@ -29,15 +29,15 @@
     line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
 }
 
-/// Waits until one of the pair has renewed for both, and returns it and the other one.
-async fn relay_and_other(site: &SiteDeployment) -> (usize, usize) {
+/// Waits until one of a pair has renewed for both; returns it and the other one.
+async fn relay_and_other(site: &SiteDeployment, pair: [usize; 2]) -> (usize, usize) {
     let is_relay = |host: &usize| {
         let log = site.hosts[*host].log();
         log.lines().any(|line| line.contains("\"batch\"") && line.contains("\"hosts\":2"))
     };
-    until("a batch", async || PAIR.iter().any(is_relay)).await;
-    let relay = PAIR.into_iter().find(is_relay).unwrap();
-    (relay, PAIR.into_iter().find(|host| *host != relay).unwrap())
+    until("a batch", async || pair.iter().any(is_relay)).await;
+    let relay = pair.into_iter().find(is_relay).unwrap();
+    (relay, pair.into_iter().find(|host| *host != relay).unwrap())
 }
 
 /// Load pattern: a fleet of hundreds on a calm day. Guards against reads of the store by each host:
@@ -45,7 +45,7 @@
 #[tokio::test]
 async fn a_host_with_a_relay_reads_next_to_nothing() {
     let site = SiteDeployment::start(4).await;
-    let (relay, other) = relay_and_other(&site).await;
+    let (relay, other) = relay_and_other(&site, PAIR).await;
     // Until the lists of the start have settled.
     sleep(Duration::from_secs(5)).await;
     let before = (reads(&site, relay).await, reads(&site, other).await);
@@ -65,7 +65,7 @@
 #[tokio::test]
 async fn a_frozen_relay_delays_no_configuration() {
     let site = SiteDeployment::start(4).await;
-    let (relay, other) = relay_and_other(&site).await;
+    let (relay, other) = relay_and_other(&site, PAIR).await;
     site.hosts[relay].signal("STOP");
     site.store.put("op", "config", &configuration(2, "g1", &[("acme", &[KEY], 500)]));
     let begin = std::time::Instant::now();
@@ -81,7 +81,7 @@
 async fn a_relay_without_store_delays_no_configuration() {
     let relayed = RelayedSite::start(4).await;
     let site = &relayed.site;
-    let (relay, other) = relay_and_other(site).await;
+    let (relay, other) = relay_and_other(site, PAIR).await;
     for number in 2..5 {
         let lane = Lane::to_store(relay);
         relayed.cut(&lane, true).await;
@@ -99,6 +99,32 @@
     }
 }
 
+/// Load pattern: hundreds of hosts, each with a statement of a group every few seconds (the large
+/// sleeperdesk). Guards against reads that go to the primary because their host alone has not talked
+/// to it for longer than the age that they accept.
+#[tokio::test]
+async fn a_host_without_traffic_to_the_primary_reads_on_replicas() {
+    let site = SiteDeployment::start(5).await;
+    // Their failure domain has a replica, and not the primary.
+    let (relay, other) = relay_and_other(&site, [1, 4]).await;
+    let mut writer = site.session(relay, "current").await;
+    let mut reader = site.session(other, "bounded").await;
+    let mut reads = 0;
+    for round in 0..40 {
+        until_done(&mut writer, &format!("WRITE item {round}")).await;
+        sleep(Duration::from_millis(200)).await;
+        // Longer than the age of 1.5 s.
+        if round % 9 == 8 {
+            until_done(&mut reader, "READ other").await;
+            reads += 1;
+        }
+    }
+    let runs = site.group.runs();
+    let reads_run = runs.iter().filter(|run| run.text == "READ other");
+    let on_replicas = reads_run.filter(|run| run.member != "g1-0").count();
+    assert_that!(on_replicas, ge(reads - 1));
+}
+
 /// Guards against a host that trusts whoever connects to it: a question without the fleet's code gets
 /// no answer, and bytes that are no question end their connection only.
 #[tokio::test]
