Let started hosts spend half of the slack of the limits

Cause: a started host begins with half of the tolerated overage only, which is one token for a customer of eight operations a second.

--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -76,6 +76,8 @@
     pub overage: f64,
     /// Length of the window, in seconds.
     pub window_s: f64,
+    /// Operations by which a window may be exceeded beside that.
+    pub slack: f64,
 }
 
 /// A change of a customer's row to be written under the condition that its version still stands.
@@ -202,7 +204,8 @@
         if is_first && units > 0 {
             let rate = share.bucket.rate();
             let window = f64::from(rate.rate_per_s) * self.tolerance.window_s;
-            let spare = (window + f64::from(rate.burst)) * self.tolerance.overage * START_PART;
+            let overage = (window + f64::from(rate.burst)) * self.tolerance.overage;
+            let spare = (overage + self.tolerance.slack) * START_PART;
             share.bucket.start_with((spare * units as f64) as u64, units);
         }
     }
--- a/crates/core/tests/ledger/fleet.rs
+++ b/crates/core/tests/ledger/fleet.rs
@@ -16,7 +16,8 @@
 const BURST: u32 = 60;
 const CUSTOMER_RATE: CustomerRate = CustomerRate { rate_per_s: RATE, burst: BURST };
 const WINDOW_MS: u64 = 5_000;
-const TOLERANCE: LimitTolerance = LimitTolerance { overage: 0.1, window_s: 5.0 };
+const TOLERANCE: LimitTolerance =
+    LimitTolerance { overage: 0.1, window_s: 5.0, slack: SLACK as f64 };
 /// The users' tolerance in operations of a window, beside the overage.
 const SLACK: u64 = 20;
 /// Failure domains of the large site.
@@ -390,3 +391,27 @@
         expect_that!(fleet.busiest_window(), le(5 * 6 * 11 / 10 + SLACK), "seed {seed}");
     }
 }
+
+/// Load pattern: all processes are killed, and all clients of many small customers come back at once
+/// (`kill_all`, `power_off_all`). Guards against refusals that the tolerance of the limits makes
+/// needless: in the second after the return 788 of 2,300 refusals on trouble-1 of the large
+/// sleeperdesk were for empty buckets.
+#[gtest]
+fn a_small_customer_is_admitted_after_a_restart() {
+    for seed in 0..3 {
+        let rate = CustomerRate { rate_per_s: 8, burst: 8 };
+        let mut fleet = SimulatedFleet::in_domains(&FIVE_DOMAINS, 60, seed, rate);
+        fleet.run(8_000, 5.0, &even(60), FleetFaults::default());
+        let now = fleet.now;
+        for index in 0..fleet.hosts.len() {
+            fleet.hosts[index].table = started(index, rate, now);
+        }
+        fleet.load_rows();
+        let (admitted, asked) = (fleet.admitted.len(), fleet.asked.len());
+        // The clients of a second of downtime come with those of the first second.
+        fleet.run(1_000, 10.0, &even(60), FleetFaults::default());
+        let part = (fleet.admitted.len() - admitted) as f64 / (fleet.asked.len() - asked) as f64;
+        expect_that!(part, ge(0.8), "seed {seed}");
+        expect_that!(fleet.busiest_window(), le(8 * 6 * 11 / 10 + SLACK), "seed {seed}");
+    }
+}
--- a/crates/core/tests/ledger/shares.rs
+++ b/crates/core/tests/ledger/shares.rs
@@ -38,7 +38,7 @@
 /// `kill_all`). Guards against refusals that the tolerance of the limits makes needless.
 #[gtest]
 fn a_started_host_may_spend_half_of_the_tolerance() {
-    let mut table = table(LimitTolerance { overage: 0.1, window_s: 5.0 });
+    let mut table = table(LimitTolerance { overage: 0.1, window_s: 5.0, slack: 0.0 });
     table.adopt("c", 1, record(500_000), at(0));
     // Of 600 operations in a window a tenth is tolerated; half of that, for half of the rate.
     expect_that!(admitted(&mut table, 0), eq(15));
--- a/crates/proxy/src/ledger/settings.rs
+++ b/crates/proxy/src/ledger/settings.rs
@@ -82,7 +82,7 @@
 }
 
 /// Section, key and meaning of every setting.
-const SETTINGS: [(&str, &str, &str); 15] = [
+const SETTINGS: [(&str, &str, &str); 16] = [
     ("host", "name", "name of the host"),
     ("host", "domain", "failure domain of the host"),
     ("host", "domains", "all failure domains, separated by commas"),
@@ -97,6 +97,11 @@
     ("limits", "config_apply_ms", "time in which a configuration takes effect; 3000 by default"),
     ("limits", "drain_ms", "time in which work to a leaving endpoint stops; 7000 by default"),
     ("limits", "rate_overage", "part by which a window may exceed a customer's rate; 0 by default"),
+    (
+        "limits",
+        "rate_slack",
+        "operations by which a window may exceed it beside that; 0 by default",
+    ),
     ("limits", "rate_window_s", "length of that window, in seconds; 0 by default"),
 ];
 
@@ -191,6 +196,7 @@
             tolerance: LimitTolerance {
                 overage: or_default(&ini, "limits", "rate_overage", 0.0)?,
                 window_s: or_default(&ini, "limits", "rate_window_s", 0.0)?,
+                slack: or_default(&ini, "limits", "rate_slack", 0.0)?,
             },
         };
         Ok(settings)
