--- a/crates/core/src/ledger/lease.rs
+++ b/crates/core/src/ledger/lease.rs
@@ -16,8 +16,6 @@
 pub const LEASE_TERM: Duration = Duration::from_secs(13);
 /// Longest time between renewals, however much time a configuration has to take effect.
 pub const MAX_RENEW_INTERVAL: Duration = Duration::from_secs(4);
-/// Time between attempts after a failed renewal.
-pub const RENEW_RETRY: Duration = Duration::from_millis(400);
 /// Margin by which the stored end of a lease exceeds the end that its holder keeps; it covers the
 /// drift of two steady clocks over a lease.
 const LEASE_MARGIN: Duration = Duration::from_millis(250);
--- a/crates/core/src/ledger/mirror.rs
+++ b/crates/core/src/ledger/mirror.rs
@@ -48,6 +48,7 @@
     changed: u64,
     read_at: StoreInstant,
     asked_at: Option<BootInstant>,
+    failed_at: Option<BootInstant>,
 }
 
 impl TableMirror {
@@ -146,6 +147,17 @@
         self.changed
     }
 
+    /// Notes that the store did not answer.
+    pub fn note_failed(&mut self, now: BootInstant) {
+        self.failed_at = Some(now);
+    }
+
+    /// Whether the store did not answer at an instant or later: a question that has waited since then
+    /// for its turn needs no call of its own.
+    pub fn has_failed_since(&self, instant: BootInstant) -> bool {
+        self.failed_at.is_some_and(|failed_at| failed_at >= instant)
+    }
+
     /// Whether the copy holds all that was written until `age` before an instant.
     pub fn is_fresh(&self, now: BootInstant, age: Duration) -> bool {
         self.asked_at.is_some_and(|asked_at| asked_at >= now.before(age))
--- a/crates/core/tests/ledger/mirror.rs
+++ b/crates/core/tests/ledger/mirror.rs
@@ -51,6 +51,17 @@
     expect_that!(mirror.is_fresh(at(1_200), Duration::from_millis(100)), eq(false));
 }
 
+/// Load pattern: 40 hosts of a failure domain ask a relay that is cut off from the store (`zone_cut`).
+/// Guards against a call for each of them, one after the other, long after they have gone on.
+#[gtest]
+fn a_failed_call_answers_all_that_waited_for_it() {
+    let mut mirror = TableMirror::default();
+    mirror.note_failed(at(1_500));
+    let waited_since = |millis: u64| mirror.has_failed_since(at(millis));
+    expect_that!([0, 700, 1_500].map(waited_since), eq([true, true, true]));
+    expect_that!(waited_since(1_501), eq(false));
+}
+
 /// Guards against copies that drift apart: hosts that ask relays in any order, with any gaps between
 /// their questions, know the table as the store had it.
 #[gtest]
--- a/crates/proxy/src/ledger/keeper.rs
+++ b/crates/proxy/src/ledger/keeper.rs
@@ -10,7 +10,7 @@
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::EndpointRole;
 use tanagerdeal_core::ledger::group::GroupRecord;
-use tanagerdeal_core::ledger::lease::{HostRecord, RENEW_RETRY};
+use tanagerdeal_core::ledger::lease::HostRecord;
 use tanagerdeal_core::ledger::renewal::{MAX_DIRECT_HOSTS, MAX_ENTRIES, time_to_slot};
 use tokio::time::timeout;
 
@@ -62,7 +62,11 @@
                 way = RenewalWay::Direct;
                 continue;
             }
-            RenewalResult::Failed => RENEW_RETRY,
+            RenewalResult::Failed => {
+                // A lease outlasts several attempts.
+                host.store_pause().await;
+                Duration::ZERO
+            }
         };
         // Either the time is over or something has changed that must be reported.
         let is_urgent = timeout(pause, host.renew.notified()).await.is_ok();
--- a/crates/proxy/src/ledger/mirror.rs
+++ b/crates/proxy/src/ledger/mirror.rs
@@ -207,39 +207,44 @@
     if feed.mirror.borrow().is_fresh(due_at, read.max_age) {
         return true;
     }
-    let (asked_at, after) = (boot_now(), feed.mirror.borrow().version());
-    let changes = match feed.mirror.borrow().is_loaded() {
-        true => Some(host.store.follow(read.table, after, read.waits.0)),
-        false => None,
+    if feed.mirror.borrow().has_failed_since(due_at) {
+        return false;
+    }
+    let is_updated = call_store(host, feed, read).await;
+    if !is_updated {
+        feed.mirror.borrow_mut().note_failed(boot_now());
+    }
+    is_updated
+}
+
+/// Reads the changes of a table, or the whole table when there is no other way. Returns whether the
+/// store has answered.
+async fn call_store(host: &HostContext, feed: &MirrorFeed, read: MirrorRead) -> bool {
+    let asked_at = boot_now();
+    let (is_loaded, after) = {
+        let mirror = feed.mirror.borrow();
+        (mirror.is_loaded(), mirror.version())
     };
-    let page = match changes {
-        Some(changes) => {
-            let result = changes.await;
-            host.note_store(read.call, &result);
-            match result {
-                Ok(page) => Some(page_of(page, false)),
-                Err(StoreError::HistoryGone) => {
-                    let fields = json!({ "table": read.table, "after": after });
-                    journal::event("store", "history_gone", fields);
-                    None
-                }
-                Err(_) => return false,
+    if is_loaded {
+        let result = host.store.follow(read.table, after, read.waits.0).await;
+        host.note_store(read.call, &result);
+        match result {
+            Ok(page) => {
+                adopt_page(host, read.table, &page_of(page, false), asked_at);
+                return true;
             }
-        }
-        None => None,
-    };
-    let page = match page {
-        Some(page) => page,
-        None => {
-            let result = host.store.read(read.table, READ_LIMIT).await;
-            host.note_store(read.call, &result);
-            match result {
-                Ok(page) => page_of(page, true),
-                Err(_) => return false,
+            Err(StoreError::HistoryGone) => {
+                let fields = json!({ "table": read.table, "after": after });
+                journal::event("store", "history_gone", fields);
             }
+            Err(_) => return false,
         }
-    };
-    adopt_page(host, read.table, &page, asked_at);
+    }
+    let asked_at = boot_now();
+    let result = host.store.read(read.table, READ_LIMIT).await;
+    host.note_store(read.call, &result);
+    let Ok(page) = result else { return false };
+    adopt_page(host, read.table, &page_of(page, true), asked_at);
     true
 }
 
@@ -346,7 +351,8 @@
         }
         wait_ms => {
             host.mirrors.relay_until.set(boot_now().after(RELAY_TERM));
-            let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+            let wait = Duration::from_millis(wait_ms).min(RELAY_TERM);
+            let end = tokio::time::Instant::now() + wait;
             loop {
                 let changed = feed.changed.notified();
                 if feed.mirror.borrow().changed() > question.after
