--- a/crates/proxy/tests/site/process.rs
+++ b/crates/proxy/tests/site/process.rs
@@ -27,6 +27,46 @@
     assert_that!(log, contains_substring(r#""event":"stopped""#));
 }
 
+/// Load pattern: hosts are stopped in turn under load (`roll_term`), and clients go on using open
+/// connections until they are closed. Guards against a statement that has run and whose client never
+/// hears of it.
+#[tokio::test]
+async fn a_shutdown_under_load_answers_every_statement_that_ran() {
+    let mut site = SiteDeployment::start(1).await;
+    let mut clients = Vec::new();
+    for index in 0..24 {
+        let mut client = site.session(0, "current").await;
+        clients.push(tokio::spawn(async move {
+            let mut answered = Vec::new();
+            for number in 0.. {
+                let id = client.next_id();
+                let reply = client.query(&format!("WRITE item{index} {number}")).await;
+                if reply.state.is_empty() {
+                    // The session is over.
+                    break;
+                }
+                answered.push(id);
+            }
+            answered
+        }));
+    }
+    tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+    site.hosts[0].signal("TERM");
+    assert_that!(site.hosts[0].ended().await.success(), eq(true));
+    let mut answered = Vec::new();
+    for client in clients {
+        answered.extend(client.await.unwrap());
+    }
+    let runs = site.group.runs();
+    let unheard: Vec<&str> = runs
+        .iter()
+        .map(|run| run.id.as_str())
+        .filter(|id| !answered.iter().any(|known| known == id))
+        .collect();
+    assert_that!(runs.len(), ge(100));
+    assert_that!(unheard, is_empty());
+}
+
 /// Guards against a changed settings file that goes unnoticed.
 #[tokio::test]
 async fn a_hangup_reads_the_settings_again() {
