--- a/crates/core/src/ledger/floor.rs
+++ b/crates/core/src/ledger/floor.rs
@@ -123,6 +123,22 @@
 
     /// The observations with which another host knows the floor of a read of that age and of those
     /// that follow it: the one for the floor, and the newest one.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    /// use tanagerdeal_core::ledger::endpoint::LogPosition;
+    /// use tanagerdeal_core::ledger::floor::{FloorHistory, PrimaryObservation};
+    ///
+    /// let at = |millis: u64| BootInstant::from_micros(millis * 1_000);
+    /// let mut history = FloorHistory::default();
+    /// for sent_at in [at(100), at(200), at(300)] {
+    ///     history.observe(PrimaryObservation { sent_at, position: LogPosition::default() });
+    /// }
+    /// let sample = history.sample(at(400), Duration::from_millis(250));
+    /// assert_eq!(sample.iter().map(|entry| entry.sent_at).collect::<Vec<_>>(), [at(200), at(300)]);
+    /// ```
     pub fn sample(&self, began_at: BootInstant, staleness: Duration) -> Vec<PrimaryObservation> {
         let oldest = began_at.before(staleness);
         let index = self.observations.partition_point(|entry| entry.sent_at < oldest);
--- a/crates/core/src/ledger/mirror.rs
+++ b/crates/core/src/ledger/mirror.rs
@@ -113,6 +113,12 @@
     }
 
     /// What a host that knows a version has to be told; everything to one that knows none.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::mirror::TableMirror;
+    ///
+    /// assert!(TableMirror::default().page(0).rows.is_empty());
+    /// ```
     pub fn page(&self, after: u64) -> MirrorPage {
         let is_whole = after == 0 || after < self.base;
         let is_news = |version: u64, value: &Option<Vec<u8>>| match is_whole {
@@ -159,6 +165,16 @@
     }
 
     /// Whether the copy holds all that was written until `age` before an instant.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    /// use tanagerdeal_core::ledger::mirror::TableMirror;
+    ///
+    /// let now = BootInstant::from_micros(9);
+    /// assert!(!TableMirror::default().is_fresh(now, Duration::from_secs(1)));
+    /// ```
     pub fn is_fresh(&self, now: BootInstant, age: Duration) -> bool {
         self.asked_at.is_some_and(|asked_at| asked_at >= now.before(age))
     }
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -78,8 +78,11 @@
 
 /// Follows a table.
 pub(super) async fn follow(host: Rc<HostContext>, table: &'static str) {
-    let waits = (POLL_WAIT, RELAYED_WAIT);
-    let read = MirrorRead { table, call: "follow", max_age: Duration::ZERO, waits };
+    let read = MirrorRead {
+        store_wait: POLL_WAIT,
+        relay_wait: RELAYED_WAIT,
+        ..MirrorRead::now(table, "follow", Duration::ZERO)
+    };
     loop {
         if !mirror::update(&host, read).await {
             host.store_pause().await;
--- a/crates/proxy/src/ledger/mirror.rs
+++ b/crates/proxy/src/ledger/mirror.rs
@@ -76,8 +76,17 @@
     pub(super) call: &'static str,
     /// How old an answer may be.
     pub(super) max_age: Duration,
-    /// How long to wait for a change at the store, and at the relay.
-    pub(super) waits: (Duration, Duration),
+    /// How long to wait for a change at the store.
+    pub(super) store_wait: Duration,
+    /// The same at the relay.
+    pub(super) relay_wait: Duration,
+}
+
+impl MirrorRead {
+    /// A read that does not wait for changes.
+    pub(super) const fn now(table: &'static str, call: &'static str, max_age: Duration) -> Self {
+        Self { table, call, max_age, store_wait: Duration::ZERO, relay_wait: Duration::ZERO }
+    }
 }
 
 /// A connection to a relay.
@@ -226,7 +235,7 @@
         (mirror.is_loaded(), mirror.version())
     };
     if is_loaded {
-        let result = host.store.follow(read.table, after, read.waits.0).await;
+        let result = host.store.follow(read.table, after, read.store_wait).await;
         host.note_store(read.call, &result);
         match result {
             Ok(page) => {
@@ -269,10 +278,10 @@
         table: read.table.to_owned(),
         after: host.mirrors.version(read.table),
         max_age_ms: read.max_age.as_millis() as u64,
-        wait_ms: read.waits.1.as_millis() as u64,
+        wait_ms: read.relay_wait.as_millis() as u64,
     };
-    let slack = if read.waits.1.is_zero() { READ_SLACK } else { WAIT_SLACK };
-    let answer = timeout(read.waits.1 + slack, connection.exchange(secret, &question)).await;
+    let slack = if read.relay_wait.is_zero() { READ_SLACK } else { WAIT_SLACK };
+    let answer = timeout(read.relay_wait + slack, connection.exchange(secret, &question)).await;
     let answer = answer.map_err(|_| "no answer in time")??;
     feed.relay.replace(Some(connection));
     Ok(answer.page)
@@ -345,8 +354,7 @@
     match question.wait_ms {
         0 => {
             let max_age = Duration::from_millis(question.max_age_ms);
-            let waits = (Duration::ZERO, Duration::ZERO);
-            let read = MirrorRead { table, call: "relayed", max_age, waits };
+            let read = MirrorRead::now(table, "relayed", max_age);
             update_from_store(host, read).await.then_some(())?;
         }
         wait_ms => {
--- a/crates/proxy/src/ledger/registrations.rs
+++ b/crates/proxy/src/ledger/registrations.rs
@@ -24,12 +24,7 @@
 /// Time between two looks whether an endpoint has been missing for too long.
 const MISSING_INTERVAL: Duration = Duration::from_millis(1_000);
 /// A poll. It does not wait, as heartbeats come many times a second.
-const READ: MirrorRead = MirrorRead {
-    table: SERVER_TABLE,
-    call: "registrations",
-    max_age: Duration::ZERO,
-    waits: (Duration::ZERO, Duration::ZERO),
-};
+const READ: MirrorRead = MirrorRead::now(SERVER_TABLE, "registrations", Duration::ZERO);
 
 /// How far this host has followed the registrations.
 pub(super) struct RegistrationFeed {
--- a/crates/proxy/src/ledger/sharing.rs
+++ b/crates/proxy/src/ledger/sharing.rs
@@ -30,8 +30,8 @@
 /// The same while this host holds too little for a home. It doubles with each read, as customers
 /// with a large demand leave their homes little for good reason.
 const STARVED_INTERVAL: Duration = Duration::from_millis(500);
-/// Age of the list of hosts that a relay may answer with. A list of that age shows when a host started
-/// soon enough, and hosts that ask at about the same time share one call.
+/// Age of the rows that a relay may answer with: less than a look at the shares, and enough for hosts
+/// that ask at about the same time to share one call.
 const LIST_AGE: Duration = Duration::from_millis(200);
 /// Age that a host's ended lease has before its shares are taken, for the uncertainty of the
 /// store's clock.
@@ -128,9 +128,8 @@
     if table == HOST_TABLE {
         host.hosts_asked_at.set(boot_now());
     }
-    let waits = (Duration::ZERO, Duration::ZERO);
     // A failure is logged; the next look is soon.
-    mirror::update(host, MirrorRead { table, call: "list", max_age: LIST_AGE, waits }).await;
+    mirror::update(host, MirrorRead::now(table, "list", LIST_AGE)).await;
 }
 
 /// Writes the changes that are due; after a conflict others may be due at once.
