End a stopping host only when no client can come any more

Cause: a host that was told to stop went on taking connections and ended as soon as it had no session just then. A session that was opened in its last 50 ms was cut off with its statement under way, and a connection that had not sent its database yet was not counted at all.

Ruled out: the quiet limit of sessions (it ends a session between statements only), the limit of the shutdown (5.4 s).

Change: clients are taken for 2.2 s after the signal, by when the load balancer has missed two answers; then the address is closed, and the process ends when all connections have. They count from their acceptance on; a session that begins during the stop has its second as well.

--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -11,7 +11,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
-use super::context::{HostContext, HostPhase, boot_now};
+use super::context::{HostContext, HostPhase, boot_now, sleep_until};
 use super::follow::{GROUP_TABLE, HOST_TABLE, follow, load_table};
 use super::settings::SiteSettings;
 use super::{
@@ -23,6 +23,9 @@
 const STOP_TENTHS: u32 = 9;
 /// Time between two looks whether all sessions have ended.
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after the start of a shutdown in which clients are still taken: the load balancer asks once a
+/// second, and takes a host out after two misses.
+const LEAVE_SPAN: Duration = Duration::from_millis(2_200);
 /// Time over which hosts that start together spread the creation of rows.
 const CREATE_SPREAD: Duration = Duration::from_millis(600);
 /// Time between two log lines with the counters.
@@ -140,12 +143,36 @@
     }
 }
 
+/// Takes clients until the load balancer has had the time to notice that the host is stopping. Then
+/// the address is closed, so that nobody is taken whom the end of the process would cut off.
 async fn accept(host: Rc<HostContext>, callers: TcpListener) {
     let most = host.settings.descriptors.saturating_sub(OWN_DESCRIPTORS).max(1);
+    let mut phase = host.phase.subscribe();
+    host.is_closed.set(false);
     loop {
-        match callers.accept().await {
-            Ok((stream, _)) if (host.metrics.sessions.get() as usize) < most => {
-                spawn_local(session::serve(host.clone(), stream));
+        let end = match *phase.borrow_and_update() {
+            HostPhase::Serving => None,
+            HostPhase::Stopping(since) => Some(since.after(LEAVE_SPAN)),
+        };
+        let closing = async {
+            match end {
+                Some(end) => sleep_until(end).await,
+                None => std::future::pending().await,
+            }
+        };
+        let accepted = tokio::select! {
+            accepted = callers.accept() => accepted,
+            () = closing => break,
+            // The end is known now.
+            _ = phase.changed() => continue,
+        };
+        match accepted {
+            Ok((stream, _)) if host.connections.get() < most => {
+                let connection = ConnectionGuard::new(host.clone());
+                spawn_local(async move {
+                    session::serve(connection.host.clone(), stream).await;
+                    drop(connection);
+                });
             }
             // The client finds its connection closed and tries another host.
             Ok(_) => journal::event("session", "too_many", json!({ "most": most })),
@@ -155,6 +182,26 @@
             }
         }
     }
+    drop(callers);
+    host.is_closed.set(true);
+}
+
+/// Counts a connection of a client from its acceptance on, before it has a session.
+struct ConnectionGuard {
+    host: Rc<HostContext>,
+}
+
+impl ConnectionGuard {
+    fn new(host: Rc<HostContext>) -> Self {
+        host.connections.set(host.connections.get() + 1);
+        Self { host }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.host.connections.set(self.host.connections.get() - 1);
+    }
 }
 
 /// Reads the settings again at each signal, and tells which of them need a restart.
@@ -172,7 +219,7 @@
     }
 }
 
-/// Waits for the sessions to end, for most of the time that a shutdown may take.
+/// Waits until no client can come and all have gone, for most of the time that a shutdown may take.
 async fn stop(host: &HostContext) {
     let began_at = boot_now();
     host.is_ready.set(false);
@@ -180,7 +227,8 @@
     host.phase.send_replace(HostPhase::Stopping(began_at));
     host.renew.notify_one();
     let deadline = began_at.after(host.settings.shutdown_limit * STOP_TENTHS / 10);
-    while host.metrics.sessions.get() > 0 && boot_now() < deadline {
+    let is_over = || host.is_closed.get() && host.connections.get() == 0;
+    while !is_over() && boot_now() < deadline {
         sleep(STOP_INTERVAL).await;
     }
     journal::event(
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -94,6 +94,10 @@
     /// Wakes the task that renews the lease.
     pub(super) renew: Notify,
     pub(super) phase: watch::Sender<HostPhase>,
+    /// Open connections of clients.
+    pub(super) connections: Cell<usize>,
+    /// Whether no clients are taken: before the host knows what it has to know, and when it ends.
+    pub(super) is_closed: Cell<bool>,
     /// Whether the host has been able to serve since its start.
     pub(super) is_ready: Cell<bool>,
 }
@@ -150,6 +154,8 @@
             hosts_asked_at: Cell::new(now),
             renew: Notify::new(),
             phase: watch::Sender::new(HostPhase::Serving),
+            connections: Cell::new(0),
+            is_closed: Cell::new(true),
             is_ready: Cell::new(false),
             settings,
         })
--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -24,7 +24,8 @@
 use super::journal;
 use super::transaction::OpenTransaction;
 
-/// Time for which a session is kept after the start of a shutdown while its client is quiet.
+/// Time for which a session is kept after the start of a shutdown, or its own start after that, while
+/// its client is quiet.
 const QUIET_LIMIT: Duration = Duration::from_millis(1_000);
 /// Part of the shutdown's time in which open transactions may end.
 const TRANSACTION_DIVISOR: u32 = 2;
@@ -40,6 +41,7 @@
     state: SessionState,
     transaction: Option<OpenTransaction>,
     written: Option<LogPosition>,
+    opened_at: BootInstant,
     last_request: BootInstant,
 }
 
@@ -85,6 +87,7 @@
         state: SessionState::Idle,
         transaction: None,
         written: None,
+        opened_at: boot_now(),
         last_request: boot_now(),
     };
     session.host.metrics.sessions.inc();
@@ -155,6 +158,7 @@
         let stop_end = match (*self.host.phase.borrow(), self.state) {
             (HostPhase::Serving, _) => None,
             (HostPhase::Stopping(since), SessionState::Idle) => {
+                let since = since.max(self.opened_at);
                 Some(since.after(QUIET_LIMIT).min(self.last_request.after(QUIET_LIMIT)))
             }
             (HostPhase::Stopping(since), _) => {
--- a/crates/proxy/tests/site/process.rs
+++ b/crates/proxy/tests/site/process.rs
@@ -3,8 +3,9 @@
 use std::process::Command;
 
 use googletest::prelude::*;
+use tanagerdeal_standin::StandinClient;
 
-use crate::support::{SiteDeployment, until, until_done};
+use crate::support::{KEY, SiteDeployment, until, until_done};
 
 /// Guards against requests that a shutdown cuts: readiness fails at once, an open transaction ends,
 /// and the process ends by itself.
@@ -67,6 +68,46 @@
     assert_that!(unheard, is_empty());
 }
 
+/// Load pattern: short sessions go on coming to a host that is stopped, until the load balancer has
+/// taken it out (trouble-2 of the large sleeperdesk, hunted with seed 650645783929). Guards against a
+/// process that ends because it has no session just then, while the next one is being opened.
+#[tokio::test]
+async fn a_shutdown_answers_sessions_that_come_late() {
+    let mut site = SiteDeployment::start(1).await;
+    for round in 0..5 {
+        let address = site.hosts[0].callers;
+        let clients = (0..3).map(|index| {
+            tokio::spawn(async move {
+                let mut answered = Vec::new();
+                while let Ok((mut client, _)) = StandinClient::open(address, "current", KEY).await {
+                    let id = client.next_id();
+                    let reply = client.query(&format!("WRITE item{index} {round}")).await;
+                    if !reply.state.is_empty() {
+                        answered.push(id);
+                    }
+                }
+                answered
+            })
+        });
+        let clients: Vec<_> = clients.collect();
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        let before = site.group.runs().len();
+        site.hosts[0].signal("TERM");
+        assert_that!(site.hosts[0].ended().await.success(), eq(true));
+        let mut answered = Vec::new();
+        for client in clients {
+            answered.extend(client.await.unwrap());
+        }
+        let runs = site.group.runs().split_off(before);
+        let is_unheard = |id: &&str| !answered.iter().any(|known| known == id);
+        let unheard: Vec<&str> =
+            runs.iter().map(|run| run.id.as_str()).filter(is_unheard).collect();
+        assert_that!(unheard, is_empty(), "round {round}");
+        site.hosts[0].restart();
+        site.hosts[0].wait_ready().await;
+    }
+}
+
 /// Guards against a changed settings file that goes unnoticed.
 #[tokio::test]
 async fn a_hangup_reads_the_settings_again() {
