--- a/crates/core/tests/ledger/renewal.rs
+++ b/crates/core/tests/ledger/renewal.rs
@@ -70,6 +70,15 @@
     expect_that!(max_batch(26), ge(35));
 }
 
+/// Guards against a site with so many groups that no lease can be renewed: letter 1 has 3,100, and on
+/// the sweep of the large site the store refused transactions of over 100 entries.
+#[gtest]
+fn a_site_with_hundreds_of_groups_can_renew() {
+    for groups in [100, 300, 3_100] {
+        expect_that!(groups + 2 * max_batch(groups), le(MAX_ENTRIES), "{groups} groups");
+    }
+}
+
 /// Guards against hosts that never agree because they list the same rows in another order.
 #[gtest]
 fn the_basis_does_not_depend_on_the_order_of_the_rows() {
