Remove what the last changes left twice or unused

Waiting until an instant that may not exist stood in the session and in the acceptance of clients; both call sleep_until_any now. Two tests of shares listed the same hosts. Nothing calls EndpointTable::ids since copies of tables tell which rows are gone.

--- a/crates/core/src/ledger/endpoint.rs
+++ b/crates/core/src/ledger/endpoint.rs
@@ -245,11 +245,6 @@
         self.keys.get(id).copied()
     }
 
-    /// Identities of all endpoints.
-    pub fn ids(&self) -> Vec<String> {
-        self.keys.keys().cloned().collect()
-    }
-
     /// All endpoints of a group.
     pub fn of_group<'a>(
         &'a self,
--- a/crates/core/tests/ledger/shares.rs
+++ b/crates/core/tests/ledger/shares.rs
@@ -9,6 +9,13 @@
 
 const HOSTS: [ShareHost<'static>; 2] =
     [ShareHost { name: "h1", domain: "d1" }, ShareHost { name: "h2", domain: "d2" }];
+/// Three hosts of one failure domain, of which two at least are no homes, and one of another.
+const NEIGHBOURS: [ShareHost<'static>; 4] = [
+    ShareHost { name: "h1", domain: "d1" },
+    ShareHost { name: "h2", domain: "d1" },
+    ShareHost { name: "h4", domain: "d1" },
+    ShareHost { name: "h3", domain: "d2" },
+];
 
 fn record(units: u64) -> ShareRecord {
     let share = HostShare { units, demand: 0 };
@@ -196,12 +203,6 @@
 /// grown sites). Guards against shares that are taken for a chance peak and returned after it.
 #[gtest]
 fn a_chance_peak_of_a_small_demand_changes_no_share() {
-    let hosts = [
-        ShareHost { name: "h1", domain: "d1" },
-        ShareHost { name: "h2", domain: "d1" },
-        ShareHost { name: "h4", domain: "d1" },
-        ShareHost { name: "h3", domain: "d2" },
-    ];
     let mut table = table(LimitTolerance::default());
     for second in 0..60 {
         let now = at(1_000 * second);
@@ -211,7 +212,7 @@
             let _ = table.admit("c", now);
         });
         table.tick(now);
-        expect_that!(table.changes(now, &|_| false, &hosts), is_empty(), "second {second}");
+        expect_that!(table.changes(now, &|_| false, &NEIGHBOURS), is_empty(), "second {second}");
     }
 }
 
@@ -272,23 +273,17 @@
 /// another one.
 #[gtest]
 fn a_started_host_keeps_its_share_until_its_demand_is_known() {
-    let hosts = [
-        ShareHost { name: "h1", domain: "d1" },
-        ShareHost { name: "h2", domain: "d1" },
-        ShareHost { name: "h4", domain: "d1" },
-        ShareHost { name: "h3", domain: "d2" },
-    ];
-    let first = table(LimitTolerance::default()).loan("c", &hosts, "d1", &|_| false, at(0));
+    let first = table(LimitTolerance::default()).loan("c", &NEIGHBOURS, "d1", &|_| false, at(0));
     let homes = first.unwrap().lenders;
-    let name = hosts.iter().find(|host| !homes.contains(&host.name.to_owned())).unwrap().name;
+    let name = NEIGHBOURS.iter().find(|host| !homes.contains(&host.name.to_owned())).unwrap().name;
     let mut table = QuotaTable::new(name, LimitTolerance::default(), at(0));
     table.set_rate("c", 100, 100, at(0));
     let held = HostShare { units: 50_000, demand: 0 };
     let record = ShareRecord { shares: [(name.to_owned(), held)].into() };
     table.adopt("c", 1, record, at(0));
-    expect_that!(table.changes(at(2_000), &|_| false, &hosts), is_empty());
+    expect_that!(table.changes(at(2_000), &|_| false, &NEIGHBOURS), is_empty());
     expect_that!(table.units("c"), eq(50_000));
-    expect_that!(table.changes(at(6_000), &|_| false, &hosts), len(eq(1)));
+    expect_that!(table.changes(at(6_000), &|_| false, &NEIGHBOURS), len(eq(1)));
     expect_that!(table.units("c"), eq(0));
 }
 
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -11,7 +11,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
-use super::context::{HostContext, HostPhase, boot_now, sleep_until};
+use super::context::{HostContext, HostPhase, boot_now, sleep_until_any};
 use super::follow::{GROUP_TABLE, HOST_TABLE, follow, load_table};
 use super::settings::SiteSettings;
 use super::{
@@ -154,15 +154,9 @@
             HostPhase::Serving => None,
             HostPhase::Stopping(since) => Some(since.after(LEAVE_SPAN)),
         };
-        let closing = async {
-            match end {
-                Some(end) => sleep_until(end).await,
-                None => std::future::pending().await,
-            }
-        };
         let accepted = tokio::select! {
             accepted = callers.accept() => accepted,
-            () = closing => break,
+            () = sleep_until_any(end) => break,
             // The end is known now.
             _ = phase.changed() => continue,
         };
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -120,6 +120,14 @@
     tokio::time::sleep(deadline.since(boot_now())).await;
 }
 
+/// Sleeps until an instant of the boot clock; for good when there is none.
+pub(super) async fn sleep_until_any(deadline: Option<BootInstant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
+
 impl HostContext {
     /// The context of a host that knows nothing yet.
     ///
--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{FramedRead, LinesCodec};
 
-use super::context::{HostContext, HostPhase, boot_now, sleep_until};
+use super::context::{HostContext, HostPhase, boot_now, sleep_until_any};
 use super::journal;
 use super::transaction::OpenTransaction;
 
@@ -173,17 +173,11 @@
         let mut phase = self.host.phase.subscribe();
         loop {
             let deadline = self.quiet_deadline();
-            let quiet = async {
-                match deadline {
-                    Some(deadline) => sleep_until(deadline).await,
-                    None => std::future::pending().await,
-                }
-            };
             tokio::select! {
                 biased;
                 // A line that cannot be read ends the session as a broken connection does.
                 line = self.reader.next() => return line?.ok(),
-                () = quiet => return None,
+                () = sleep_until_any(deadline) => return None,
                 // The phase changes once, at the start of a shutdown.
                 _ = phase.changed() => (),
             }
