Leave half of an endpoint's connections free for hosts that come back

Cause: after a loss of power of all hosts an endpoint counts their connections for 3 s more. Ruled out: late leases (all gained within 0.25 s of the start), the rate (two refusals). Change: the hosts together keep half of the connections. The decision moves to the core. The test fails with all connections kept (free 4 of 32).

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 pub mod choose;
 pub mod clock;
+pub mod connections;
 pub mod endpoint;
 pub mod floor;
 pub mod group;
--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -2,6 +2,7 @@
 
 mod book;
 mod choice;
+mod connections;
 mod fleet;
 mod floors;
 mod mirror;
--- a/crates/proxy/src/ledger/pool.rs
+++ b/crates/proxy/src/ledger/pool.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::connections::{ConnectionBudget, connection_budget};
 use tanagerdeal_core::ledger::endpoint::EndpointKey;
 use tanagerdeal_core::ledger::statement::{FailureReason, SessionState};
 use tanagerdeal_core::ledger::suspicion;
@@ -19,15 +20,10 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Time without a new connection after the endpoint refused one because it has too many.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
-/// Idle time after which a connection beyond the fair part is closed.
+/// Idle time after which a connection beyond the budget is closed.
 const EXTRA_IDLE: Duration = Duration::from_millis(400);
 /// Idle time after which any connection is closed.
 const MAX_IDLE: Duration = Duration::from_secs(20);
-/// Fair part of an endpoint's connections below which a host keeps none: if each host kept one, all
-/// would be taken by hosts that do not use them.
-const MIN_KEPT: usize = 2;
-/// Part of an endpoint's connections that one host opens at most.
-const MAX_PART: usize = 2;
 
 /// Why no connection could be had.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -143,11 +139,11 @@
         true
     }
 
-    /// Closes connections that have been idle for too long, given the host's fair part.
-    pub(super) fn trim(&self, fair: usize, now: BootInstant) {
+    /// Closes connections that have been idle for too long.
+    pub(super) fn trim(&self, budget: ConnectionBudget, now: BootInstant) {
         loop {
             let oldest = self.idle.borrow().iter().map(|link| link.idle_since).min();
-            let limit = match self.open.get() > fair {
+            let limit = match self.open.get() > budget.kept {
                 true => EXTRA_IDLE,
                 false => MAX_IDLE,
             };
@@ -164,26 +160,25 @@
     }
 
     /// Whether a connection may be opened now.
-    fn may_open(&self, fair: usize, most: usize, now: BootInstant) -> bool {
+    fn may_open(&self, budget: ConnectionBudget, now: BootInstant) -> bool {
         let open = self.open.get();
         now >= self.full_until.get()
             && match open {
-                open if open < fair => true,
+                open if open < budget.kept => true,
                 _ if self.close_oldest() => true,
-                open => open < most,
+                open => open < budget.most,
             }
     }
 }
 
 /// Connections to an endpoint that this host may keep, and that it may open at most.
-pub(super) fn connection_limits(host: &HostContext, endpoint: EndpointKey) -> (usize, usize) {
+pub(super) fn budget(host: &HostContext, endpoint: EndpointKey) -> ConnectionBudget {
     let book = host.book.borrow();
     let group = book.endpoints.get(endpoint).map(|state| state.record.group.as_str());
     let catalog = book.catalog.as_ref();
     let limits = group.zip(catalog).and_then(|(group, catalog)| catalog.group(group));
     let total = limits.map_or(1, |limits| limits.connections as usize);
-    let fair = total / book.live_hosts();
-    (if fair < MIN_KEPT { 0 } else { fair }, (total / MAX_PART).max(1))
+    connection_budget(total, book.live_hosts())
 }
 
 /// Gets a connection for a customer, waiting until `deadline` for one.
@@ -204,12 +199,12 @@
             host.metrics.queue.observe(boot_now().since(began_at).as_secs_f64());
             return Ok(BorrowedLink { pool, link: Some(link) });
         }
-        let (fair, most) = connection_limits(host, endpoint);
+        let budget = budget(host, endpoint);
         let now = boot_now();
         if is_probed(host, &pool, now) {
             return Err(AcquireError::Unreachable("the endpoint does not reply".to_owned()));
         }
-        if pool.may_open(fair, most, now) {
+        if pool.may_open(budget, now) {
             match open(host, &pool, customer).await {
                 Err(AcquireError::Full) if boot_now() < deadline => (),
                 result => return result,
--- a/crates/proxy/src/ledger/sharing.rs
+++ b/crates/proxy/src/ledger/sharing.rs
@@ -17,7 +17,7 @@
 use super::journal;
 use super::keeper::{WRITE_LIMIT, create_groups};
 use super::mirror::{self, MirrorRead};
-use super::pool::connection_limits;
+use super::pool;
 
 /// Time between two looks at the shares.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
@@ -118,8 +118,7 @@
     let pools: Vec<_> =
         host.pools.borrow().iter().map(|(key, pool)| (*key, pool.clone())).collect();
     for (endpoint, pool) in pools {
-        let (fair, _) = connection_limits(host, endpoint);
-        pool.trim(fair, now);
+        pool.trim(pool::budget(host, endpoint), now);
     }
 }
 
