Give up a chosen endpoint that falls silent before it leads

Ruled out: the call (accepted at once), the confirmations (complete after 0.4 s). An endpoint that answers has its 3 s. The model of the consent test names its fields (linter).

--- a/crates/core/src/ledger/takeover.rs
+++ b/crates/core/src/ledger/takeover.rs
@@ -252,6 +252,47 @@
     })
 }
 
+/// Time that an endpoint has to take over after the call was accepted; the users' need up to 1 s.
+const LEAD_LIMIT: Duration = Duration::from_millis(3_000);
+/// Time without any answer after which an endpoint that was called for is taken for unreachable. It
+/// answers while it takes over.
+const SILENT_LIMIT: Duration = Duration::from_millis(800);
+
+/// Waiting for an endpoint to take over.
+#[derive(Debug)]
+pub struct LeadWatch {
+    deadline: BootInstant,
+    silent_at: BootInstant,
+}
+
+impl LeadWatch {
+    /// Begins when the platform has accepted the call.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    /// use tanagerdeal_core::ledger::takeover::LeadWatch;
+    ///
+    /// let now = BootInstant::from_micros(0);
+    /// assert!(!LeadWatch::new(now).is_over(now));
+    /// assert!(LeadWatch::new(now).is_over(now.after(Duration::from_secs(1))));
+    /// ```
+    pub fn new(now: BootInstant) -> Self {
+        Self { deadline: now.after(LEAD_LIMIT), silent_at: now.after(SILENT_LIMIT) }
+    }
+
+    /// Notes that the endpoint has answered, although it does not lead yet.
+    pub fn note_answer(&mut self, now: BootInstant) {
+        self.silent_at = now.after(SILENT_LIMIT);
+    }
+
+    /// Whether there is nothing to wait for: the time is over, or the endpoint is silent.
+    pub fn is_over(&self, now: BootInstant) -> bool {
+        now >= self.deadline || now >= self.silent_at
+    }
+}
+
 /// The endpoint that leads a later term than the known one, if a change has already taken effect.
 pub fn successor(candidates: &[CandidateStatus], term: u64) -> Option<&CandidateStatus> {
     candidates
--- a/crates/core/tests/ledger/consent.rs
+++ b/crates/core/tests/ledger/consent.rs
@@ -35,8 +35,16 @@
     granted: Vec<(usize, u64)>,
     /// Its row: incarnation, renewal, version.
     row: (u64, u64, u64),
-    /// Its confirmation: incarnation, when, what was granted by then.
-    confirmed: Option<(u64, u64, Vec<(usize, u64)>, u64)>,
+    confirmed: Option<ModelWord>,
+}
+
+/// The word of a process that it obeys the mark.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+struct ModelWord {
+    incarnation: u64,
+    started: u64,
+    at: u64,
+    granted: Vec<(usize, u64)>,
 }
 
 /// A fleet with one group whose primary is in `domain`. Host 0 marks it and reaches the store always.
@@ -147,11 +155,11 @@
         let mut table = ConfirmationTable::default();
         table.begin("g", MARKED);
         for (index, model) in self.hosts.iter().enumerate() {
-            let Some((incarnation, when, granted, started)) = &model.confirmed else { continue };
-            let then = at(when * TICK);
-            let mut stays = StayLedger::new(at(started * TICK));
-            granted.iter().for_each(|(other, at_tick)| {
-                stays.grant(&Self::name(*other), at(at_tick * TICK));
+            let Some(word) = &model.confirmed else { continue };
+            let then = at(word.at * TICK);
+            let mut stays = StayLedger::new(at(word.started * TICK));
+            word.granted.iter().for_each(|(other, granted)| {
+                stays.grant(&Self::name(*other), at(granted * TICK));
             });
             let mut granted = stays.granted(then);
             match self.slip {
@@ -159,7 +167,7 @@
                 ModelSlip::ForgetsPredecessor => granted.unknown = Default::default(),
                 _ => (),
             }
-            let confirmation = HostConfirmation::new(*incarnation, granted, then);
+            let confirmation = HostConfirmation::new(word.incarnation, granted, then);
             table.note("g", MARKED, &Self::name(index), confirmation);
         }
         let (rows, now) = (self.rows(), self.tick * TICK);
@@ -202,8 +210,12 @@
             ModelEvent::Learn(index) if self.is_marked => next.hosts[index].knows_mark = true,
             ModelEvent::Confirm(index) if self.hosts[index].knows_mark => {
                 let model = &mut next.hosts[index];
-                model.confirmed =
-                    Some((model.incarnation, self.tick, model.granted.clone(), model.started));
+                model.confirmed = Some(ModelWord {
+                    incarnation: model.incarnation,
+                    started: model.started,
+                    at: self.tick,
+                    granted: model.granted.clone(),
+                });
             }
             ModelEvent::Restart(index) if self.hosts[index].incarnation == 0 => {
                 let model = &mut next.hosts[index];
--- a/crates/core/tests/ledger/takeover.rs
+++ b/crates/core/tests/ledger/takeover.rs
@@ -8,7 +8,7 @@
 use tanagerdeal_core::ledger::suspicion::{is_lost, is_suspect};
 use tanagerdeal_core::ledger::takeover::{
     CandidateStatus, ConfirmationTable, ConfirmationView, DUTY_MARGIN, DUTY_TERM, DutyDecision,
-    HostConfirmation, best_candidate, duty_decision, successor,
+    HostConfirmation, LeadWatch, best_candidate, duty_decision, successor,
 };
 
 use crate::support::{at, book, host, position, store_at};
@@ -138,6 +138,21 @@
     expect_that!(best_candidate(&[free, ahead.clone()], &primaries), some(eq(&ahead)));
 }
 
+/// Load pattern: the endpoint that was chosen is cut off between the call and its taking over (further,
+/// trouble-1, second 33). Guards against 3 s in which nobody leads and nothing is done; one that answers
+/// has all of them.
+#[gtest]
+fn an_endpoint_that_falls_silent_is_not_waited_for() {
+    let mut watch = LeadWatch::new(at(0));
+    expect_that!(watch.is_over(at(799)), eq(false));
+    expect_that!(watch.is_over(at(1_000)), eq(true));
+    for now in (0..3_000).step_by(60).map(at) {
+        expect_that!(watch.is_over(now), eq(false));
+        watch.note_answer(now);
+    }
+    expect_that!(watch.is_over(at(3_000)), eq(true));
+}
+
 /// Guards against a second promotion after the first one's answer was lost.
 #[gtest]
 fn a_promotion_that_took_effect_is_found() {
--- a/crates/proxy/src/ledger/takeover/change.rs
+++ b/crates/proxy/src/ledger/takeover/change.rs
@@ -13,7 +13,7 @@
 use tanagerdeal_core::ledger::lease::LEASE_TERM;
 use tanagerdeal_core::ledger::takeover::{
     CandidateStatus, ConfirmationView, DUTY_TERM, DutyDecision, DutyRecord, HostConfirmation,
-    best_candidate, duty_decision, successor,
+    LeadWatch, best_candidate, duty_decision, successor,
 };
 use tokio::time::{sleep, timeout};
 
@@ -38,8 +38,6 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(240);
 /// Time that a promotion call may take; it is within the duty that was checked before it.
 const CALL_LIMIT: Duration = Duration::from_millis(900);
-/// Time that an endpoint has to take over after the call was accepted.
-const LEAD_LIMIT: Duration = Duration::from_millis(3_000);
 /// Time that the successor of a primary that leaves has to receive its last commits.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(600);
 /// Time between two questions for a status.
@@ -403,8 +401,8 @@
 
     /// Waits until the endpoint leads a term later than `known`.
     async fn await_lead(&mut self, target: &str, known: u64) -> Result<u64, ChangeError> {
-        let deadline = boot_now().after(LEAD_LIMIT);
-        while boot_now() < deadline {
+        let mut watch = LeadWatch::new(boot_now());
+        while !watch.is_over(boot_now()) {
             let key = self.host.book.borrow().endpoints.find(target);
             let status = match key {
                 Some(key) => endpoint_status(&self.host, key).await,
@@ -414,7 +412,11 @@
                 Some(status) if status.role == EndpointRole::Primary && status.term > known => {
                     return Ok(status.term);
                 }
-                _ => sleep(STATUS_INTERVAL).await,
+                Some(_) => {
+                    watch.note_answer(boot_now());
+                    sleep(STATUS_INTERVAL).await;
+                }
+                None => sleep(STATUS_INTERVAL).await,
             }
         }
         Err(ChangeError::NotPromoted)
