--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -26,6 +26,9 @@
     /// The host's lease has ended.
     #[error("the lease of this host has ended")]
     NoLease,
+    /// The lease was renewed some time ago, and too few hosts consent that this one goes on.
+    #[error("this host is cut off from most others")]
+    NoConsent,
     /// The primary is being changed, or none is known.
     #[error("the primary is being changed")]
     Changing,
@@ -118,8 +121,10 @@
         group: &str,
         now: BootInstant,
     ) -> Result<PrimaryRight, PrimaryRefusal> {
-        if !self.has_lease_for(group, now) {
-            return Err(PrimaryRefusal::NoLease);
+        match self.has_lease_for(group, now) {
+            true => (),
+            false if self.lease.is_valid(now) => return Err(PrimaryRefusal::NoConsent),
+            false => return Err(PrimaryRefusal::NoLease),
         }
         let entry = self.groups.get(group).ok_or(PrimaryRefusal::Changing)?;
         let record = self.groups.primary(group).ok_or(PrimaryRefusal::Changing)?;
