Let a lease rely on one row for all groups

Each change of a group writes the epoch row, in the table of groups, in the same transaction. A host relies on the version of that row in its copy of the table, which shows that the rows of all groups are known up to it.

Weighed: epochs by bucket of groups. Every host follows all groups, so a change voids all renewals with either; they would help only with conditions on the groups in use. Mixed fleets: while a host without the epoch is live, the rows of the groups are conditions as well; going back to an older build needs a full stop.

--- a/crates/core/src/ledger/group.rs
+++ b/crates/core/src/ledger/group.rs
@@ -5,6 +5,11 @@
 use tanagerdeal_wire::wire_type;
 
 use super::clock::StoreInstant;
+use super::lease::HostRecord;
+
+/// Key of the epoch row, which is written in the same transaction as the row of any group. It sorts
+/// before the names of groups, so a read of the table in several pages returns it with the first.
+pub const GROUP_EPOCH_KEY: &str = "!epoch";
 
 wire_type! {
     /// The row of a group.
@@ -39,6 +44,19 @@
     pub record: GroupRecord,
 }
 
+/// Whether the epoch row alone proves that a host knows all groups. Hosts of a build that does not
+/// write it change groups unnoticed, so while one of them is live, renewals also depend on the rows
+/// of the groups.
+///
+/// ```
+/// use tanagerdeal_core::ledger::group::is_epoch_sufficient;
+///
+/// assert!(is_epoch_sufficient([].into_iter()));
+/// ```
+pub fn is_epoch_sufficient<'a>(mut live_hosts: impl Iterator<Item = &'a HostRecord>) -> bool {
+    live_hosts.all(|record| record.writes_epoch)
+}
+
 /// The rows of all groups as this host knows them.
 #[derive(Default)]
 pub struct GroupTable {
@@ -62,7 +80,7 @@
     }
 
     /// All rows.
-    pub fn entries(&self) -> impl Iterator<Item = &GroupEntry> {
+    pub fn entries(&self) -> impl Iterator<Item = &GroupEntry> + Clone {
         self.entries.values()
     }
 
--- a/crates/core/src/ledger/lease.rs
+++ b/crates/core/src/ledger/lease.rs
@@ -1,7 +1,7 @@
 //! The lease of a host: until when it may act on the rows that it knows.
 //!
-//! A renewal is a write on condition that the catalog, the evacuations and the rows of all groups
-//! are those that the host knows. So a host that changes a row can tell which hosts no longer act
+//! A renewal is a write on condition that the catalog, the evacuations and the groups are those that
+//! the host knows; a single row, the epoch, changes with any group. So a host that changes a row can tell which hosts no longer act
 //! on the old one: those that have renewed since, and those whose leases have ended.
 
 use std::net::SocketAddr;
@@ -48,6 +48,9 @@
         /// if it needs none.
         #[serde(default)]
         pub consent: Option<ExtensionQuorum>,
+        /// Whether the host writes the epoch row with each change of a group.
+        #[serde(default)]
+        pub writes_epoch: bool,
     }
 }
 
--- a/crates/core/src/ledger/mirror.rs
+++ b/crates/core/src/ledger/mirror.rs
@@ -148,6 +148,13 @@
         self.version
     }
 
+    /// Version of one row; 0 if there is none. The copy then holds whatever was written to the
+    /// table before that version.
+    pub fn row_version(&self, key: &str) -> u64 {
+        let row = self.rows.get(key).filter(|(_, value)| value.is_some());
+        row.map_or(0, |(version, _)| *version)
+    }
+
     /// Version of the last change.
     pub fn changed(&self) -> u64 {
         self.changed
--- a/crates/core/src/ledger/renewal.rs
+++ b/crates/core/src/ledger/renewal.rs
@@ -33,6 +33,8 @@
 pub const UNRESPONSIVE_TERM: Duration = Duration::from_secs(8);
 /// Entries that the store accepts in one transaction.
 pub const MAX_ENTRIES: usize = 100;
+/// Entries for the epoch of the groups: the condition on its row.
+const EPOCH_ENTRIES: usize = 1;
 /// Entries for each host of a batch: the condition on its row and the new row.
 const ENTRIES_PER_HOST: usize = 2;
 
@@ -159,14 +161,30 @@
     }
 }
 
+/// Whether a lease relies on the rows of all groups beside their epoch, when it also relies on
+/// `other_rows` rows. It does while a host of a build without the epoch is live. With more groups
+/// than fit into a renewal, such a build holds no lease and so changes no group.
+///
+/// ```
+/// use tanagerdeal_core::ledger::renewal::relies_on_group_rows;
+///
+/// assert!(relies_on_group_rows(20, 4, false));
+/// assert!(!relies_on_group_rows(20, 4, true));
+/// assert!(!relies_on_group_rows(3_100, 4, false));
+/// ```
+pub fn relies_on_group_rows(groups: usize, other_rows: usize, is_epoch_sufficient: bool) -> bool {
+    let entries = groups + other_rows + EPOCH_ENTRIES + ENTRIES_PER_HOST;
+    !is_epoch_sufficient && entries <= MAX_ENTRIES
+}
+
 /// Number of hosts that one transaction can renew when all of them rely on `relied_rows` rows; at
 /// least one.
 ///
 /// ```
 /// use tanagerdeal_core::ledger::renewal::max_batch;
 ///
-/// // A large site: the configuration, five failure domains and 20 groups.
-/// assert_eq!(max_batch(26), 37);
+/// // A large site: the configuration, five failure domains and the epoch of the groups.
+/// assert_eq!(max_batch(7), 46);
 /// ```
 pub fn max_batch(relied_rows: usize) -> usize {
     (MAX_ENTRIES.saturating_sub(relied_rows) / ENTRIES_PER_HOST).max(1)
--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod connections;
+mod epoch;
 mod extension;
 mod failover;
 mod fleet;
--- a/crates/core/tests/ledger/renewal.rs
+++ b/crates/core/tests/ledger/renewal.rs
@@ -6,7 +6,8 @@
 use tanagerdeal_core::ledger::lease::{HostEntry, HostLease, LEASE_TERM};
 use tanagerdeal_core::ledger::renewal::{
     BATCH_DELAY, MAX_ENTRIES, QueuedRenewal, RESPONSE_TIMEOUT, RenewalQueue, RenewalRequest,
-    apply_view, list_view, max_batch, relay, renewal_basis, time_to_renewal_slot,
+    apply_view, list_view, max_batch, relay, relies_on_group_rows, renewal_basis,
+    time_to_renewal_slot,
 };
 
 use crate::support::{at, host, store_at};
@@ -75,7 +76,16 @@
 #[gtest]
 fn a_site_with_hundreds_of_groups_can_renew() {
     for groups in [100, 300, 3_100] {
-        expect_that!(groups + 2 * max_batch(groups), le(MAX_ENTRIES), "{groups} groups");
+        for is_epoch_sufficient in [true, false] {
+            // The configuration, the evacuations of eleven failure domains, and the epoch.
+            let others = 12;
+            let own = match relies_on_group_rows(groups, others, is_epoch_sufficient) {
+                true => groups,
+                false => 0,
+            };
+            let relied = others + 1 + own;
+            expect_that!(relied + 2 * max_batch(relied), le(MAX_ENTRIES), "{groups} groups");
+        }
     }
 }
 
--- a/crates/core/tests/ledger/support.rs
+++ b/crates/core/tests/ledger/support.rs
@@ -71,6 +71,7 @@
             is_leaving: false,
             link_mbps: 20,
             consent: None,
+            writes_epoch: true,
         },
     }
 }
--- a/crates/proxy/src/ledger/failover/change.rs
+++ b/crates/proxy/src/ledger/failover/change.rs
@@ -24,7 +24,7 @@
     read_page,
 };
 use crate::ledger::journal;
-use crate::ledger::lease::{WRITE_TIMEOUT, drain_timeout};
+use crate::ledger::lease::{WRITE_TIMEOUT, drain_timeout, epoch_write};
 use crate::ledger::mirror::to_mirror_page;
 use crate::ledger::peers::{PeerMessage, peer_address};
 use crate::ledger::pool::acquire;
@@ -158,7 +158,7 @@
                     (lease_row, row.map_or(0, |row| row.version)),
                     (group_row, self.version),
                 ],
-                writes: vec![(lease_row, values.0), (group_row, values.1)],
+                writes: vec![(lease_row, values.0), (group_row, values.1), epoch_write()],
             };
             let result = host.store.transact(&transaction, WRITE_TIMEOUT).await;
             host.record_store_call("mark", &result);
@@ -443,7 +443,7 @@
             let name = RowName { table: GROUP_TABLE, key: &record.group };
             let transaction = RowTransaction {
                 expected: vec![(name, self.version)],
-                writes: vec![(name, value.clone())],
+                writes: vec![(name, value.clone()), epoch_write()],
             };
             let result = self.host.store.transact(&transaction, WRITE_TIMEOUT).await;
             self.host.record_store_call("publish", &result);
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -11,7 +11,7 @@
 use tanagerdeal_adapter::server::SERVER_TABLE;
 use tanagerdeal_adapter::store::{RowPage, StoreRow};
 use tanagerdeal_core::ledger::clock::BootInstant;
-use tanagerdeal_core::ledger::group::{GroupEntry, GroupRecord};
+use tanagerdeal_core::ledger::group::{GROUP_EPOCH_KEY, GroupEntry, GroupRecord};
 use tanagerdeal_core::ledger::lease::{HostEntry, HostRecord};
 use tanagerdeal_core::ledger::mirror::MirrorPage;
 use tanagerdeal_core::ledger::quota::ShareRecord;
@@ -124,6 +124,7 @@
             }
         }
         (SERVER_TABLE, id) => registrations::apply(host, id, row),
+        (GROUP_TABLE, GROUP_EPOCH_KEY) => (),
         (GROUP_TABLE, _) => apply_group(host, row),
         (SHARE_TABLE, customer) => apply_share(host, customer, row),
         (HOST_TABLE, name) if name == host.settings.host => {
--- a/crates/proxy/src/ledger/lease.rs
+++ b/crates/proxy/src/ledger/lease.rs
@@ -10,19 +10,24 @@
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::EndpointRole;
 use tanagerdeal_core::ledger::extension::ExtensionQuorum;
-use tanagerdeal_core::ledger::group::GroupRecord;
+use tanagerdeal_core::ledger::group::{GROUP_EPOCH_KEY, GroupRecord, is_epoch_sufficient};
 use tanagerdeal_core::ledger::lease::HostRecord;
-use tanagerdeal_core::ledger::renewal::{MAX_DIRECT_HOSTS, MAX_ENTRIES, time_to_renewal_slot};
+use tanagerdeal_core::ledger::renewal::{
+    MAX_DIRECT_HOSTS, MAX_ENTRIES, relies_on_group_rows, time_to_renewal_slot,
+};
 use tokio::time::timeout;
 
 use super::context::{HostContext, HostPhase, boot_now};
 use super::follow::{
     GROUP_TABLE, HOST_TABLE, SHARE_TABLE, apply_row, encode, load_table, reapply_known,
 };
+use super::mirror::{self, MirrorRead};
 use super::{journal, relay};
 
 /// Timeout of a conditional write.
 pub(super) const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Most groups created in one transaction: a condition and a write each, and the epoch.
+const MAX_CREATED_GROUPS: usize = (MAX_ENTRIES - 1) / 2;
 /// How long statements on a primary may still run while it is being replaced. They are aborted at
 /// once if the primary does not reply, as waiting would only delay the failover.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(400);
@@ -162,8 +167,10 @@
         }
         Ok(TransactionOutcome::Conflict(page)) => {
             host.state.borrow_mut().lease.note_clock(sent_at, boot_now(), page.now);
-            apply_conflict(host, &expected, &page.rows);
-            RenewalResult::Retry
+            match apply_conflict(host, &expected, &page.rows).await {
+                true => RenewalResult::Retry,
+                false => RenewalResult::Failed,
+            }
         }
         Err(_) => RenewalResult::Failed,
     }
@@ -194,6 +201,7 @@
         is_leaving: *host.phase.borrow() != HostPhase::Serving,
         link_mbps: host.settings.link_mbps,
         consent,
+        writes_epoch: true,
     })
 }
 
@@ -201,18 +209,35 @@
 /// is the same on all hosts.
 pub(super) fn required_rows(host: &HostContext) -> Vec<ExpectedRow> {
     let (host_state, versions) = (host.state.borrow(), host.versions.borrow());
+    let read_at = host_state.hosts_read_at;
     let mut expected = vec![(OPERATOR_TABLE, CONFIG_KEY.to_owned(), versions.config)];
     for domain in &host.settings.domains {
         let version = versions.evacuations.get(domain).copied().unwrap_or(0);
         expected.push((OPERATOR_TABLE, evacuation_key(domain), version));
     }
-    for entry in host_state.groups.entries() {
-        expected.push((GROUP_TABLE, entry.record.group.clone(), entry.version));
+    let leased = host_state.hosts.iter().filter(|entry| entry.record.until > read_at);
+    let is_sufficient = is_epoch_sufficient(leased.map(|entry| &entry.record));
+    let groups = host_state.groups.entries();
+    if relies_on_group_rows(groups.clone().count(), expected.len(), is_sufficient) {
+        expected.extend(groups.map(|entry| {
+            let group = entry.record.group.clone();
+            (GROUP_TABLE, group, entry.version)
+        }));
     }
+    // The version of the copy, not of a row from another host: only the copy shows that the rows of
+    // the other groups are known as well.
+    let epoch = host.mirrors.row_version(GROUP_TABLE, GROUP_EPOCH_KEY);
+    expected.push((GROUP_TABLE, GROUP_EPOCH_KEY.to_owned(), epoch));
     expected.sort_unstable();
     expected
 }
 
+/// The write of the epoch, which goes with each write of the row of a group.
+pub(super) fn epoch_write() -> (RowName<'static>, Vec<u8>) {
+    // Only the version of the row matters.
+    (RowName { table: GROUP_TABLE, key: GROUP_EPOCH_KEY }, b"{}".to_vec())
+}
+
 async fn apply_renewal(
     host: &HostContext,
     sent_at: BootInstant,
@@ -238,12 +263,13 @@
     host.metrics.lease.set(1);
 }
 
-/// Applies the current rows returned for a renewal whose preconditions failed.
-pub(super) fn apply_conflict(
+/// Applies the current rows returned for a renewal whose preconditions failed, and reads the groups
+/// if their epoch has changed. Returns whether all current rows are known now.
+pub(super) async fn apply_conflict(
     host: &HostContext,
     expected: &[ExpectedRow],
     rows: &[tanagerdeal_adapter::store::StoreRow],
-) {
+) -> bool {
     for row in rows {
         apply_row(host, row);
     }
@@ -263,6 +289,15 @@
             ),
         }
     }
+    let epoch = rows.iter().find(|row| row.table == GROUP_TABLE && row.key == GROUP_EPOCH_KEY);
+    let known = || host.mirrors.row_version(GROUP_TABLE, GROUP_EPOCH_KEY);
+    match epoch {
+        Some(row) if row.version > known() => {
+            let read = MirrorRead::now(GROUP_TABLE, "groups", Duration::ZERO);
+            mirror::update(host, read).await && row.version <= known()
+        }
+        _ => true,
+    }
 }
 
 /// Whether there are missing group rows that can be created now.
@@ -297,12 +332,14 @@
 
 /// Creates the missing group rows, each naming the endpoint that is registered as primary.
 pub(super) async fn create_groups(host: &HostContext) {
-    let missing = missing_groups(host);
-    if missing.is_empty() {
-        return;
+    for missing in missing_groups(host).chunks(MAX_CREATED_GROUPS) {
+        create_group_batch(host, missing).await;
     }
-    let mut transaction = RowTransaction::default();
-    for record in missing.iter().take(MAX_ENTRIES / 2) {
+}
+
+async fn create_group_batch(host: &HostContext, missing: &[GroupRecord]) {
+    let mut transaction = RowTransaction { writes: vec![epoch_write()], ..Default::default() };
+    for record in missing {
         let Some(value) = encode(record) else { continue };
         let name = RowName { table: GROUP_TABLE, key: &record.group };
         transaction.expected.push((name, 0));
--- a/crates/proxy/src/ledger/mirror.rs
+++ b/crates/proxy/src/ledger/mirror.rs
@@ -137,6 +137,11 @@
         self.copies.get(table).map_or(0, |copy| copy.mirror.borrow().version())
     }
 
+    /// Version of a row in the copy of its table; 0 if there is none.
+    pub(super) fn row_version(&self, table: &str, key: &str) -> u64 {
+        self.copies.get(table).map_or(0, |copy| copy.mirror.borrow().row_version(key))
+    }
+
     /// All rows of a table as they are known; `None` for an unknown table.
     pub(super) fn full_table(&self, table: &str) -> Option<MirrorPage> {
         self.copies.get(table).map(|copy| copy.mirror.borrow().page(0))
--- a/crates/proxy/src/ledger/relay.rs
+++ b/crates/proxy/src/ledger/relay.rs
@@ -202,8 +202,7 @@
             Ok(TransactionOutcome::Conflict(page)) => page,
             Err(_) => return None,
         };
-        apply_conflict(host, required, &page.rows);
-        if required_rows(host) != required {
+        if !apply_conflict(host, required, &page.rows).await || required_rows(host) != required {
             return None;
         }
         let is_current = |renewal: &QueuedRenewal| is_row_current(&page, &renewal.request);
