Report the customers' usage to the platform

Hosts count requests by window and customer and send their totals, which only grow, to two relays of the failure domain every 0.2 s; the relays merge them by maximum and write them to a row of the domain about every second. A holder of the duty fixes the sum in a row, under the condition that it is unchanged, and sends what the row says; two standbys go on with the same row. The failover lease became a duty lease that both duties use, each with its own row.

Weighed: counts at the homes of customers (a token is not a request that ran, and loans and refunds move tokens between hosts), and in each host's row with its renewal (3.5 s of counts lost with a killed host, against 0.2 s).

--- a/crates/core/src/ledger/failover.rs
+++ b/crates/core/src/ledger/failover.rs
@@ -1,13 +1,13 @@
 //! Failover: replacing the primary of a group, planned or not.
 //!
-//! The host that carries out failovers, the coordinator, holds a lease with a fencing token, the
+//! The host that carries out failovers, the coordinator, holds the duty lease of promotions, the
 //! failover lease. It marks the group's row, waits until no host may still use the old primary,
 //! promotes the endpoint that has received most of the log, and publishes the result.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use tanagerdeal_wire::{value_type, wire_type};
+use tanagerdeal_wire::value_type;
 
 use super::clock::{BootInstant, StoreInstant};
 use super::endpoint::{EndpointRole, LogPosition};
@@ -15,28 +15,6 @@
 use super::lease::{HostEntry, HostRecord};
 use crate::hash::hash_bytes;
 
-/// Term of the failover lease. It covers two calls to a store that is a hundred times slower
-/// than usual (0.4 s each) and a promotion call (0.9 s).
-pub const FAILOVER_LEASE_TERM: Duration = Duration::from_secs(3);
-/// Time after the end of the failover lease before another host may take over. The coordinator's
-/// calls end within its lease; the margin covers a process that is paused between its last check of
-/// the clock and its call.
-pub const FAILOVER_LEASE_MARGIN: Duration = Duration::from_millis(1_000);
-
-wire_type! {
-    /// The row of the failover lease, which makes a host the coordinator of failovers.
-    pub struct FailoverLease {
-        /// Name of the coordinator.
-        pub holder: String,
-        /// Incarnation of the process that holds the lease.
-        pub incarnation: u64,
-        /// Fencing token; it increases when the holder changes.
-        pub token: u64,
-        /// End of the lease, unless it is renewed.
-        pub until: StoreInstant,
-    }
-}
-
 value_type! {
     /// Status of an endpoint that may be promoted.
     pub struct CandidateStatus {
@@ -55,51 +33,6 @@
     }
 }
 
-/// Whether a host may acquire or renew the failover lease.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum FailoverLeaseDecision {
-    /// Write this row, on condition that the known one is unchanged.
-    Take(FailoverLease),
-    /// Another host may hold the lease until then.
-    Wait(StoreInstant),
-}
-
-/// Decides whether a host acquires or renews the failover lease. A process restarted on the
-/// same host takes it over at once, since its predecessor is dead and so are its connections.
-///
-/// ```
-/// use tanagerdeal_core::ledger::clock::StoreInstant;
-/// use tanagerdeal_core::ledger::failover::{FailoverLeaseDecision, decide_failover_lease};
-///
-/// let now = StoreInstant::from_millis(100);
-/// let decision = decide_failover_lease(None, "h1", 7, now);
-/// let FailoverLeaseDecision::Take(lease) = decision else { panic!("free") };
-/// assert_eq!((lease.token, lease.holder.as_str()), (1, "h1"));
-/// ```
-pub fn decide_failover_lease(
-    known: Option<&FailoverLease>,
-    host: &str,
-    incarnation: u64,
-    now: StoreInstant,
-) -> FailoverLeaseDecision {
-    let take = |token| {
-        let until = now.after(FAILOVER_LEASE_TERM);
-        FailoverLeaseDecision::Take(FailoverLease {
-            holder: host.to_owned(),
-            incarnation,
-            token,
-            until,
-        })
-    };
-    match known {
-        None => take(1),
-        Some(row) if row.holder == host && row.incarnation == incarnation => take(row.token),
-        Some(row) if row.holder == host => take(row.token + 1),
-        Some(row) if row.until.after(FAILOVER_LEASE_MARGIN) < now => take(row.token + 1),
-        Some(row) => FailoverLeaseDecision::Wait(row.until.after(FAILOVER_LEASE_MARGIN)),
-    }
-}
-
 /// Direct confirmations by hosts that they no longer use the primary of a marked group. The
 /// coordinator collects them.
 #[derive(Debug, Default)]
--- a/crates/core/src/ledger/lease.rs
+++ b/crates/core/src/ledger/lease.rs
@@ -51,6 +51,10 @@
         /// Whether the host writes the epoch row with each change of a group.
         #[serde(default)]
         pub writes_epoch: bool,
+        /// Time of day of the host minus the store's clock, in milliseconds. `None` in rows of
+        /// builds that do not report usage.
+        #[serde(default)]
+        pub time_offset_ms: Option<i64>,
     }
 }
 
--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -390,6 +390,12 @@
         })
     }
 
+    /// Whether the rows of all customers have been read. Until then this host may refuse a customer
+    /// that is well within its rate.
+    pub fn has_read_shares(&self) -> bool {
+        self.shares.values().all(|share| !share.is_unread)
+    }
+
     /// Millionths of a customer's rate that this host holds.
     pub fn units(&self, customer: &str) -> u64 {
         self.shares.get(customer).map_or(0, |share| share.units)
--- a/crates/core/tests/ledger/failover.rs
+++ b/crates/core/tests/ledger/failover.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use tanagerdeal_core::ledger::duty::{
+    DUTY_LEASE_MARGIN, DutyApplicant, DutyDecision, MIN_DUTY_TERM, decide_duty_lease,
+};
 use tanagerdeal_core::ledger::endpoint::{EndpointRole, LogPosition};
 use tanagerdeal_core::ledger::failover::{
-    CandidateStatus, ConfirmationTable, ConfirmationView, FAILOVER_LEASE_MARGIN,
-    FAILOVER_LEASE_TERM, FailoverLeaseDecision, HostConfirmation, PromotionTimeout, best_candidate,
-    decide_failover_lease, successor,
+    CandidateStatus, ConfirmationTable, ConfirmationView, HostConfirmation, PromotionTimeout,
+    best_candidate, successor,
 };
 use tanagerdeal_core::ledger::lease::HostEntry;
 use tanagerdeal_core::ledger::suspicion::{is_quorum_suspected, is_suspect};
@@ -25,6 +27,10 @@
     }
 }
 
+fn applicant(host: &str, incarnation: u64) -> DutyApplicant<'_> {
+    DutyApplicant { host, incarnation, term: MIN_DUTY_TERM }
+}
+
 fn view(hosts: &[HostEntry], now: u64) -> ConfirmationView<'_> {
     ConfirmationView { hosts, domain: Some("d1"), store_now: store_at(now), now: at(now) }
 }
@@ -81,23 +87,17 @@
 /// waits until the last call of its predecessor is over.
 #[gtest]
 fn a_token_rises_with_each_new_holder() {
-    let FailoverLeaseDecision::Take(first) = decide_failover_lease(None, "h1", 1, store_at(0))
-    else {
+    let DutyDecision::Take(first) = decide_duty_lease(None, applicant("h1", 1), store_at(0)) else {
         panic!("nobody holds the duty")
     };
-    let again = decide_failover_lease(Some(&first), "h1", 1, store_at(100));
-    expect_that!(
-        matches!(again, FailoverLeaseDecision::Take(ref lease) if lease.token == 1),
-        eq(true)
-    );
-    let end = store_at(0).after(FAILOVER_LEASE_TERM + FAILOVER_LEASE_MARGIN);
-    let early = decide_failover_lease(Some(&first), "h2", 2, end);
-    expect_that!(early, eq(&FailoverLeaseDecision::Wait(end)));
-    let late = decide_failover_lease(Some(&first), "h2", 2, end.after(Duration::from_millis(1)));
-    expect_that!(
-        matches!(late, FailoverLeaseDecision::Take(ref lease) if lease.token == 2),
-        eq(true)
-    );
+    let again = decide_duty_lease(Some(&first), applicant("h1", 1), store_at(100));
+    expect_that!(matches!(again, DutyDecision::Take(ref lease) if lease.token == 1), eq(true));
+    let end = store_at(0).after(MIN_DUTY_TERM + DUTY_LEASE_MARGIN);
+    let early = decide_duty_lease(Some(&first), applicant("h2", 2), end);
+    expect_that!(early, eq(&DutyDecision::Wait(end)));
+    let late =
+        decide_duty_lease(Some(&first), applicant("h2", 2), end.after(Duration::from_millis(1)));
+    expect_that!(matches!(late, DutyDecision::Take(ref lease) if lease.token == 2), eq(true));
 }
 
 /// Guards against a restarted process that reuses the token of its predecessor, and against one
@@ -105,18 +105,17 @@
 /// waited 5 s for the end of its own predecessor's lease (incident inc-dc4a).
 #[gtest]
 fn a_restarted_holder_goes_on_at_once_with_a_higher_token() {
-    let FailoverLeaseDecision::Take(first) = decide_failover_lease(None, "h1", 1, store_at(0))
-    else {
+    let DutyDecision::Take(first) = decide_duty_lease(None, applicant("h1", 1), store_at(0)) else {
         panic!("nobody holds the duty")
     };
-    let restarted = decide_failover_lease(Some(&first), "h1", 2, store_at(100));
-    let is_taken = |decision: &FailoverLeaseDecision| {
-        matches!(decision, FailoverLeaseDecision::Take(lease)
+    let restarted = decide_duty_lease(Some(&first), applicant("h1", 2), store_at(100));
+    let is_taken = |decision: &DutyDecision| {
+        matches!(decision, DutyDecision::Take(lease)
         if lease.token == 2 && lease.incarnation == 2)
     };
     expect_that!(is_taken(&restarted), eq(true));
-    let other = decide_failover_lease(Some(&first), "h2", 2, store_at(100));
-    expect_that!(matches!(other, FailoverLeaseDecision::Wait(_)), eq(true));
+    let other = decide_duty_lease(Some(&first), applicant("h2", 2), store_at(100));
+    expect_that!(matches!(other, DutyDecision::Wait(_)), eq(true));
 }
 
 /// Guards against a needless loss of commits.
--- a/crates/core/tests/ledger/shares.rs
+++ b/crates/core/tests/ledger/shares.rs
@@ -54,6 +54,20 @@
     expect_that!(admitted(&mut table, 0), eq(0));
 }
 
+/// Guards against a started host that takes clients before it knows any share, and refuses the first
+/// of them although their customer is within its rate.
+#[gtest]
+fn a_started_host_knows_when_it_has_read_all_shares() {
+    let mut table = table(LimitTolerance::default());
+    table.set_rate("d", 100, 100, at(0));
+    expect_that!(table.has_read_shares(), eq(false));
+    table.adopt("c", 1, record(500_000), at(0));
+    expect_that!(table.has_read_shares(), eq(false));
+    // A row counts even if it gives this host nothing: it can borrow from those that it names.
+    table.adopt("d", 2, ShareRecord::default(), at(0));
+    expect_that!(table.has_read_shares(), eq(true));
+}
+
 /// Guards against a bucket that fills when its share grows: tokens come only with time.
 #[gtest]
 fn a_raised_share_adds_no_tokens() {
--- a/crates/core/tests/ledger/support.rs
+++ b/crates/core/tests/ledger/support.rs
@@ -72,6 +72,7 @@
             link_mbps: 20,
             consent: None,
             writes_epoch: true,
+            time_offset_ms: None,
         },
     }
 }
--- a/crates/proxy/src/ledger.rs
+++ b/crates/proxy/src/ledger.rs
@@ -8,6 +8,7 @@
 mod boot;
 mod connection;
 mod context;
+mod duty;
 mod extension;
 mod failover;
 mod follow;
@@ -29,6 +30,7 @@
 mod suspicion;
 mod token_loans;
 mod transaction;
+mod usage;
 
 pub use boot::serve;
 pub use settings::{SiteSettings, SiteSettingsError, describe};
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -17,7 +17,7 @@
 use super::settings::SiteSettings;
 use super::{
     admin, extension, failover, isolation, journal, lease, mirror, observations, peers, quota,
-    registrations, relay, session, suspicion,
+    registrations, relay, session, suspicion, usage,
 };
 
 /// Part of the shutdown time-out after which the process exits even if sessions are open, in
@@ -134,6 +134,11 @@
     spawn_local(observations::report(host.clone()));
     spawn_local(isolation::watch(host.clone()));
     spawn_local(extension::watch(host.clone()));
+    if let Some(usage_settings) = host.settings.usage {
+        spawn_local(usage::send_totals(host.clone(), usage_settings.window));
+        spawn_local(usage::write_totals(host.clone()));
+        spawn_local(usage::report::watch(host.clone(), usage_settings));
+    }
     accept(host, clients).await;
 }
 
@@ -236,6 +241,7 @@
         json!({ "sessions": host.metrics.sessions.get(),
                 "took_ms": boot_now().since(began_at).as_millis() as u64 }),
     );
-    // Leaves time for the log thread to write the last lines.
+    usage::send_open_windows(host, true);
+    // Leaves time for the log thread to write the last lines, and for the messages to be sent.
     sleep(DRAIN_POLL_INTERVAL).await;
 }
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -7,7 +7,7 @@
 
 use rustix::time::{ClockId, clock_gettime};
 use serde_json::json;
-use tanagerdeal_adapter::promotion::PromotionClient;
+use tanagerdeal_adapter::control::ControlClient;
 use tanagerdeal_adapter::store::{StoreClient, StoreError};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::EndpointKey;
@@ -26,6 +26,7 @@
 use super::registrations::RegistrationFeed;
 use super::relay::PendingRenewals;
 use super::settings::SiteSettings;
+use super::usage::UsageState;
 
 /// Pause after a failed call to the store.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -71,7 +72,7 @@
     /// Wakes the tasks that wait for the store to answer again.
     store_recovered: Notify,
     pub(super) store: StoreClient,
-    pub(super) control: PromotionClient,
+    pub(super) control: ControlClient,
     pub(super) metrics: HostMetrics,
     pub(super) incarnation: u64,
     /// Suspected endpoints whose status is being requested.
@@ -90,6 +91,8 @@
     pub(super) confirmations: RefCell<ConfirmationTable>,
     /// Wakes the tasks that wait for confirmations.
     pub(super) confirmed: Notify,
+    /// Counts of the customers' requests.
+    pub(super) usage: UsageState,
     pub(super) registrations: RegistrationFeed,
     /// Local copies of the store's tables.
     pub(super) mirrors: TableMirrors,
@@ -110,6 +113,10 @@
     /// Since when this host and its failure domain are partitioned from the others; `None` if they
     /// are not.
     pub(super) isolated_since: watch::Sender<Option<BootInstant>>,
+    /// Whether the host has had a lease, and the shares of all customers or no hope of them soon.
+    pub(super) has_started: Cell<bool>,
+    /// Until when the host waits for the shares; `None` before its first lease.
+    pub(super) share_deadline: Cell<Option<BootInstant>>,
     /// Whether the host can serve clients now, as reported by the readiness page.
     pub(super) is_ready: Cell<bool>,
 }
@@ -149,7 +156,7 @@
     pub(super) fn new(settings: SiteSettings) -> Result<Self, String> {
         let now = boot_now();
         let store = StoreClient::new(&settings.store).map_err(|error| error.to_string())?;
-        let control = PromotionClient::new(&settings.control).map_err(|error| error.to_string())?;
+        let control = ControlClient::new(&settings.control).map_err(|error| error.to_string())?;
         let host_state = HostState::new(&settings.host, &settings.domain, settings.tolerance, now);
         Ok(Self {
             state: RefCell::new(host_state),
@@ -165,6 +172,7 @@
             probes: RefCell::default(),
             peer_suspicions: RefCell::default(),
             peers: PeerSender::default(),
+            usage: UsageState::default(),
             loans: PendingRequests::default(),
             observations: PendingRequests::default(),
             renewals: PendingRenewals::default(),
@@ -180,6 +188,8 @@
             is_closed: Cell::new(true),
             isolation: RefCell::default(),
             isolated_since: watch::Sender::new(None),
+            has_started: Cell::new(false),
+            share_deadline: Cell::new(None),
             is_ready: Cell::new(false),
             settings,
         })
--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -14,10 +14,9 @@
 use tanagerdeal_adapter::line;
 use tanagerdeal_adapter::reply::decode_status;
 use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::duty::DUTY_LEASE_MARGIN;
 use tanagerdeal_core::ledger::endpoint::EndpointKey;
-use tanagerdeal_core::ledger::failover::{
-    CandidateStatus, FAILOVER_LEASE_MARGIN, HostConfirmation,
-};
+use tanagerdeal_core::ledger::failover::{CandidateStatus, HostConfirmation};
 use tanagerdeal_core::ledger::group::GroupEntry;
 use tanagerdeal_core::ledger::suspicion;
 use tokio::time::sleep;
@@ -77,7 +76,7 @@
 
 /// Position of this host in the order of the live hosts for a group. The order differs between
 /// groups.
-fn rank(host: &HostContext, group: &str) -> u32 {
+pub(super) fn rank(host: &HostContext, group: &str) -> u32 {
     let host_state = host.state.borrow();
     let Some(clock) = host_state.lease.clock() else { return 0 };
     let now = clock.latest(boot_now());
@@ -117,7 +116,7 @@
             // The host that started the change has not finished it.
             (Some(mark), state)
                 if mark.holder == host.settings.host
-                    || mark.until.after(FAILOVER_LEASE_MARGIN) < store_now =>
+                    || mark.until.after(DUTY_LEASE_MARGIN) < store_now =>
             {
                 let is_leaving = state.is_some_and(|state| host_state.is_leaving(state));
                 Some(if is_leaving { ChangeReason::Leaving } else { ChangeReason::Lost })
--- a/crates/proxy/src/ledger/failover/change.rs
+++ b/crates/proxy/src/ledger/failover/change.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use serde_json::json;
+use tanagerdeal_adapter::control::{CallOutcome, DutyCredential, PromotionCall};
 use tanagerdeal_adapter::line;
-use tanagerdeal_adapter::promotion::{PromotionCall, PromotionOutcome};
 use tanagerdeal_adapter::store::{RowName, RowTransaction, TransactionOutcome};
 use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::duty::DutyLease;
 use tanagerdeal_core::ledger::endpoint::{EndpointKey, EndpointRole};
 use tanagerdeal_core::ledger::failover::{
-    CandidateStatus, ConfirmationView, FAILOVER_LEASE_TERM, FailoverLease, FailoverLeaseDecision,
-    HostConfirmation, PromotionTimeout, best_candidate, decide_failover_lease, successor,
+    CandidateStatus, ConfirmationView, HostConfirmation, PromotionTimeout, best_candidate,
+    successor,
 };
 use tanagerdeal_core::ledger::group::{GroupEntry, GroupRecord, PendingChange};
 use tanagerdeal_core::ledger::lease::LEASE_TERM;
@@ -19,18 +20,14 @@
 
 use super::{ChangeReason, PROXY_NAME, STATUS_TIMEOUT, endpoint_status, record_confirmation};
 use crate::ledger::context::{HostContext, boot_now};
-use crate::ledger::follow::{
-    FAILOVER_LEASE_TABLE, GROUP_TABLE, HOST_TABLE, READ_TIMEOUT, apply_page, apply_row, encode,
-    read_page,
-};
+use crate::ledger::duty::{self, ClaimError, PROMOTION_DUTY};
+use crate::ledger::follow::{GROUP_TABLE, HOST_TABLE, apply_page, apply_row, encode, read_page};
 use crate::ledger::journal;
 use crate::ledger::lease::{WRITE_TIMEOUT, drain_timeout, epoch_write};
 use crate::ledger::mirror::to_mirror_page;
 use crate::ledger::peers::{PeerMessage, peer_address};
 use crate::ledger::pool::acquire;
 
-/// Row key of the failover lease.
-const FAILOVER_LEASE_KEY: &str = "promotion";
 /// Longest wait for a confirmation before the missing ones are checked again.
 const CONFIRMATION_WAIT: Duration = Duration::from_millis(60);
 /// Interval between requests to a host that has not confirmed.
@@ -89,13 +86,11 @@
     record_confirmation(&host, &record.group, version, &host.settings.host, confirmation);
 }
 
-/// Decodes the failover lease. `None`, with a log line, if it is unreadable.
-fn decode_failover_lease(value: &[u8]) -> Option<FailoverLease> {
-    match serde_json::from_slice(value) {
-        Ok(lease) => Some(lease),
-        Err(error) => {
-            journal::event("takeover", "unreadable_duty", json!({ "reason": error.to_string() }));
-            None
+impl From<ClaimError> for ChangeError {
+    fn from(error: ClaimError) -> Self {
+        match error {
+            ClaimError::Store => Self::Store,
+            ClaimError::Held => Self::LeaseHeld,
         }
     }
 }
@@ -127,45 +122,26 @@
     /// Acquires or extends the failover lease, and writes the mark of the group with its new end.
     async fn acquire_failover_lease(&mut self) -> Result<(), ChangeError> {
         let host = self.host.clone();
-        let lease_row = RowName { table: FAILOVER_LEASE_TABLE, key: FAILOVER_LEASE_KEY };
         for _ in 0..3 {
-            // The lease is counted from before the read that returns the store's clock, so that it
-            // ends here no later than in the store.
-            let lease_from = boot_now();
-            let page = host.store.read(FAILOVER_LEASE_TABLE, READ_TIMEOUT).await;
-            host.record_store_call("duty", &page);
-            let page = page.map_err(|_| ChangeError::Store)?;
-            let row = page.rows.iter().find(|row| row.key == FAILOVER_LEASE_KEY);
-            let known = match row.and_then(|row| row.value.as_deref()).map(decode_failover_lease) {
-                None => None,
-                Some(Some(lease)) => Some(lease),
-                // Without the current fencing token, no higher one can be chosen.
-                Some(None) => return Err(ChangeError::Store),
+            let claim = duty::claim(&host, PROMOTION_DUTY).await?;
+            let DutyLease { holder, token, until, .. } = claim.lease().clone();
+            let record = GroupRecord {
+                change: Some(PendingChange { holder, token, until }),
+                ..self.record.clone()
             };
-            let name = &host.settings.host;
-            let lease =
-                match decide_failover_lease(known.as_ref(), name, host.incarnation, page.now) {
-                    FailoverLeaseDecision::Take(lease) => lease,
-                    FailoverLeaseDecision::Wait(_) => return Err(ChangeError::LeaseHeld),
-                };
-            let mark =
-                PendingChange { holder: name.clone(), token: lease.token, until: lease.until };
-            let record = GroupRecord { change: Some(mark), ..self.record.clone() };
             let group_row = RowName { table: GROUP_TABLE, key: &record.group };
-            let values = encode(&lease).zip(encode(&record)).ok_or(ChangeError::Store)?;
+            let (lease_row, lease_version, lease) = claim.entry().ok_or(ChangeError::Store)?;
+            let value = encode(&record).ok_or(ChangeError::Store)?;
             let transaction = RowTransaction {
-                expected: vec![
-                    (lease_row, row.map_or(0, |row| row.version)),
-                    (group_row, self.version),
-                ],
-                writes: vec![(lease_row, values.0), (group_row, values.1), epoch_write()],
+                expected: vec![(lease_row, lease_version), (group_row, self.version)],
+                writes: vec![(lease_row, lease), (group_row, value), epoch_write()],
             };
             let result = host.store.transact(&transaction, WRITE_TIMEOUT).await;
             host.record_store_call("mark", &result);
             match result.map_err(|_| ChangeError::Store)? {
                 TransactionOutcome::Applied { version, .. } => {
-                    self.failover_lease_until = lease_from.after(FAILOVER_LEASE_TERM);
-                    (self.version, self.token) = (version, lease.token);
+                    self.failover_lease_until = claim.until;
+                    (self.version, self.token) = (version, claim.token());
                     self.apply_record(record);
                     return Ok(());
                 }
@@ -385,13 +361,9 @@
     async fn promote(&mut self, target: &str) -> Result<(), ChangeError> {
         for _ in 0..4 {
             self.ensure_failover_lease(PROMOTION_TIMEOUT + Duration::from_millis(200)).await?;
-            let call = PromotionCall {
-                group: &self.record.group,
-                endpoint: target,
-                holder: &self.host.settings.host,
-                token: self.token,
-            };
-            let outcome = self.host.control.promote(call, PROMOTION_TIMEOUT).await;
+            let call = PromotionCall { group: &self.record.group, endpoint: target };
+            let duty = DutyCredential { holder: &self.host.settings.host, token: self.token };
+            let outcome = self.host.control.promote(call, duty, PROMOTION_TIMEOUT).await;
             self.host.metrics.count_call("promote", &format!("{outcome:?}"));
             journal::event(
                 "takeover",
@@ -400,9 +372,9 @@
                         "outcome": format!("{outcome:?}") }),
             );
             match outcome {
-                PromotionOutcome::Accepted => return Ok(()),
-                PromotionOutcome::Refused(409) => return Err(ChangeError::NotPromoted),
-                PromotionOutcome::Refused(_) | PromotionOutcome::Unknown => {
+                CallOutcome::Accepted => return Ok(()),
+                CallOutcome::Refused(409) => return Err(ChangeError::NotPromoted),
+                CallOutcome::Refused(_) | CallOutcome::Unknown => {
                     sleep(STATUS_INTERVAL).await;
                 }
             }
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -27,8 +27,6 @@
 pub(super) const HOST_TABLE: &str = "hosts";
 /// Store table with the hosts' shares of each customer's quota.
 pub(super) const SHARE_TABLE: &str = "shares";
-/// Store table with the failover lease.
-pub(super) const FAILOVER_LEASE_TABLE: &str = "duties";
 /// Timeout of a table read.
 pub(super) const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/proxy/src/ledger/lease.rs
+++ b/crates/proxy/src/ledger/lease.rs
@@ -22,7 +22,7 @@
     GROUP_TABLE, HOST_TABLE, SHARE_TABLE, apply_row, encode, load_table, reapply_known,
 };
 use super::mirror::{self, MirrorRead};
-use super::{journal, relay};
+use super::{journal, relay, usage};
 
 /// Timeout of a conditional write.
 pub(super) const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -186,6 +186,7 @@
 
 /// The host row to write; `None` until a reply has shown the store's clock.
 pub(super) fn renewal_record(host: &HostContext, sent_at: BootInstant) -> Option<HostRecord> {
+    let time_offset_ms = host.settings.usage.and_then(|_| usage::time_offset_ms(host));
     let mut host_state = host.state.borrow_mut();
     let until = host_state.lease.stored_end(sent_at)?;
     let consent =
@@ -202,6 +203,7 @@
         link_mbps: host.settings.link_mbps,
         consent,
         writes_epoch: true,
+        time_offset_ms,
     })
 }
 
--- a/crates/proxy/src/ledger/metrics.rs
+++ b/crates/proxy/src/ledger/metrics.rs
@@ -25,6 +25,8 @@
     pub(super) connections: IntCounterVec,
     /// Failovers and planned changes of primary by outcome.
     pub(super) changes: IntCounterVec,
+    /// Usage reports by outcome.
+    pub(super) usage_reports: IntCounterVec,
     /// Latency of statements by read consistency of the route.
     pub(super) latency: HistogramVec,
     /// Time that statements waited for a connection to an endpoint.
@@ -90,6 +92,11 @@
                 "Changes of primary by outcome",
                 &["outcome"],
             )?,
+            usage_reports: counter(
+                "tanagerdeal_usage_reports_total",
+                "Usage reports by outcome",
+                &["outcome"],
+            )?,
             sessions: gauge("tanagerdeal_sessions", "Open sessions")?,
             catalog: gauge("tanagerdeal_catalog_version", "Configuration in effect")?,
             lease: gauge("tanagerdeal_lease_valid", "Whether the lease of this host holds")?,
--- a/crates/proxy/src/ledger/peers.rs
+++ b/crates/proxy/src/ledger/peers.rs
@@ -20,6 +20,7 @@
 use tanagerdeal_core::ledger::group::{GroupEntry, GroupRecord};
 use tanagerdeal_core::ledger::position::SharedObservation;
 use tanagerdeal_core::ledger::renewal::{RenewalAnswer, RenewalRequest};
+use tanagerdeal_core::ledger::usage::HostUsage;
 use tanagerdeal_wire::wire_type;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
@@ -28,7 +29,7 @@
 use super::context::{HostContext, boot_now};
 use super::follow::read_table;
 use super::lease::WRITE_TIMEOUT;
-use super::{extension, failover, journal, observations, relay, suspicion, token_loans};
+use super::{extension, failover, journal, observations, relay, suspicion, token_loans, usage};
 
 /// Store table of fleet-wide values.
 const FLEET_TABLE: &str = "fleet";
@@ -91,6 +92,8 @@
         Ping,
         /// Response to a ping.
         Pong,
+        /// Reports the sender's totals of a window to a relay.
+        Usage { usage: HostUsage },
     }
 }
 
@@ -300,6 +303,7 @@
         }
         Some(PeerMessage::Ping) => return Some(PeerMessage::Pong),
         Some(PeerMessage::Pong) => host.isolation.borrow_mut().note_answer(boot_now()),
+        Some(PeerMessage::Usage { usage }) => usage::record(host, &usage),
         None => journal::request("peer_unreadable", || json!({ "bytes": datagram.len() })),
     }
     None
--- a/crates/proxy/src/ledger/quota.rs
+++ b/crates/proxy/src/ledger/quota.rs
@@ -35,6 +35,9 @@
 /// Accepted age of rows from a relay. Less than the interval between checks of the shares, and
 /// enough that hosts asking at about the same time share one store call.
 const MAX_ROW_AGE: Duration = Duration::from_millis(200);
+/// Time after the first lease in which a started host waits for the shares of all customers. The
+/// first host of a fleet creates them about 1 s after it has a lease.
+const FIRST_SHARE_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Time after the end of a host's lease before its shares are taken. It covers the uncertainty of
 /// the store's clock.
 const LEASE_END_MARGIN: Duration = Duration::from_millis(1_000);
@@ -74,7 +77,7 @@
             refresh_table(&host, HOST_TABLE).await;
         }
         if now >= starved_check_at {
-            starved_interval = match is_below_share(&host) {
+            starved_interval = match is_below_share(&host) || !host.has_started.get() {
                 true => {
                     share_read_at = now;
                     (starved_interval * 2).min(SHARE_READ_INTERVAL)
@@ -101,12 +104,28 @@
     state.share_hosts().iter().any(|live| live.name == state.host)
 }
 
+/// Whether the host is past its first lease and the first read of all shares. Shares that are
+/// missing for long, because their homes are down, do not hold it back.
+fn has_started(host: &HostContext, now: BootInstant) -> bool {
+    let state = host.state.borrow();
+    if host.has_started.get() || !state.lease.is_valid(now) {
+        return host.has_started.get();
+    }
+    let share_deadline = host.share_deadline.get().unwrap_or(now.after(FIRST_SHARE_TIMEOUT));
+    host.share_deadline.set(Some(share_deadline));
+    host.has_started.set(state.quota.has_read_shares() || now >= share_deadline);
+    host.has_started.get()
+}
+
 /// Updates whether the host holds a valid lease and whether it can serve.
 pub(super) fn update_readiness(host: &HostContext, now: BootInstant) {
     let is_valid = host.state.borrow().lease.is_valid(now);
     let is_isolated = host.isolated_since.borrow().is_some();
-    let is_serving =
-        is_valid && !is_isolated && !host.is_stopping() && host.state.borrow().catalog.is_some();
+    let is_serving = is_valid
+        && has_started(host, now)
+        && !is_isolated
+        && !host.is_stopping()
+        && host.state.borrow().catalog.is_some();
     if !is_valid && host.metrics.lease.get() == 1 {
         host.metrics.lease.set(0);
         journal::event("lease", "ended", json!({}));
--- a/crates/proxy/src/ledger/session/query.rs
+++ b/crates/proxy/src/ledger/session/query.rs
@@ -20,12 +20,10 @@
 use crate::ledger::journal;
 use crate::ledger::observations;
 use crate::ledger::operation::{self, OperationFailure, StatementTiming};
-use crate::ledger::statement::{AccessRequest, StatementContext};
+use crate::ledger::statement::{ANONYMOUS_CUSTOMER, AccessRequest, StatementContext};
 use crate::ledger::token_loans;
 use crate::ledger::transaction::OpenTransaction;
 
-/// Customer name sent to endpoints for clients that belong to no customer.
-const ANONYMOUS_CUSTOMER: &str = "-";
 /// Shortest retry delay for a client that exceeds its customer's rate limit.
 const MIN_RATE_RETRY: Duration = Duration::from_millis(50);
 /// Retry delay for a client whose customer has no quota on this host yet.
--- a/crates/proxy/src/ledger/settings.rs
+++ b/crates/proxy/src/ledger/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ini::{Ini, ParseOption};
+use tanagerdeal_core::ledger::duty::MIN_DUTY_TERM;
 use tanagerdeal_core::ledger::lease::MAX_RENEW_INTERVAL;
 use tanagerdeal_core::ledger::quota::LimitTolerance;
 
@@ -46,6 +47,19 @@
     pub link_mbps: u32,
     /// Tolerance within which customers may exceed their rate limits.
     pub tolerance: LimitTolerance,
+    /// Term of the leases on duties.
+    pub duty_term: Duration,
+    /// Reports of the customers' usage; `None` if the platform takes none.
+    pub usage: Option<UsageSettings>,
+}
+
+/// Settings of the usage reports.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UsageSettings {
+    /// Length of a window.
+    pub window: Duration,
+    /// Time after the end of a window at which its report is due.
+    pub lateness: Duration,
 }
 
 /// Reason why the settings cannot be used.
@@ -82,7 +96,7 @@
 }
 
 /// Section, key and help text of every setting.
-const SETTINGS: [(&str, &str, &str); 16] = [
+const SETTINGS: [(&str, &str, &str); 19] = [
     ("host", "name", "name of the host"),
     ("host", "domain", "failure domain of the host"),
     ("host", "domains", "all failure domains, separated by commas"),
@@ -103,6 +117,21 @@
         "operations by which a window may exceed it beside that; 0 by default",
     ),
     ("limits", "rate_window_s", "length of that window, in seconds; 0 by default"),
+    (
+        "duties",
+        "lease_ms",
+        "time within which a duty must not go to another host and back; 3000 by default",
+    ),
+    (
+        "duties",
+        "usage_window_s",
+        "length of the windows of usage reports, in seconds; none are sent by default",
+    ),
+    (
+        "duties",
+        "usage_late_s",
+        "time after its window at which a usage report is due; twice the window by default",
+    ),
 ];
 
 /// Default of `config_apply_ms`, in milliseconds.
@@ -117,6 +146,10 @@
 const DRAIN_RESERVE_MS: u64 = 4_400;
 /// Shortest pause between polls, in milliseconds. The users pay for each poll.
 const MIN_POLL_PAUSE_MS: u64 = 500;
+/// Shortest window and lateness of usage reports, in seconds.
+const MIN_USAGE_WINDOW_S: f64 = 1.0;
+/// Longest window and lateness of usage reports, in seconds.
+const MAX_USAGE_S: f64 = 86_400.0;
 /// Default of `descriptors`.
 const DEFAULT_DESCRIPTORS: usize = 1_024;
 
@@ -198,11 +231,36 @@
                 window_s: value_or_default(&ini, "limits", "rate_window_s", 0.0)?,
                 slack: value_or_default(&ini, "limits", "rate_slack", 0.0)?,
             },
+            duty_term: Duration::from_millis(value_or_default(&ini, "duties", "lease_ms", 0)?)
+                .max(MIN_DUTY_TERM),
+            usage: usage_settings(&ini)?,
         };
         Ok(settings)
     }
 }
 
+fn usage_settings(ini: &Ini) -> Result<Option<UsageSettings>, SiteSettingsError> {
+    let window_s: f64 = value_or_default(ini, "duties", "usage_window_s", 0.0)?;
+    let late_s: f64 = value_or_default(ini, "duties", "usage_late_s", 2.0 * window_s)?;
+    let invalid = |key, value: f64, reason: &str| {
+        let (value, reason) = (value.to_string(), reason.to_owned());
+        Err(SiteSettingsError::Value { section: "duties", key, value, reason })
+    };
+    match (window_s, late_s) {
+        (0.0, _) => Ok(None),
+        (window_s, _) if !(MIN_USAGE_WINDOW_S..=MAX_USAGE_S).contains(&window_s) => {
+            invalid("usage_window_s", window_s, "must be between 1 and 86400")
+        }
+        (_, late_s) if !(MIN_USAGE_WINDOW_S..=MAX_USAGE_S).contains(&late_s) => {
+            invalid("usage_late_s", late_s, "must be between 1 and 86400")
+        }
+        (window_s, late_s) => Ok(Some(UsageSettings {
+            window: Duration::from_secs_f64(window_s),
+            lateness: Duration::from_secs_f64(late_s),
+        })),
+    }
+}
+
 fn renew_interval(config_apply_ms: u64) -> Duration {
     Duration::from_millis(config_apply_ms * RENEW_PERCENT / 100).min(MAX_RENEW_INTERVAL)
 }
--- a/crates/proxy/src/ledger/statement.rs
+++ b/crates/proxy/src/ledger/statement.rs
@@ -15,6 +15,10 @@
 use super::context::{HostContext, boot_now};
 use super::journal;
 use super::pool::{AcquireError, PooledConnection, acquire};
+use super::usage::UsageGuard;
+
+/// Customer name sent to endpoints for clients that belong to no customer.
+pub(super) const ANONYMOUS_CUSTOMER: &str = "-";
 
 /// A statement to be sent to an endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -140,15 +144,12 @@
     let mut pooled = prepared_connection(ctx, endpoint, request, wait_deadline, deadline).await?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
     let text = line::forward(request.id, request.text, min_position);
+    let usage = UsageGuard::new(ctx.host, ctx.customer);
     let outcome = connection.exchange(&text, deadline).await;
     note_outcome(ctx.host, endpoint, request.id, &outcome);
-    match outcome {
-        Ok(reply) => {
-            pooled.release_if_idle(reply.state);
-            Ok(reply)
-        }
-        Err(error) => Err(RunError::Sent(error)),
-    }
+    let reply = usage.finish(outcome.map_err(RunError::Sent))?;
+    pooled.release_if_idle(reply.state);
+    Ok(reply)
 }
 
 /// Runs a statement outside a transaction on a group's primary. `permit` is checked again just
@@ -174,8 +175,9 @@
         AccessMode::Write => None,
     };
     let text = line::forward(request.id, request.text, min_position);
+    let usage = UsageGuard::new(host, ctx.customer);
     let outcome = exchange_on_primary(ctx, permit, &mut pooled, request.id, &text, deadline).await;
-    let reply = outcome?;
+    let reply = usage.finish(outcome)?;
     pooled.release_if_idle(reply.state);
     Ok(reply)
 }
--- a/crates/proxy/src/ledger/transaction.rs
+++ b/crates/proxy/src/ledger/transaction.rs
@@ -21,6 +21,7 @@
     AccessRequest, InFlightGuard, RunError, StatementContext, exchange_on_primary, newest_position,
     note_outcome,
 };
+use super::usage::UsageGuard;
 
 /// Most endpoints that are tried when a read-only transaction begins.
 const MAX_BEGIN_ATTEMPTS: usize = 4;
@@ -47,6 +48,8 @@
     connection: PooledConnection,
     /// Permission to use the primary; `None` on a replica.
     permit: Option<PrimaryPermit>,
+    /// Whether the customer's usage includes the transaction.
+    is_counted: bool,
 }
 
 impl OpenTransaction {
@@ -132,7 +135,10 @@
         let bound = self.bound.as_mut().ok_or_else(not_bound)?;
         let endpoint = bound.connection.endpoint();
         let _in_flight = InFlightGuard::new(ctx.host, endpoint);
-        match bound.permit {
+        // A transaction is one request, which begins with its first statement.
+        let is_first = !std::mem::replace(&mut bound.is_counted, true);
+        let usage = is_first.then(|| UsageGuard::new(ctx.host, ctx.customer));
+        let outcome = match bound.permit {
             Some(permit) => {
                 exchange_on_primary(ctx, permit, &mut bound.connection, request, text, deadline)
                     .await
@@ -143,6 +149,10 @@
                 note_outcome(ctx.host, endpoint, request, &outcome);
                 outcome.map_err(RunError::Sent)
             }
+        };
+        match usage {
+            Some(usage) => usage.finish(outcome),
+            None => outcome,
         }
     }
 
@@ -193,7 +203,7 @@
             let permit = permit.filter(|permit| permit.endpoint == endpoint);
             let begun = begin(ctx, endpoint, permit, true, min_position, request, timing).await;
             if let Ok(connection) = begun {
-                self.bound = Some(BoundConnection { connection, permit });
+                self.bound = Some(BoundConnection { connection, permit, is_counted: false });
                 return Ok(());
             }
         }
@@ -217,7 +227,7 @@
         // `BEGIN` changes no data, so its failure is reported like that of a read, even if it was
         // sent.
         let connection = begun.map_err(|error| primary_failure(AccessMode::Read, error))?;
-        self.bound = Some(BoundConnection { connection, permit: Some(permit) });
+        self.bound = Some(BoundConnection { connection, permit: Some(permit), is_counted: false });
         Ok(())
     }
 }
