Prove usage reports, and write them with fewer calls

Tests: core ledger::usage (merging, completeness, windows, and all interleavings of two hosts with lost and late writes, a restart and growing totals; leaving out a step of the protocol is found broken), site usage (operations counted once, a killed holder, all hosts killed).

--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -14,3 +14,4 @@
 mod shares;
 mod state;
 mod support;
+mod usage;
--- a/crates/proxy/src/ledger/usage.rs
+++ b/crates/proxy/src/ledger/usage.rs
@@ -11,7 +11,6 @@
 
 use serde_json::json;
 use tanagerdeal_adapter::store::{RowName, RowPage, RowTransaction, TransactionOutcome};
-use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::renewal::relay;
 use tanagerdeal_core::ledger::statement::FailureReason;
 use tanagerdeal_core::ledger::usage::{
@@ -37,9 +36,12 @@
 /// or the relay may be a new one.
 const RESEND_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval at which the relay writes the totals of its failure domain.
-const WRITE_INTERVAL: Duration = Duration::from_millis(1_000);
-/// The same for hosts that other hosts use in case the relay fails.
-const STANDBY_WRITE_INTERVAL: Duration = Duration::from_millis(2_500);
+const WRITE_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Interval between checks whether totals have to be written.
+const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after the end of a window at which other hosts with totals of the failure domain write what
+/// the relay has not. Totals are final by then, unless a request takes long.
+const STANDBY_DELAY: Duration = Duration::from_millis(3_200);
 /// Relays to which a host sends its totals.
 const RELAYS: usize = 2;
 /// Windows for which a relay keeps totals, besides the open ones.
@@ -165,7 +167,9 @@
     let Some(current) = current_window(host) else { return };
     let oldest = current.saturating_sub(OPEN_WINDOWS);
     host.usage.counter.borrow_mut().forget_before(oldest);
-    host.usage.table.borrow_mut().forget_before(oldest.saturating_sub(KEPT_WINDOWS));
+    let kept = oldest.saturating_sub(KEPT_WINDOWS);
+    host.usage.table.borrow_mut().forget_before(kept);
+    host.usage.unwritten.borrow_mut().retain(|window| *window >= kept);
     host.usage.sent.borrow_mut().retain(|window, _| *window >= oldest);
     let relays = relays(host);
     for window in oldest..=current {
@@ -234,15 +238,17 @@
 
 /// Writes the totals of the failure domain to the store until the process ends.
 pub(super) async fn write_totals(host: Rc<HostContext>) {
-    let mut write_at = BootInstant::from_micros(0);
+    let mut write_at = boot_now();
     loop {
-        sleep(WRITE_INTERVAL).await;
-        let is_relay = relay_address(&host).is_none();
-        if !is_relay && boot_now() < write_at {
-            continue;
-        }
-        write_at = boot_now().after(STANDBY_WRITE_INTERVAL);
-        let windows = std::mem::take(&mut *host.usage.unwritten.borrow_mut());
+        sleep(WRITE_CHECK_INTERVAL).await;
+        let Some(settled) = settled_window(&host) else { continue };
+        let windows: BTreeSet<u64> = match relay_address(&host) {
+            None if boot_now() >= write_at => host.usage.unwritten.borrow().clone(),
+            None => continue,
+            Some(_) => host.usage.unwritten.borrow().range(..=settled).copied().collect(),
+        };
+        host.usage.unwritten.borrow_mut().retain(|window| !windows.contains(window));
+        write_at = boot_now().after(WRITE_INTERVAL);
         if !windows.is_empty() && !write_windows(&host, &windows).await {
             host.usage.unwritten.borrow_mut().extend(windows);
             host.wait_for_store().await;
@@ -250,6 +256,14 @@
     }
 }
 
+/// The last window that ended `STANDBY_DELAY` ago.
+fn settled_window(host: &HostContext) -> Option<u64> {
+    let window_clock = host.usage.clock.get()?;
+    let clock = host.state.borrow().lease.clock()?;
+    let then = clock.earliest(boot_now()).before(STANDBY_DELAY);
+    window_clock.window_at(then).checked_sub(1)
+}
+
 /// Merges the totals of some windows into their rows. Returns whether the rows hold them.
 async fn write_windows(host: &HostContext, windows: &BTreeSet<u64>) -> bool {
     let mut rows: BTreeMap<String, DomainUsage> = BTreeMap::new();
--- a/crates/proxy/src/ledger/usage/report.rs
+++ b/crates/proxy/src/ledger/usage/report.rs
@@ -26,9 +26,9 @@
 /// Interval between checks whether a report is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after the end of a window in which its last totals usually reach the store.
-const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 /// Pause before a window is looked at again.
-const RETRY_INTERVAL: Duration = Duration::from_millis(700);
+const RETRY_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Pause after the platform has refused a report.
 const REFUSED_PAUSE: Duration = Duration::from_secs(2);
 /// Hosts that report when those before them do not, besides the first.
--- a/crates/proxy/tests/site/main.rs
+++ b/crates/proxy/tests/site/main.rs
@@ -9,3 +9,4 @@
 mod soak;
 mod statements;
 mod support;
+mod usage;
--- a/crates/proxy/tests/site/support.rs
+++ b/crates/proxy/tests/site/support.rs
@@ -45,10 +45,17 @@
 impl SiteDeployment {
     /// Starts a deployment with hosts that are ready.
     pub async fn start(hosts: usize) -> Self {
+        Self::start_with(hosts, "").await
+    }
+
+    /// Starts a deployment with hosts that are ready and have further lines in their settings.
+    pub async fn start_with(hosts: usize, settings: &str) -> Self {
         let store = StandinStore::start().await.unwrap();
         let group = StandinGroup::start(&store, "g1", &["d1", "d2", "d3"]).await.unwrap();
         store.put("op", "config", &configuration(1, "g1", &[("acme", &[KEY, OTHER_KEY], 500)]));
-        let hosts = (0..hosts).map(|index| SiteHost::start(store.address(), index)).collect();
+        let hosts = (0..hosts)
+            .map(|index| SiteHost::start_with(store.address(), index, settings))
+            .collect();
         let deployment = Self { store, group, hosts };
         for host in &deployment.hosts {
             host.wait_ready().await;
@@ -106,6 +113,11 @@
 impl SiteHost {
     /// Starts a host that reaches the store at an address.
     pub fn start(store: SocketAddr, index: usize) -> Self {
+        Self::start_with(store, index, "")
+    }
+
+    /// The same, with further lines in its settings.
+    pub fn start_with(store: SocketAddr, index: usize, further: &str) -> Self {
         let directory = TempDir::new().unwrap();
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let (callers, admin) = (address(free_port()), address(free_port()));
@@ -116,7 +128,7 @@
             "[host]\nname = h{index}\ndomain = {domain}\ndomains = d1,d2,d3\n\
              [listen]\ncallers = {callers}\nadmin = {admin}\npeers = {peers}\n\
              [platform]\nstore = {store}\ncontrol = {store}\n\
-             [limits]\nshutdown_s = 6\ndescriptors = 2048\n",
+             [limits]\nshutdown_s = 6\ndescriptors = 2048\n{further}",
         );
         std::fs::write(&settings, text).unwrap();
         let child = spawn(&settings, &directory.path().join("log"), None);
