--- a/crates/proxy/src/ledger/quota.rs
+++ b/crates/proxy/src/ledger/quota.rs
@@ -99,7 +99,8 @@
     state.quota.is_below_share(&state.share_hosts())
 }
 
-fn is_listed(host: &HostContext) -> bool {
+/// Whether this host is one of the live hosts that it knows.
+pub(super) fn is_listed(host: &HostContext) -> bool {
     let state = host.state.borrow();
     state.share_hosts().iter().any(|live| live.name == state.host)
 }
--- a/crates/proxy/src/ledger/usage.rs
+++ b/crates/proxy/src/ledger/usage.rs
@@ -25,6 +25,7 @@
 use super::lease::WRITE_TIMEOUT;
 use super::mirror::relay_address;
 use super::peers::{PeerMessage, peer_address};
+use super::quota::is_listed;
 use super::statement::{ANONYMOUS_CUSTOMER, RunError};
 
 /// Store table with the totals of the failure domains.
@@ -195,6 +196,7 @@
 }
 
 /// Addresses of the relays of the failure domain; `None` for this host, also if there is no other.
+/// A host that is not in its own list of hosts has just started and does not know the relays yet.
 fn relays(host: &HostContext) -> Vec<Option<SocketAddr>> {
     let now = boot_now();
     let mut names: Vec<String> = Vec::new();
@@ -210,7 +212,7 @@
             names.push(next);
         }
     }
-    if names.is_empty() {
+    if names.is_empty() && is_listed(host) {
         return vec![None];
     }
     let is_own = |name: &String| *name == host.settings.host;
