Send the clients of a host without lease extensions to other hosts

After 5 s they may use no primary, yet stayed ready and kept their sessions (2,763 refusals in seconds 8 to 10).

--- a/crates/core/src/ledger/isolation.rs
+++ b/crates/core/src/ledger/isolation.rs
@@ -1,6 +1,9 @@
 //! Detects that a host is cut off with its failure domain while other domains can serve its
 //! clients.
 //!
+//! A single host that reaches neither the store nor enough others is cut off as well: its lease may
+//! not be used.
+//!
 //! Clients still reach the hosts of a failure domain that is cut off. These hosts can use only the
 //! primaries of their own domain, and the hosts of the other domains can use all the others. Unlike
 //! the loss of endpoints, a cut shows in that no host of another failure domain answers either.
@@ -83,6 +86,22 @@
         remote.len() * 2 > groups && remote.iter().any(|state| suspicion::is_suspect(state, now))
     }
 
+    /// Whether this host may use no primary although its lease has not ended: it could not renew
+    /// it, and neither the hosts of its failure domain nor those of the fleet extend it.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::state::HostState;
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    ///
+    /// let now = BootInstant::from_micros(0);
+    /// assert!(!HostState::new("h1", "d1", Default::default(), now).lacks_extensions(now));
+    /// ```
+    pub fn lacks_extensions(&self, now: BootInstant) -> bool {
+        let needs_extensions = self.lease.is_valid(now) && !self.lease.is_fresh(now);
+        let quorum = self.lease.quorum().filter(|_| needs_extensions);
+        quorum.is_some_and(|quorum| !self.extensions.has_quorum(quorum, true, now))
+    }
+
     /// The hosts to ping: some of each other failure domain.
     pub fn pinged_hosts(&self) -> Vec<&HostRecord> {
         let mut pinged: Vec<&HostRecord> = Vec::new();
--- a/crates/core/tests/ledger/isolation.rs
+++ b/crates/core/tests/ledger/isolation.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::EndpointRole;
+use tanagerdeal_core::ledger::extension::ExtensionQuorum;
 use tanagerdeal_core::ledger::group::{GroupEntry, GroupRecord};
 use tanagerdeal_core::ledger::isolation::IsolationProbe;
 use tanagerdeal_core::ledger::state::HostState;
@@ -83,6 +84,23 @@
     expect_that!(state.may_be_cut_off(at(5_000)), eq(false));
 }
 
+/// Load pattern: single hosts reach their clients, but neither the store nor other hosts
+/// (`node_cut`). Guards against a host that stays ready and refuses all that needs a primary until
+/// its lease ends, while other hosts could serve its clients.
+#[gtest]
+fn a_host_without_extensions_sends_its_clients_away() {
+    let mut state = fleet(&["d1", "d2", "d3"]);
+    state.lease.note_attempt(Some(ExtensionQuorum { hosts: 5, domain: 2 }));
+    state.lease.renewed(at(0));
+    expect_that!(state.lacks_extensions(at(4_900)), eq(false), "the lease is fresh");
+    expect_that!(state.lacks_extensions(at(5_100)), eq(true));
+    state.extensions.record_received("h2", true, at(5_000));
+    expect_that!(state.lacks_extensions(at(5_100)), eq(false), "its failure domain extends it");
+    expect_that!(state.lacks_extensions(at(7_100)), eq(true), "the extension has ended");
+    state.lease.renewed(at(7_200));
+    expect_that!(state.lacks_extensions(at(7_300)), eq(false));
+}
+
 /// Guards against pinging only one host of a failure domain, which may be down.
 #[gtest]
 fn several_hosts_of_each_other_domain_are_asked() {
--- a/crates/proxy/src/ledger/isolation.rs
+++ b/crates/proxy/src/ledger/isolation.rs
@@ -1,5 +1,5 @@
-//! Detects that this host's failure domain is cut off from the others, so that clients can move to
-//! other hosts.
+//! Detects that this host or its failure domain is cut off from the others, so that clients can move
+//! to other hosts.
 
 use std::rc::Rc;
 
@@ -26,9 +26,11 @@
                 host.peers.send(record.peers, PeerMessage::Ping);
             }
         }
-        let is_isolated = host.isolation.borrow().is_isolated(now);
+        let lacks_extensions = host.state.borrow().lacks_extensions(now);
+        let is_isolated = lacks_extensions || host.isolation.borrow().is_isolated(now);
         if host.isolated_since.borrow().is_some() != is_isolated {
-            journal::event("isolation", if is_isolated { "began" } else { "ended" }, json!({}));
+            let event = if is_isolated { "began" } else { "ended" };
+            journal::event("isolation", event, json!({ "lacks_extensions": lacks_extensions }));
             host.isolated_since.send_replace(is_isolated.then_some(now));
             update_readiness(&host, now);
         }
