Stop creating groups after a conflict

Cause: since all groups are created and not only the first 50, each of 301 hosts that start together would send a transaction for every 49 groups, and a partition takes 300 a second.

--- a/crates/proxy/src/ledger/lease.rs
+++ b/crates/proxy/src/ledger/lease.rs
@@ -335,11 +335,16 @@
 /// Creates the missing group rows, each naming the endpoint that is registered as primary.
 pub(super) async fn create_groups(host: &HostContext) {
     for missing in missing_groups(host).chunks(MAX_CREATED_GROUPS) {
-        create_group_batch(host, missing).await;
+        // After a conflict another host is creating the rest. All hosts of a fleet start together,
+        // and the store could not take the transactions of all.
+        if !create_group_batch(host, missing).await {
+            return;
+        }
     }
 }
 
-async fn create_group_batch(host: &HostContext, missing: &[GroupRecord]) {
+/// Creates rows of groups in one transaction. Returns whether they were created.
+async fn create_group_batch(host: &HostContext, missing: &[GroupRecord]) -> bool {
     let mut transaction = RowTransaction { writes: vec![epoch_write()], ..Default::default() };
     for record in missing {
         let Some(value) = encode(record) else { continue };
@@ -353,10 +358,12 @@
         Ok(TransactionOutcome::Applied { .. }) => {
             let groups: Vec<&str> = missing.iter().map(|record| record.group.as_str()).collect();
             journal::event("group", "created", json!({ "groups": groups }));
+            true
         }
         Ok(TransactionOutcome::Conflict(page)) => {
             page.rows.iter().for_each(|row| apply_row(host, row));
+            false
         }
-        Err(_) => (),
+        Err(_) => false,
     }
 }
