--- a/crates/proxy/tests/site/process.rs
+++ b/crates/proxy/tests/site/process.rs
@@ -118,19 +118,46 @@
     until_done(&mut client, "READ item").await;
 }
 
-/// Guards against a process that starts with wrong settings.
-#[gtest]
-fn wrong_settings_are_named() {
+/// Result of `serve --check` with these settings: its exit code and its errors.
+fn check_settings(text: &str) -> (Option<i32>, String) {
     let directory = tempfile::TempDir::new().unwrap();
     let file = directory.path().join("host.ini");
-    std::fs::write(&file, "[host]\nname = h1\ndomain = d1\ndomains = d1\n[listen]\ncallers = x\n")
-        .unwrap();
+    std::fs::write(&file, text).unwrap();
     let output = Command::new(env!("CARGO_BIN_EXE_tanagerdeal"))
         .args(["serve", "--check", "--config"])
         .arg(&file)
         .output()
         .unwrap();
-    expect_that!(output.status.code(), some(eq(2)));
-    let text = String::from_utf8_lossy(&output.stderr).into_owned();
-    expect_that!(text, contains_substring("[listen] callers"));
+    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+/// Guards against a process that starts with wrong settings.
+#[gtest]
+fn wrong_settings_are_named() {
+    let (code, errors) =
+        check_settings("[host]\nname = h1\ndomain = d1\ndomains = d1\n[listen]\ncallers = x\n");
+    expect_that!(code, some(eq(2)));
+    expect_that!(errors, contains_substring("[listen] callers"));
+}
+
+/// Guards against usage windows that the hosts cannot keep up with, and against settings files of
+/// sites without usage reports that are refused: a template leaves their values empty.
+#[gtest]
+fn usage_settings_are_checked() {
+    let valid = "[host]\nname = h1\ndomain = d1\ndomains = d1\n[listen]\ncallers = 127.0.0.1:1\n\
+                 admin = 127.0.0.1:2\npeers = 127.0.0.1:3\n[platform]\nstore = 127.0.0.1:4\n\
+                 control = 127.0.0.1:4\n[duties]\n";
+    for (duties, error) in [
+        ("usage_window_s = 0.5\n", "[duties] usage_window_s"),
+        ("usage_window_s = soon\n", "[duties] usage_window_s"),
+        ("usage_window_s = 5\nusage_late_s = -1\n", "[duties] usage_late_s"),
+        ("lease_ms = x\n", "[duties] lease_ms"),
+    ] {
+        let (code, errors) = check_settings(&format!("{valid}{duties}"));
+        expect_that!(code, some(eq(2)), "{duties}");
+        expect_that!(errors, contains_substring(error));
+    }
+    for duties in ["", "lease_ms =\nusage_window_s =\nusage_late_s =\n", "usage_window_s = 5\n"] {
+        expect_that!(check_settings(&format!("{valid}{duties}")).0, some(eq(0)), "{duties}");
+    }
 }
