--- a/crates/proxy/src/ledger/metrics.rs
+++ b/crates/proxy/src/ledger/metrics.rs
@@ -12,6 +12,9 @@
 /// users' routes, which lie between 0.12 and 0.6 s.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 6.0];
 
+/// Outcomes of usage reports.
+const USAGE_OUTCOMES: [&str; 5] = ["sent", "incomplete", "late", "refused", "dropped"];
+
 /// Metrics of the process.
 pub(super) struct HostMetrics {
     registry: Registry,
@@ -70,6 +73,12 @@
             "Time that statements waited for a connection to an endpoint",
         ))?;
         registry.register(Box::new(connection_wait.clone()))?;
+        let usage_reports =
+            counter("tanagerdeal_usage_reports_total", "Usage reports by outcome", &["outcome"])?;
+        // A report that is not sent is rare, so the counters exist before the first one.
+        for outcome in USAGE_OUTCOMES {
+            usage_reports.with_label_values(&[outcome]).reset();
+        }
         Ok(Self {
             statements: counter(
                 "tanagerdeal_statements_total",
@@ -92,11 +101,7 @@
                 "Changes of primary by outcome",
                 &["outcome"],
             )?,
-            usage_reports: counter(
-                "tanagerdeal_usage_reports_total",
-                "Usage reports by outcome",
-                &["outcome"],
-            )?,
+            usage_reports,
             sessions: gauge("tanagerdeal_sessions", "Open sessions")?,
             catalog: gauge("tanagerdeal_catalog_version", "Configuration in effect")?,
             lease: gauge("tanagerdeal_lease_valid", "Whether the lease of this host holds")?,
