--- a/crates/proxy/src/ledger/usage.rs
+++ b/crates/proxy/src/ledger/usage.rs
@@ -181,13 +181,13 @@
             continue;
         }
         for part in usage.parts(MAX_COUNT_BYTES) {
-            for address in &relays {
-                match address {
+            for relay in &relays {
+                match relay {
+                    UsageRelay::Own => record(host, &part),
                     // A lost message is made up for by the next one.
-                    Some(address) => {
+                    UsageRelay::Peer(address) => {
                         host.peers.send(*address, PeerMessage::Usage { usage: part.clone() });
                     }
-                    None => record(host, &part),
                 }
             }
         }
@@ -195,9 +195,18 @@
     }
 }
 
-/// Addresses of the relays of the failure domain; `None` for this host, also if there is no other.
-/// A host that is not in its own list of hosts has just started and does not know the relays yet.
-fn relays(host: &HostContext) -> Vec<Option<SocketAddr>> {
+/// A host that gathers the totals of the failure domain.
+#[derive(Clone, Copy, Debug)]
+enum UsageRelay {
+    /// This host.
+    Own,
+    /// Another host, by its address for messages.
+    Peer(SocketAddr),
+}
+
+/// The relays of the failure domain; this host if there is no other. A host that is not in its own
+/// list of hosts has just started and does not know the relays yet.
+fn relays(host: &HostContext) -> Vec<UsageRelay> {
     let now = boot_now();
     let mut names: Vec<String> = Vec::new();
     {
@@ -213,14 +222,13 @@
         }
     }
     if names.is_empty() && is_listed(host) {
-        return vec![None];
+        return vec![UsageRelay::Own];
     }
-    let is_own = |name: &String| *name == host.settings.host;
-    let address = |name: &String| match is_own(name) {
-        true => Some(None),
-        false => peer_address(host, name).map(Some),
+    let to_relay = |name: &String| match *name == host.settings.host {
+        true => Some(UsageRelay::Own),
+        false => peer_address(host, name).map(UsageRelay::Peer),
     };
-    names.iter().filter_map(address).collect()
+    names.iter().filter_map(to_relay).collect()
 }
 
 /// Merges totals of a host of the failure domain.
