Revert "Let the coordinator change all groups that are due"

A host that changes hundreds of groups at once sends a request to each host for each group every 0.18 s, and its queue and processor are full of that. It would need a bound on the changes in progress, which is not built.

The test of the start order goes with the function that it tests.

--- a/crates/core/src/ledger/failover.rs
+++ b/crates/core/src/ledger/failover.rs
@@ -208,9 +208,6 @@
 /// Endpoints answer during their promotion.
 const NO_ANSWER_LIMIT: Duration = Duration::from_millis(800);
 
-/// Delay between the start times of hosts with successive ranks in the order of a group.
-const RANK_DELAY: Duration = Duration::from_millis(100);
-
 /// Time limits on an endpoint's promotion.
 #[derive(Debug)]
 pub struct PromotionTimeout {
@@ -254,25 +251,6 @@
         .max_by_key(|status| status.term)
 }
 
-/// When a host starts the failover of a group that is due since `due_since`. The coordinator starts
-/// at once, as no other host can while its lease lasts; `lease_until` is the end of its lease.
-///
-/// ```
-/// use std::time::Duration;
-/// use tanagerdeal_core::ledger::clock::BootInstant;
-/// use tanagerdeal_core::ledger::failover::failover_start;
-///
-/// let at = |millis: u64| BootInstant::from_micros(millis * 1_000);
-/// assert_eq!(failover_start(at(500), 3, at(0)), at(500).after(Duration::from_millis(300)));
-/// assert_eq!(failover_start(at(500), 3, at(900)), at(500));
-/// ```
-pub fn failover_start(due_since: BootInstant, rank: u32, lease_until: BootInstant) -> BootInstant {
-    match due_since < lease_until {
-        true => due_since,
-        false => due_since.after(RANK_DELAY * rank),
-    }
-}
-
 /// Rank of a host in the order in which hosts may start the failover of a group; 0 is the first.
 ///
 /// ```
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -15,7 +15,7 @@
 use tanagerdeal_core::ledger::isolation::IsolationProbe;
 use tanagerdeal_core::ledger::position::SharedObservation;
 use tanagerdeal_core::ledger::state::{HostState, PrimaryPermit};
-use tokio::sync::{Mutex, Notify, watch};
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 use super::journal;
@@ -87,10 +87,6 @@
     pub(super) observations: PendingRequests<Vec<SharedObservation>>,
     /// Pending and queued lease renewals.
     pub(super) renewals: PendingRenewals,
-    /// Serialises the acquisitions of the failover lease by this host.
-    pub(super) failover_claim: Mutex<()>,
-    /// End of the failover lease, if this host has held it.
-    pub(super) failover_lease_until: Cell<BootInstant>,
     /// Confirmations by other hosts of the failovers that this host carries out.
     pub(super) confirmations: RefCell<ConfirmationTable>,
     /// Wakes the tasks that wait for confirmations.
@@ -176,8 +172,6 @@
             probes: RefCell::default(),
             peer_suspicions: RefCell::default(),
             peers: PeerSender::default(),
-            failover_claim: Mutex::new(()),
-            failover_lease_until: Cell::new(BootInstant::from_micros(0)),
             usage: UsageState::default(),
             loans: PendingRequests::default(),
             observations: PendingRequests::default(),
--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -16,7 +16,7 @@
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::duty::DUTY_LEASE_MARGIN;
 use tanagerdeal_core::ledger::endpoint::EndpointKey;
-use tanagerdeal_core::ledger::failover::{CandidateStatus, HostConfirmation, failover_start};
+use tanagerdeal_core::ledger::failover::{CandidateStatus, HostConfirmation};
 use tanagerdeal_core::ledger::group::GroupEntry;
 use tanagerdeal_core::ledger::suspicion;
 use tokio::time::sleep;
@@ -31,6 +31,8 @@
 
 /// Interval between checks for primaries that must be replaced.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Delay between the start times of hosts with successive ranks in the order of a group.
+const RANK_DELAY: Duration = Duration::from_millis(100);
 /// Timeout of a status request to an endpoint.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause before a failed change of a group is retried.
@@ -59,8 +61,7 @@
         for (entry, reason) in due {
             let group = entry.record.group.clone();
             let since = *due_since.entry(group.clone()).or_insert(now);
-            let start_at =
-                failover_start(since, rank(&host, &group), host.failover_lease_until.get());
+            let start_at = since.after(RANK_DELAY * rank(&host, &group));
             if now < start_at || host.is_stopping() || !active.borrow_mut().insert(group.clone()) {
                 continue;
             }
--- a/crates/proxy/src/ledger/failover/change.rs
+++ b/crates/proxy/src/ledger/failover/change.rs
@@ -122,8 +122,6 @@
     /// Acquires or extends the failover lease, and writes the mark of the group with its new end.
     async fn acquire_failover_lease(&mut self) -> Result<(), ChangeError> {
         let host = self.host.clone();
-        // Changes of several groups use one lease, and would make each other's writes fail.
-        let _claiming = host.failover_claim.lock().await;
         for _ in 0..3 {
             let claim = duty::claim(&host, PROMOTION_DUTY).await?;
             let DutyLease { holder, token, until, .. } = claim.lease().clone();
@@ -143,7 +141,6 @@
             match result.map_err(|_| ChangeError::Store)? {
                 TransactionOutcome::Applied { version, .. } => {
                     self.failover_lease_until = claim.until;
-                    host.failover_lease_until.set(claim.until);
                     (self.version, self.token) = (version, claim.token());
                     self.apply_record(record);
                     return Ok(());
