Report a configuration that is not confirmed to be current

Callers were served by an old configuration while nothing in the log of the host said that its renewals were held up, by what, or how old the last confirmation was. Each renewal, conflict and read of the operators' table now confirms the configuration; a task that does not depend on the renewal reports when the confirmation is overdue, with what the renewal waits for.

--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -60,6 +60,8 @@
     pub domain: String,
     /// The configuration in effect, once one is known.
     pub catalog: Option<Arc<SiteCatalog>>,
+    /// Until when that configuration counts as fresh.
+    pub(super) catalog_deadline: BootInstant,
     /// Evacuated failure domains, and when this host learned of it.
     pub evacuated: HashMap<String, BootInstant>,
     /// Registered endpoints.
@@ -98,6 +100,7 @@
             host: host.to_owned(),
             domain: domain.to_owned(),
             catalog: None,
+            catalog_deadline: BootInstant::from_micros(0),
             evacuated: HashMap::new(),
             endpoints: EndpointTable::default(),
             groups: GroupTable::default(),
--- a/crates/proxy/src/ledger.rs
+++ b/crates/proxy/src/ledger.rs
@@ -12,6 +12,7 @@
 mod extension;
 mod failover;
 mod follow;
+mod freshness;
 mod isolation;
 mod journal;
 mod lease;
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -16,8 +16,8 @@
 use super::follow::{GROUP_TABLE, HOST_TABLE, follow, load_table};
 use super::settings::SiteSettings;
 use super::{
-    admin, extension, failover, isolation, journal, lease, mirror, observations, peers, quota,
-    registrations, relay, session, suspicion, usage,
+    admin, extension, failover, freshness, isolation, journal, lease, mirror, observations, peers,
+    quota, registrations, relay, session, suspicion, usage,
 };
 
 /// Part of the shutdown time-out after which the process exits even if sessions are open, in
@@ -124,6 +124,7 @@
     spawn_local(mirror::serve(host.clone(), table_requests));
     spawn_local(relay::serve(host.clone()));
     spawn_local(follow(host.clone(), OPERATOR_TABLE));
+    spawn_local(freshness::watch_catalog(host.clone()));
     spawn_local(registrations::follow(host.clone()));
     spawn_local(follow(host.clone(), GROUP_TABLE));
     spawn_local(lease::renew_lease(host.clone()));
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -43,6 +43,23 @@
     Stopping(BootInstant),
 }
 
+/// What the task that renews the lease does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RenewalStage {
+    /// It waits until a renewal is due.
+    Waiting,
+    /// It waits for statements on a primary that is being replaced.
+    Draining,
+    /// It waits for the answer of the relay.
+    AtRelay,
+    /// It waits for the answer of the store.
+    AtStore,
+    /// It reads the rows that have changed.
+    Reading,
+    /// It backs off after a failed attempt.
+    Paused,
+}
+
 /// Tracks the statements that run on a group's primary under one version of the group's row.
 #[derive(Default)]
 pub(super) struct PrimaryUseTracker {
@@ -102,6 +119,8 @@
     pub(super) hosts_asked_at: Cell<BootInstant>,
     /// Wakes the lease renewal task.
     pub(super) renew_now: Notify,
+    /// What the lease renewal task does, and since when.
+    pub(super) renewal_stage: Cell<(RenewalStage, BootInstant)>,
     pub(super) phase: watch::Sender<HostPhase>,
     /// Number of open client connections.
     pub(super) connections: Cell<usize>,
@@ -183,6 +202,7 @@
             secret: OnceCell::new(),
             hosts_asked_at: Cell::new(now),
             renew_now: Notify::new(),
+            renewal_stage: Cell::new((RenewalStage::Waiting, now)),
             phase: watch::Sender::new(HostPhase::Serving),
             connections: Cell::new(0),
             is_closed: Cell::new(true),
@@ -276,6 +296,11 @@
         self.state.borrow().is_permit_valid(group, permit, boot_now())
     }
 
+    /// Records what the lease renewal task does now.
+    pub(super) fn set_renewal_stage(&self, stage: RenewalStage) {
+        self.renewal_stage.set((stage, boot_now()));
+    }
+
     /// Whether the process is shutting down.
     pub(super) fn is_stopping(&self) -> bool {
         *self.phase.borrow() != HostPhase::Serving
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use super::context::{HostContext, RETRY_PAUSE, boot_now};
+use super::freshness::confirm_catalog;
 use super::mirror::{self, MirrorRead, to_mirror_page, to_store_row};
 use super::{journal, registrations};
 
@@ -74,7 +75,7 @@
 pub(super) async fn load_table(host: &HostContext, table: &str) {
     let asked_at = boot_now();
     let page = read_table(host, table).await;
-    apply_page(host, table, &to_mirror_page(page, true), asked_at);
+    apply_store_page(host, table, &to_mirror_page(page, true), asked_at);
 }
 
 /// Keeps a table current until the process ends.
@@ -91,6 +92,19 @@
     }
 }
 
+/// Applies a page of a table that was requested from the store at `asked_at`.
+pub(super) fn apply_store_page(
+    host: &HostContext,
+    table: &str,
+    page: &MirrorPage,
+    asked_at: BootInstant,
+) {
+    apply_page(host, table, page, asked_at);
+    if table == OPERATOR_TABLE {
+        confirm_catalog(host, asked_at);
+    }
+}
+
 /// Applies a page of a table that was requested at `asked_at`.
 pub(super) fn apply_page(
     host: &HostContext,
--- /dev/null
+++ b/crates/proxy/src/ledger/freshness.rs
@@ -0,0 +1,46 @@
+//! Watches whether the configuration is confirmed to be the newest one.
+//!
+//! Each renewal of the lease confirms it. A renewal may be late for many reasons, so this task does
+//! not depend on the one that renews.
+
+use std::rc::Rc;
+
+use serde_json::json;
+use tanagerdeal_core::ledger::clock::BootInstant;
+use tokio::time::sleep;
+
+use super::context::{HostContext, RETRY_PAUSE, boot_now, sleep_until};
+use super::journal;
+
+/// Records that the configuration was the newest one when a call was sent at `asked_at`.
+pub(super) fn confirm_catalog(host: &HostContext, asked_at: BootInstant) {
+    let mut state = host.state.borrow_mut();
+    state.confirm_catalog(asked_at.after(host.settings.config_limit));
+    host.metrics.catalog_fresh.set(i64::from(state.is_catalog_fresh(boot_now())));
+}
+
+/// Reports a configuration that was not confirmed in time, until the process ends.
+pub(super) async fn watch_catalog(host: Rc<HostContext>) {
+    loop {
+        let deadline = host.state.borrow().catalog_deadline();
+        if boot_now() < deadline {
+            sleep_until(deadline).await;
+            continue;
+        }
+        host.metrics.catalog_fresh.set(0);
+        report(&host, "unconfirmed", deadline);
+        while !host.state.borrow().is_catalog_fresh(boot_now()) {
+            sleep(RETRY_PAUSE).await;
+        }
+        report(&host, "confirmed", deadline);
+    }
+}
+
+fn report(host: &HostContext, event: &str, deadline: BootInstant) {
+    let overdue_ms = boot_now().since(deadline).as_millis() as u64;
+    let (stage, began_at) = host.renewal_stage.get();
+    let stage_ms = boot_now().since(began_at).as_millis() as u64;
+    let fields = json!({ "overdue_ms": overdue_ms, "renewal": format!("{stage:?}"),
+        "renewal_ms": stage_ms, "store": host.is_store_reachable() });
+    journal::event("catalog", event, fields);
+}
--- a/crates/proxy/src/ledger/lease.rs
+++ b/crates/proxy/src/ledger/lease.rs
@@ -17,10 +17,11 @@
 };
 use tokio::time::timeout;
 
-use super::context::{HostContext, HostPhase, boot_now};
+use super::context::{HostContext, HostPhase, RenewalStage, boot_now};
 use super::follow::{
     GROUP_TABLE, HOST_TABLE, SHARE_TABLE, apply_row, encode, load_table, reapply_known,
 };
+use super::freshness::confirm_catalog;
 use super::mirror::{self, MirrorRead};
 use super::{journal, relay, usage};
 
@@ -57,6 +58,7 @@
     let mut drained_versions: HashMap<String, u64> = HashMap::new();
     let mut path = RenewalPath::Direct;
     loop {
+        host.set_renewal_stage(RenewalStage::Draining);
         // More group rows may change while statements are drained.
         while drain_changed_groups(&host, &mut drained_versions).await {}
         let result = match path {
@@ -71,11 +73,13 @@
                 continue;
             }
             RenewalResult::Failed => {
+                host.set_renewal_stage(RenewalStage::Paused);
                 // The lease outlasts several failed attempts.
                 host.wait_for_store().await;
                 Duration::ZERO
             }
         };
+        host.set_renewal_stage(RenewalStage::Waiting);
         // The wait ends when the renewal is due or an urgent change must be reported.
         let is_urgent = timeout(pause, host.renew_now.notified()).await.is_ok();
         path = next_path(&host, is_urgent, result);
@@ -96,6 +100,7 @@
 }
 
 async fn renew_through_relay(host: &HostContext, path: RenewalPath) -> bool {
+    host.set_renewal_stage(RenewalStage::AtRelay);
     if path == RenewalPath::RelayUninterrupted {
         return relay::renew(host).await;
     }
@@ -157,8 +162,10 @@
     let own = RowName { table: HOST_TABLE, key: &host.settings.host };
     let expected_rows = conditions(&expected).collect();
     let transaction = RowTransaction { expected: expected_rows, writes: vec![(own, value)] };
+    host.set_renewal_stage(RenewalStage::AtStore);
     let result = host.store.transact(&transaction, WRITE_TIMEOUT).await;
     host.record_store_call("renew", &result);
+    host.set_renewal_stage(RenewalStage::Reading);
     match result {
         Ok(TransactionOutcome::Applied { version, now }) => {
             host.versions.borrow_mut().own = version;
@@ -167,7 +174,7 @@
         }
         Ok(TransactionOutcome::Conflict(page)) => {
             host.state.borrow_mut().lease.note_clock(sent_at, boot_now(), page.now);
-            match apply_conflict(host, &expected, &page.rows).await {
+            match apply_conflict(host, sent_at, &expected, &page.rows).await {
                 true => RenewalResult::Retry,
                 false => RenewalResult::Failed,
             }
@@ -262,13 +269,15 @@
         journal::event("lease", "gained", json!({ "store_ms": now.as_millis() }));
     }
     host.state.borrow_mut().lease.renewed(sent_at);
+    confirm_catalog(host, sent_at);
     host.metrics.lease.set(1);
 }
 
-/// Applies the current rows returned for a renewal whose preconditions failed, and reads the groups
-/// if their epoch has changed. Returns whether all current rows are known now.
+/// Applies the current rows returned for a renewal, sent at `sent_at`, whose preconditions failed,
+/// and reads the groups if their epoch has changed. Returns whether all current rows are known now.
 pub(super) async fn apply_conflict(
     host: &HostContext,
+    sent_at: BootInstant,
     expected: &[ExpectedRow],
     rows: &[tanagerdeal_adapter::store::StoreRow],
 ) -> bool {
@@ -291,6 +300,10 @@
             ),
         }
     }
+    let config = rows.iter().find(|row| row.table == OPERATOR_TABLE && row.key == CONFIG_KEY);
+    if config.is_some_and(|row| row.version == host.versions.borrow().config) {
+        confirm_catalog(host, sent_at);
+    }
     let epoch = rows.iter().find(|row| row.table == GROUP_TABLE && row.key == GROUP_EPOCH_KEY);
     let known = || host.mirrors.row_version(GROUP_TABLE, GROUP_EPOCH_KEY);
     match epoch {
--- a/crates/proxy/src/ledger/metrics.rs
+++ b/crates/proxy/src/ledger/metrics.rs
@@ -38,6 +38,8 @@
     pub(super) sessions: IntGauge,
     /// Version of the configuration in effect.
     pub(super) catalog: IntGauge,
+    /// 1 while the configuration is confirmed to be the newest one, 0 otherwise.
+    pub(super) catalog_fresh: IntGauge,
     /// 1 while the lease of this host is valid, 0 otherwise.
     pub(super) lease: IntGauge,
 }
@@ -104,6 +106,10 @@
             usage_reports,
             sessions: gauge("tanagerdeal_sessions", "Open sessions")?,
             catalog: gauge("tanagerdeal_catalog_version", "Configuration in effect")?,
+            catalog_fresh: gauge(
+                "tanagerdeal_catalog_fresh",
+                "Whether the configuration was confirmed to be the newest one in time",
+            )?,
             lease: gauge("tanagerdeal_lease_valid", "Whether the lease of this host holds")?,
             registry,
             latency,
--- a/crates/proxy/src/ledger/mirror.rs
+++ b/crates/proxy/src/ledger/mirror.rs
@@ -27,7 +27,9 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::context::{HostContext, boot_now};
-use super::follow::{GROUP_TABLE, HOST_TABLE, READ_TIMEOUT, SHARE_TABLE, apply_page};
+use super::follow::{
+    GROUP_TABLE, HOST_TABLE, READ_TIMEOUT, SHARE_TABLE, apply_page, apply_store_page,
+};
 use super::journal;
 use super::peers::{decode, encode, peer_address};
 
@@ -248,7 +250,7 @@
         host.record_store_call(read.call, &result);
         match result {
             Ok(page) => {
-                apply_page(host, read.table, &to_mirror_page(page, false), asked_at);
+                apply_store_page(host, read.table, &to_mirror_page(page, false), asked_at);
                 return true;
             }
             Err(StoreError::HistoryGone) => {
@@ -262,7 +264,7 @@
     let result = host.store.read(read.table, READ_TIMEOUT).await;
     host.record_store_call(read.call, &result);
     let Ok(page) = result else { return false };
-    apply_page(host, read.table, &to_mirror_page(page, true), asked_at);
+    apply_store_page(host, read.table, &to_mirror_page(page, true), asked_at);
     true
 }
 
--- a/crates/proxy/src/ledger/relay.rs
+++ b/crates/proxy/src/ledger/relay.rs
@@ -17,6 +17,7 @@
 
 use super::context::{HostContext, boot_now};
 use super::follow::{HOST_TABLE, encode};
+use super::freshness::confirm_catalog;
 use super::journal;
 use super::lease::{
     ExpectedRow, WRITE_TIMEOUT, apply_conflict, conditions, renewal_record, required_rows,
@@ -102,6 +103,7 @@
         let state = &mut *state;
         hosts.map(|view| apply_view(&mut state.hosts, &mut state.hosts_read_at, &view))
     };
+    confirm_catalog(host, sent_at);
     host.metrics.lease.set(1);
     if let Some(view) = registrations {
         host.registrations.apply_view(view, sent_at);
@@ -193,6 +195,7 @@
             transaction.expected.push((name, renewal.request.own_version));
             transaction.writes.push((name, encode(&record)?));
         }
+        let sent_at = boot_now();
         let result = host.store.transact(&transaction, WRITE_TIMEOUT).await;
         host.record_store_call("relay", &result);
         let page = match result {
@@ -202,7 +205,9 @@
             Ok(TransactionOutcome::Conflict(page)) => page,
             Err(_) => return None,
         };
-        if !apply_conflict(host, required, &page.rows).await || required_rows(host) != required {
+        if !apply_conflict(host, sent_at, required, &page.rows).await
+            || required_rows(host) != required
+        {
             return None;
         }
         let is_current = |renewal: &QueuedRenewal| is_row_current(&page, &renewal.request);
--- a/crates/proxy/src/ledger/settings.rs
+++ b/crates/proxy/src/ledger/settings.rs
@@ -41,6 +41,8 @@
     /// Interval between lease renewals. A host that misses a change while watching the
     /// configuration learns of it within this time.
     pub renew_interval: Duration,
+    /// Time in which a configuration takes effect.
+    pub config_limit: Duration,
     /// Pause between polls of the endpoint registrations.
     pub registration_pause: Duration,
     /// Speed of the network link, in Mbit/s; 0 when it is not known.
@@ -193,6 +195,8 @@
         let ini = Ini::load_from_str_opt(text, option).map_err(|error| {
             SiteSettingsError::File { file: "settings".to_owned(), reason: error.to_string() }
         })?;
+        let config_apply_ms =
+            value_or_default(&ini, "limits", "config_apply_ms", DEFAULT_CONFIG_APPLY_MS)?;
         let settings = Self {
             host: required_text(&ini, "host", "name")?.to_owned(),
             domain: required_text(&ini, "host", "domain")?.to_owned(),
@@ -214,12 +218,8 @@
             )?),
             descriptors: value_or_default(&ini, "limits", "descriptors", DEFAULT_DESCRIPTORS)?,
             link_mbps: whole_mbps(value_or_default(&ini, "limits", "link_mbps", 0.0)?),
-            renew_interval: renew_interval(value_or_default(
-                &ini,
-                "limits",
-                "config_apply_ms",
-                DEFAULT_CONFIG_APPLY_MS,
-            )?),
+            renew_interval: renew_interval(config_apply_ms),
+            config_limit: Duration::from_millis(config_apply_ms),
             registration_pause: registration_pause(value_or_default(
                 &ini,
                 "limits",
