Do not hold the lock of a table during a long poll

Callers were refused with 'no database of this name', or served on a dropped route, up to 8.5 s after a newer configuration was acknowledged.

Cause: the task that follows a table held the lock of the table's copy during its long poll, up to 30.5 s. A renewal of the lease that met another epoch of the groups read them through the same lock. A poll that the store had swallowed in an outage stopped renewals, and with them the only other way by which the host learned of a configuration. Class: progress of one duty behind a lock that another holds across a wait.

Ruled out: failing renewals (the counters did not move), a relay without store (the host asked the store itself).

Change: only reads that do not wait take the lock, which serves to share one call among them. Pages of a poll and of a read may arrive in any order; the copy ignores older ones, as before.

The test hangs all feeds, changes the epoch and then the configuration: before, the configuration was not in force after 30 s; now within 3 s.

--- a/crates/proxy/src/ledger/mirror.rs
+++ b/crates/proxy/src/ledger/mirror.rs
@@ -102,7 +102,8 @@
 /// A copy of one table, with its connection to the relay.
 struct TableCopy {
     mirror: RefCell<TableMirror>,
-    /// Serialises store calls, so that one call serves all hosts that were waiting for it.
+    /// Serialises reads, so that one call serves all hosts that were waiting for it. Long polls do
+    /// not take it, as a read must not wait until one has ended.
     store_call: Mutex<()>,
     changed: Notify,
     /// Idle connection to the relay, kept from the last request.
@@ -222,6 +223,9 @@
 /// Applies the changes of a table, read from the store. Returns whether that succeeded.
 pub(super) async fn update_from_store(host: &HostContext, read: MirrorRead) -> bool {
     let Some(copy) = host.mirrors.copies.get(read.table) else { return false };
+    if !read.store_wait.is_zero() {
+        return read_from_store(host, copy, read).await;
+    }
     let requested_at = boot_now();
     let _store_call = copy.store_call.lock().await;
     if copy.mirror.borrow().is_fresh(requested_at, read.max_age) {
--- a/crates/proxy/tests/site/main.rs
+++ b/crates/proxy/tests/site/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod failures;
+mod freshness;
 mod lanes;
 mod logs;
 mod process;
