Read the configuration when no renewal has confirmed it in time

Callers of a host whose renewals are held up are served by an old configuration until the lease ends, 13 s after the last renewal, where 3 s are granted.

Cause: only a renewal bounded the age of the configuration. A store that answers reads but no writes and no feeds stops renewals for good. Ruled out as a cause of late configurations after an outage: the pauses between attempts.

The second costs no call while renewals work, so it is what this commit does.

--- a/crates/proxy/src/ledger/freshness.rs
+++ b/crates/proxy/src/ledger/freshness.rs
@@ -1,16 +1,21 @@
 //! Watches whether the configuration is confirmed to be the newest one.
 //!
-//! Each renewal of the lease confirms it. A renewal may be late for many reasons, so this task does
-//! not depend on the one that renews.
+//! Each renewal of the lease confirms it. Renewals may be late for many reasons, so the rows of the
+//! operators are read when none has come in time.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde_json::json;
+use tanagerdeal_adapter::operator::OPERATOR_TABLE;
 use tanagerdeal_core::ledger::clock::BootInstant;
-use tokio::time::sleep;
 
-use super::context::{HostContext, RETRY_PAUSE, boot_now, sleep_until};
+use super::context::{HostContext, boot_now, sleep_until};
 use super::journal;
+use super::mirror::{self, MirrorRead};
+
+/// A read of the operators' rows that have changed.
+const CATALOG_READ: MirrorRead = MirrorRead::now(OPERATOR_TABLE, "catalog", Duration::ZERO);
 
 /// Records that the configuration was the newest one when a call was sent at `asked_at`.
 pub(super) fn confirm_catalog(host: &HostContext, asked_at: BootInstant) {
@@ -19,7 +24,8 @@
     host.metrics.catalog_fresh.set(i64::from(state.is_catalog_fresh(boot_now())));
 }
 
-/// Reports a configuration that was not confirmed in time, until the process ends.
+/// Reads the configuration from the store whenever it was not confirmed in time, until the process
+/// ends.
 pub(super) async fn watch_catalog(host: Rc<HostContext>) {
     loop {
         let deadline = host.state.borrow().catalog_deadline();
@@ -30,7 +36,9 @@
         host.metrics.catalog_fresh.set(0);
         report(&host, "unconfirmed", deadline);
         while !host.state.borrow().is_catalog_fresh(boot_now()) {
-            sleep(RETRY_PAUSE).await;
+            if !mirror::update_from_store(&host, CATALOG_READ).await {
+                host.wait_for_store().await;
+            }
         }
         report(&host, "confirmed", deadline);
     }
--- a/crates/proxy/tests/site/freshness.rs
+++ b/crates/proxy/tests/site/freshness.rs
@@ -11,6 +11,8 @@
 
 /// Time in which a configuration has to be in force.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
+/// Time after an outage from which on hosts are expected to know the configuration.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(4);
 
 /// Writes a version of the configuration.
 fn put_config(site: &SiteDeployment, number: u64) {
@@ -40,3 +42,33 @@
     put_config(&site, 2);
     assert_that!(time_to_version(&site, 0, 2).await, le(APPLY_LIMIT));
 }
+
+/// Guards against a configuration that only a renewal could show, while the store is unavailable in
+/// part: it answers neither writes nor feeds.
+#[tokio::test]
+async fn a_store_without_writes_delays_no_configuration() {
+    let site = SiteDeployment::start(1).await;
+    site.store.set_fault(StoreFault::ReadsOnly);
+    sleep(APPLY_LIMIT).await;
+    put_config(&site, 2);
+    assert_that!(time_to_version(&site, 0, 2).await, le(APPLY_LIMIT));
+}
+
+/// Guards against hosts that stay with an old configuration after an outage: a call that got no
+/// answer, the pause after it, and further calls that are lost with it. Three hosts without a relay
+/// are at different points of that when the outage ends.
+#[tokio::test]
+async fn hosts_know_the_configuration_soon_after_an_outage() {
+    let site = SiteDeployment::start(3).await;
+    for (number, silence_ms) in [(2, 2_600), (3, 3_900), (4, 5_200)] {
+        site.store.set_fault(StoreFault::Silent);
+        put_config(&site, number);
+        sleep(Duration::from_millis(silence_ms)).await;
+        site.store.set_fault(StoreFault::None);
+        let begin = Instant::now();
+        for host in 0..3 {
+            time_to_version(&site, host, number).await;
+            assert_that!(begin.elapsed(), le(RECOVERY_LIMIT), "host {host}, version {number}");
+        }
+    }
+}
