Lose at most one call to silent connections of the store

Callers of a host whose connections to the store all went silent, without a reset, could wait for one time-out of 1.5 s for each idle connection, and a pause after it, until the host learned of a new configuration or renewed its lease. 3 s are granted for a configuration.

Cause: the HTTP client takes the connection that was used last. After a time-out it drops that one and takes the next idle one, which is as dead.

--- a/crates/proxy/tests/site/freshness.rs
+++ b/crates/proxy/tests/site/freshness.rs
@@ -4,9 +4,11 @@
 
 use googletest::prelude::*;
 use serde_json::json;
+use tanagerdeal_adapter::store::StoreClient;
 use tanagerdeal_standin::{StoreFault, configuration};
 use tokio::time::sleep;
 
+use crate::lanes::{Lane, RelayedSite};
 use crate::support::{KEY, SiteDeployment, until};
 
 /// Time in which a configuration has to be in force.
@@ -72,3 +74,38 @@
         }
     }
 }
+
+/// Guards against idle connections to the store that went silent without a reset: each call that
+/// takes one of them times out.
+#[tokio::test]
+async fn silent_connections_delay_no_configuration() {
+    let relayed = RelayedSite::start(1).await;
+    let site = &relayed.site;
+    for number in 2..6 {
+        relayed.break_open(&Lane::to_store(0), "silence").await;
+        put_config(site, number);
+        assert_that!(time_to_version(site, 0, number).await, le(RECOVERY_LIMIT));
+    }
+}
+
+/// Guards against one time-out for each idle connection, when all of them have gone silent: after
+/// the first one, further calls use new connections.
+#[tokio::test]
+async fn only_one_call_is_lost_to_silent_connections() {
+    let relayed = RelayedSite::start(0).await;
+    let lane = Lane::to_store(0);
+    let address = relayed.open(relayed.site.store.address(), &lane).await;
+    let store = StoreClient::new(&address.to_string()).unwrap();
+    let limit = Duration::from_millis(500);
+    for _ in 0..3 {
+        let calls = (0..4).map(|_| store.read("op", limit));
+        let results = futures::future::join_all(calls).await;
+        assert_that!(results.iter().filter(|result| result.is_err()).count(), eq(0));
+        relayed.break_open(&lane, "silence").await;
+        let mut lost = 0;
+        while store.read("op", limit).await.is_err() {
+            lost += 1;
+        }
+        assert_that!(lost, le(1));
+    }
+}
--- a/crates/proxy/tests/site/lanes.rs
+++ b/crates/proxy/tests/site/lanes.rs
@@ -79,7 +79,8 @@
         relayed
     }
 
-    async fn open(&self, target: SocketAddr, lane: &Lane) -> SocketAddr {
+    /// Opens a port of the relay that leads to a target.
+    pub async fn open(&self, target: SocketAddr, lane: &Lane) -> SocketAddr {
         let port = json!({ "protocol": "tcp", "listen": "127.0.0.1:0", "target": target,
                            "domain": lane.to, "caller_domain": lane.from });
         let opened: Value = self.post("ports", &port).await.json().await.unwrap();
