Refuse for good only by a configuration that is known to be current

Callers got 'no database of this name' or 'unknown key', which ends their attempts, from hosts that could not know: their lease had ended, or the store had not confirmed the configuration for longer than a newer one needs to take effect.

Cause: the lookup asked only what the configuration says, not whether it is the newest. Class: an answer that is final, given from knowledge that is not. The other refusals that rest on rows of the store (limits, primaries, evacuations) are temporary already.

Change: such a refusal is 'busy' with the time to come back unless the configuration was confirmed within config_apply_ms. What the configuration allows is served as before, as an outage of the store must not stop the service.

--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -23,12 +23,15 @@
 
 use super::context::{HostContext, HostPhase, boot_now, sleep_until_optional};
 use super::journal;
+use super::operation::OperationFailure;
 use super::transaction::OpenTransaction;
 
 /// Time for which an idle session is kept during a shutdown, counted from the start of the shutdown
 /// or, if later, of the session. Also the time-out of the start-up message while no configuration
 /// is known.
 const IDLE_LIMIT: Duration = Duration::from_millis(1_000);
+/// Retry delay for a client that is refused by a configuration which may be out of date.
+const UNCONFIRMED_RETRY: Duration = Duration::from_millis(400);
 /// Divisor of the shutdown time-out that gives the time in which open transactions may finish.
 const TRANSACTION_DRAIN_DIVISOR: u32 = 2;
 
@@ -70,9 +73,11 @@
         }
     };
     if let Err(error) = authenticate(&host, &database, &key) {
-        let text = line::failure(failure_reason(error), &error.to_string());
+        let failure = access_failure(&host, error);
+        let text = line::failure(failure.reason, &failure.message());
         journal::request("session_refused", || {
             json!({ "database": database, "reason": error.to_string(),
+                    "is_final": failure.retry_after.is_none(),
                     "catalog": catalog_version(&host) })
         });
         // The session ends even if the client has already disconnected.
@@ -114,10 +119,19 @@
     Ok((identity, route.clone()))
 }
 
-fn failure_reason(error: AccessError) -> FailureReason {
-    match error {
+/// The refusal of a client. It is final only if the configuration is known to be current, as a
+/// newer one may have the database or the key.
+fn access_failure(host: &HostContext, error: AccessError) -> OperationFailure {
+    let reason = match error {
         AccessError::UnknownDatabase => FailureReason::UnknownDatabase,
         AccessError::UnknownKey => FailureReason::InvalidKey,
+    };
+    match host.state.borrow().is_catalog_fresh(boot_now()) {
+        true => OperationFailure::new(reason, &error.to_string()),
+        false => {
+            let text = format!("{error}, by a configuration that may be out of date");
+            OperationFailure::busy(&text, UNCONFIRMED_RETRY)
+        }
     }
 }
 
--- a/crates/proxy/src/ledger/session/query.rs
+++ b/crates/proxy/src/ledger/session/query.rs
@@ -14,7 +14,7 @@
     AccessMode, ClientStatement, FailureReason, SessionState,
 };
 
-use super::{ClientSession, authenticate, failure_reason};
+use super::{ClientSession, access_failure, authenticate};
 use crate::ledger::connection::EndpointReply;
 use crate::ledger::context::{boot_now, sleep_until};
 use crate::ledger::journal;
@@ -50,7 +50,7 @@
             Err(error) => {
                 self.transaction = None;
                 self.state = SessionState::Idle;
-                let failure = OperationFailure::new(failure_reason(error), &error.to_string());
+                let failure = access_failure(&self.host, error);
                 return (self.refuse(id, &failure), true);
             }
         };
--- a/crates/proxy/tests/site/freshness.rs
+++ b/crates/proxy/tests/site/freshness.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use serde_json::json;
 use tanagerdeal_adapter::store::StoreClient;
-use tanagerdeal_standin::{StoreFault, configuration};
+use tanagerdeal_standin::{StandinClient, StoreFault, configuration};
 use tokio::time::sleep;
 
 use crate::lanes::{Lane, RelayedSite};
@@ -109,3 +109,29 @@
         assert_that!(lost, le(1));
     }
 }
+
+/// Guards against a final refusal by a host that cannot know: without the store, a database or a key
+/// may have been added since. A client that is told to come back asks again.
+#[tokio::test]
+async fn a_host_without_confirmation_gives_no_final_refusal() {
+    let site = SiteDeployment::start(1).await;
+    let refusal = async |database: &str, key: &str| {
+        StandinClient::open(site.hosts[0].callers, database, key).await.unwrap().1
+    };
+    assert_that!(refusal("nowhere", KEY).await.failure, some(eq("NODB")));
+    assert_that!(refusal("current", "wrong").await.failure, some(eq("NOAUTH")));
+    site.store.set_fault(StoreFault::Silent);
+    sleep(APPLY_LIMIT + Duration::from_millis(500)).await;
+    for (database, key) in [("nowhere", KEY), ("current", "wrong")] {
+        let reply = refusal(database, key).await;
+        assert_that!(reply.failure, some(eq("BUSY")), "{database} {key}");
+        assert_that!(reply.text, contains_substring("retry after"));
+    }
+    // What it knows it goes on serving.
+    assert_that!(refusal("current", KEY).await.state.as_str(), eq("I"));
+    site.store.set_fault(StoreFault::None);
+    until("final refusals again", async || {
+        refusal("nowhere", KEY).await.failure.as_deref() == Some("NODB")
+    })
+    .await;
+}
