Keep changes of primary across a restoration of the store

What callers could see: commits acknowledged by a primary that has been replaced, and promotions with a fencing token that was used before, when the store was restored from a copy that lacks the change.

Cause: a host gave up what it knew of a group for whatever the copy says; the copy lacks the last renewals and the rows of hosts that have joined since, so that leases looked ended; a holder of the failover lease compared rows of one era with a mark of another; tokens went back.

Change: - A row that lacks the known primary or a pending change gives only its version; hosts write again what they know, under the condition of that version, one after the other. - No change of primary takes effect within the term of a lease from the first reply of a restored store. Processes that start later find that time in a row. - A change that was marked in another era starts again. - Tokens of a later era are higher than all before; nobody takes a duty for the term of its lease.

Way dropped: waiting only for the hosts that the copy or this host's memory names. A host that joined after the copy was made, and is cut off from the store, is in neither.

Open: the row is written again by hosts that remember it. If all of them are killed between the loss and the restoration, the primary that the copy names is used until its endpoints refuse it.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -22,6 +22,7 @@
 pub mod position;
 pub mod quota;
 pub mod renewal;
+pub mod restoration;
 pub mod session;
 pub mod state;
 pub mod statement;
--- a/crates/core/src/ledger/duty.rs
+++ b/crates/core/src/ledger/duty.rs
@@ -8,6 +8,7 @@
 use tanagerdeal_wire::wire_type;
 
 use super::clock::StoreInstant;
+use super::version::FIRST_ERA;
 
 /// Shortest term of a duty lease. It covers two calls to a store that is a hundred times slower
 /// than usual (0.4 s each) and a call to the platform (0.9 s).
@@ -49,6 +50,24 @@
     pub incarnation: u64,
     /// Term of the lease.
     pub term: Duration,
+    /// Lowest token to use.
+    pub min_token: u64,
+}
+
+/// Bits of a fencing token that count the holders of an era.
+const HOLDER_BITS: u32 = 32;
+
+/// The lowest fencing token of an era of the store. A restored row may hold a token that has been
+/// given out again since the copy was made, so the tokens of a later era are all higher.
+///
+/// ```
+/// use tanagerdeal_core::ledger::duty::min_token;
+///
+/// assert_eq!(min_token(1), 1);
+/// assert!(min_token(2) > 1_000_000);
+/// ```
+pub fn min_token(era: u64) -> u64 {
+    (era.saturating_sub(FIRST_ERA) << HOLDER_BITS) + 1
 }
 
 /// Decides whether a host acquires or renews a duty lease. A process restarted on the same host
@@ -60,7 +79,7 @@
 ///     DutyApplicant, DutyDecision, MIN_DUTY_TERM, decide_duty_lease,
 /// };
 ///
-/// let applicant = DutyApplicant { host: "h1", incarnation: 7, term: MIN_DUTY_TERM };
+/// let applicant = DutyApplicant { host: "h1", incarnation: 7, term: MIN_DUTY_TERM, min_token: 1 };
 /// let decision = decide_duty_lease(None, applicant, StoreInstant::from_millis(100));
 /// let DutyDecision::Take(lease) = decision else { panic!("free") };
 /// assert_eq!((lease.token, lease.holder.as_str()), (1, "h1"));
@@ -70,8 +89,9 @@
     applicant: DutyApplicant<'_>,
     now: StoreInstant,
 ) -> DutyDecision {
-    let DutyApplicant { host, incarnation, term } = applicant;
-    let take = |token| {
+    let DutyApplicant { host, incarnation, term, min_token } = applicant;
+    let take = |token: u64| {
+        let token = token.max(min_token);
         let (holder, until) = (host.to_owned(), now.after(term));
         DutyDecision::Take(DutyLease { holder, incarnation, token, until })
     };
--- a/crates/core/src/ledger/group.rs
+++ b/crates/core/src/ledger/group.rs
@@ -1,11 +1,12 @@
 //! The primary of each group, as agreed through the table service.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use tanagerdeal_wire::wire_type;
 
 use super::clock::StoreInstant;
 use super::lease::HostRecord;
+use super::version::era_of;
 
 /// Key of the epoch row, which is written in the same transaction as the row of any group. It sorts
 /// before the names of groups, so a read of the table in several pages returns it with the first.
@@ -61,17 +62,53 @@
 #[derive(Default)]
 pub struct GroupTable {
     entries: HashMap<String, GroupEntry>,
+    /// Groups of which this host knows more than the restored store has.
+    unwritten: HashSet<String>,
+}
+
+/// Whether a row comes from a copy that lacks what is known: a later primary, or a change in
+/// progress. Within an era a change ends by a row without it.
+fn is_behind(entry: &GroupEntry, known: &GroupEntry) -> bool {
+    let progress = |record: &GroupRecord| (record.term, record.change.is_some());
+    era_of(entry.version) > era_of(known.version)
+        && progress(&entry.record) < progress(&known.record)
 }
 
 impl GroupTable {
     /// Applies a row unless the same or a newer version is known. Returns whether it was applied.
+    /// Of a row that lacks what is known only the version is taken over.
     pub fn adopt(&mut self, entry: GroupEntry) -> bool {
-        let is_newer =
-            self.entries.get(&entry.record.group).is_none_or(|known| known.version < entry.version);
-        if is_newer {
-            self.entries.insert(entry.record.group.clone(), entry);
+        let group = entry.record.group.clone();
+        match self.entries.get_mut(&group) {
+            Some(known) if known.version >= entry.version => return false,
+            Some(known) if is_behind(&entry, known) => {
+                known.version = entry.version;
+                self.unwritten.insert(group);
+            }
+            _ => {
+                self.unwritten.remove(&group);
+                self.entries.insert(group, entry);
+            }
+        }
+        true
+    }
+
+    /// Records that the restored store has no row of a group.
+    pub fn note_lost(&mut self, group: &str) {
+        if let Some(known) = self.entries.get_mut(group) {
+            known.version = 0;
+            self.unwritten.insert(group.to_owned());
         }
-        is_newer
+    }
+
+    /// Whether the restored store lacks what is known of a group.
+    pub fn is_unwritten(&self, group: &str) -> bool {
+        self.unwritten.contains(group)
+    }
+
+    /// Rows to write again: what is known, with the version of the row that lacks it.
+    pub fn unwritten(&self) -> impl Iterator<Item = &GroupEntry> {
+        self.unwritten.iter().filter_map(|group| self.entries.get(group))
     }
 
     /// The row of a group.
--- a/crates/core/src/ledger/lease.rs
+++ b/crates/core/src/ledger/lease.rs
@@ -19,7 +19,7 @@
 pub const MAX_RENEW_INTERVAL: Duration = Duration::from_secs(4);
 /// Margin by which the stored end of a lease is later than the end that its holder observes. It
 /// covers the drift between two monotonic clocks over a lease.
-const LEASE_MARGIN: Duration = Duration::from_millis(250);
+pub(super) const LEASE_MARGIN: Duration = Duration::from_millis(250);
 /// Inverse of the largest rate at which two monotonic clocks drift apart. Quartz clocks stay below
 /// a tenth of that rate.
 const DRIFT_DIVISOR: u32 = 1_000;
--- /dev/null
+++ b/crates/core/src/ledger/restoration.rs
@@ -0,0 +1,43 @@
+//! What a host assumes after the store was restored from a copy.
+//!
+//! The copy lacks the last renewals, and the rows of hosts that have joined since. So for the term
+//! of a lease, counted from the first reply of the restored store, any host may hold a lease that
+//! no row shows, and nothing is taken over from a host because its lease has ended.
+
+use std::time::Duration;
+
+use super::clock::BootInstant;
+use super::lease::{LEASE_MARGIN, LEASE_TERM};
+use super::state::HostState;
+
+impl HostState {
+    /// Records that the store was restored, as seen at `at` for the first time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    /// use tanagerdeal_core::ledger::lease::LEASE_TERM;
+    /// use tanagerdeal_core::ledger::state::HostState;
+    ///
+    /// let now = BootInstant::from_micros(0);
+    /// let mut state = HostState::new("h1", "d1", Default::default(), now);
+    /// assert!(!state.has_unknown_leases(now));
+    /// state.note_restoration(now);
+    /// assert!(state.has_unknown_leases(now.after(LEASE_TERM)));
+    /// assert!(!state.has_unknown_leases(now.after(LEASE_TERM + Duration::from_secs(1))));
+    /// ```
+    pub fn note_restoration(&mut self, at: BootInstant) {
+        self.restored_at = self.restored_at.max(Some(at));
+    }
+
+    /// Whether a host may hold a lease from before a restoration.
+    pub fn has_unknown_leases(&self, now: BootInstant) -> bool {
+        self.is_restored_within(LEASE_TERM + LEASE_MARGIN, now)
+    }
+
+    /// Whether the store was restored less than `term` before `now`.
+    pub fn is_restored_within(&self, term: Duration, now: BootInstant) -> bool {
+        self.restored_at.is_some_and(|at| now < at.after(term))
+    }
+}
--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -64,6 +64,8 @@
     pub(super) catalog_deadline: BootInstant,
     /// Evacuated failure domains, and when this host learned of it.
     pub evacuated: HashMap<String, BootInstant>,
+    /// When this host learned of the last restoration of the store.
+    pub(super) restored_at: Option<BootInstant>,
     /// Registered endpoints.
     pub endpoints: EndpointTable,
     /// Rows of the groups.
@@ -102,6 +104,7 @@
             catalog: None,
             catalog_deadline: BootInstant::from_micros(0),
             evacuated: HashMap::new(),
+            restored_at: None,
             endpoints: EndpointTable::default(),
             groups: GroupTable::default(),
             positions: HashMap::new(),
--- a/crates/core/tests/ledger/failover.rs
+++ b/crates/core/tests/ledger/failover.rs
@@ -28,7 +28,7 @@
 }
 
 fn applicant(host: &str, incarnation: u64) -> DutyApplicant<'_> {
-    DutyApplicant { host, incarnation, term: MIN_DUTY_TERM }
+    DutyApplicant { host, incarnation, term: MIN_DUTY_TERM, min_token: 1 }
 }
 
 fn view(hosts: &[HostEntry], now: u64) -> ConfirmationView<'_> {
--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -10,6 +10,7 @@
 mod mirror;
 mod position;
 mod renewal;
+mod restoration;
 mod sessions;
 mod shares;
 mod state;
--- /dev/null
+++ b/crates/core/tests/ledger/restoration.rs
@@ -0,0 +1,96 @@
+//! What a host keeps when the store was restored from a copy.
+
+use googletest::prelude::*;
+use tanagerdeal_core::ledger::duty::{
+    DutyApplicant, DutyDecision, DutyLease, MIN_DUTY_TERM, decide_duty_lease, min_token,
+};
+use tanagerdeal_core::ledger::group::{GroupEntry, PendingChange};
+use tanagerdeal_core::ledger::lease::LEASE_TERM;
+use tanagerdeal_core::ledger::state::PrimaryRefusal;
+use tanagerdeal_core::ledger::version::version_in;
+
+use crate::support::{at, group, host_state, mark, store_at};
+
+/// A row of a group in an era.
+fn row(
+    era: u64,
+    number: u64,
+    primary: &str,
+    term: u64,
+    change: Option<PendingChange>,
+) -> GroupEntry {
+    let mut entry = group(version_in(era, number), primary, change);
+    entry.record.term = term;
+    entry
+}
+
+/// Guards against a host that goes back to a replaced primary because the copy names it.
+#[gtest]
+fn a_copy_takes_back_no_change_of_primary() {
+    let mut state = host_state();
+    state.apply_group(row(1, 50, "r1", 4, None));
+    state.apply_group(row(2, 20, "p", 3, None));
+    let known = state.groups.get("g").unwrap();
+    expect_that!(known.record.primary.as_str(), eq("r1"));
+    // The version of the copy is the condition for writing the later primary again.
+    expect_that!(known.version, eq(version_in(2, 20)));
+    expect_that!(state.groups.unwritten().count(), eq(1));
+    state.apply_group(row(2, 30, "r1", 4, None));
+    expect_that!(state.groups.unwritten().count(), eq(0));
+}
+
+/// Guards against a host that uses a primary again which another host is about to replace, because
+/// the copy lacks the mark.
+#[gtest]
+fn a_copy_takes_back_no_pending_change() {
+    let mut state = host_state();
+    state.apply_group(row(1, 50, "p", 3, mark(9_000)));
+    state.apply_group(row(2, 20, "p", 3, None));
+    expect_that!(state.primary_permit("g", at(10)), err(eq(PrimaryRefusal::Changing)));
+    expect_that!(state.groups.is_unwritten("g"), eq(true));
+    // Within an era, a row without the mark ends the change.
+    state.apply_group(row(2, 30, "p", 3, None));
+    expect_that!(state.primary_permit("g", at(10)), ok(anything()));
+}
+
+/// Guards against a group whose row is lost with the copy, so that no change of it is ever written.
+#[gtest]
+fn a_row_that_is_lost_is_written_again() {
+    let mut state = host_state();
+    state.apply_group(row(1, 50, "p", 3, None));
+    state.groups.note_lost("g");
+    let unwritten: Vec<u64> = state.groups.unwritten().map(|entry| entry.version).collect();
+    expect_that!(unwritten, elements_are![eq(&0)]);
+}
+
+/// Guards against a takeover from a host whose last renewal, or whose whole row, the copy lacks.
+#[gtest]
+fn leases_may_be_unknown_for_their_whole_term() {
+    let mut state = host_state();
+    expect_that!(state.has_unknown_leases(at(100)), eq(false));
+    state.note_restoration(at(100));
+    expect_that!(state.has_unknown_leases(at(100).after(LEASE_TERM)), eq(true));
+}
+
+/// Guards against a fencing token that two hosts use: the copy has an older token, and the next one
+/// was given out already.
+#[gtest]
+fn tokens_of_a_new_era_are_higher_than_all_before() {
+    let copy = DutyLease { holder: "h1".to_owned(), incarnation: 1, token: 5, until: store_at(0) };
+    let take = |known: &DutyLease, host: &str, era: u64| {
+        let min_token = min_token(era);
+        let applicant = DutyApplicant { host, incarnation: 1, term: MIN_DUTY_TERM, min_token };
+        match decide_duty_lease(Some(known), applicant, store_at(99_000)) {
+            DutyDecision::Take(lease) => lease,
+            DutyDecision::Wait(_) => panic!("the lease has ended"),
+        }
+    };
+    let lost = take(&copy, "h2", 1);
+    let first = DutyLease { until: store_at(0), ..take(&copy, "h3", 2) };
+    // Also by the holder that the copy names.
+    let own = take(&copy, "h1", 2);
+    let second = take(&first, "h2", 2);
+    expect_that!(first.token, gt(lost.token));
+    expect_that!(own.token, gt(lost.token));
+    expect_that!(second.token, gt(first.token));
+}
--- a/crates/core/tests/ledger/usage.rs
+++ b/crates/core/tests/ledger/usage.rs
@@ -252,7 +252,8 @@
         });
         let host = name(index);
         let incarnation = self.incarnations[index];
-        let applicant = DutyApplicant { host: &host, incarnation, term: MIN_DUTY_TERM };
+        let applicant =
+            DutyApplicant { host: &host, incarnation, term: MIN_DUTY_TERM, min_token: 1 };
         let now = store_at(self.tick * 1_000);
         let DutyDecision::Take(lease) = decide_duty_lease(known.as_ref(), applicant, now) else {
             return None;
@@ -405,7 +406,7 @@
 #[gtest]
 fn a_duty_does_not_go_back_and_forth_within_a_lease() {
     let take = |known: Option<&DutyLease>, host: &str, now: u64| {
-        let applicant = DutyApplicant { host, incarnation: 1, term: MIN_DUTY_TERM };
+        let applicant = DutyApplicant { host, incarnation: 1, term: MIN_DUTY_TERM, min_token: 1 };
         decide_duty_lease(known, applicant, store_at(now))
     };
     let DutyDecision::Take(first) = take(None, "a", 0) else { panic!("free") };
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -17,7 +17,7 @@
 use super::settings::SiteSettings;
 use super::{
     admin, extension, failover, freshness, isolation, journal, lease, mirror, observations, peers,
-    quota, registrations, relay, session, suspicion, usage,
+    quota, registrations, relay, restore, session, suspicion, usage,
 };
 
 /// Part of the shutdown time-out after which the process exits even if sessions are open, in
@@ -120,6 +120,7 @@
         lease::create_groups(&host).await;
     }
     peers::load_secret(&host).await;
+    restore::load_restoration(&host).await;
     spawn_local(peers::serve(host.clone(), datagrams));
     spawn_local(mirror::serve(host.clone(), table_requests));
     spawn_local(relay::serve(host.clone()));
@@ -130,6 +131,7 @@
     spawn_local(lease::renew_lease(host.clone()));
     spawn_local(quota::maintain_shares(host.clone()));
     spawn_local(suspicion::watch_suspicions(host.clone()));
+    spawn_local(restore::record_eras(host.clone()));
     spawn_local(log_counters(host.clone()));
     spawn_local(failover::watch(host.clone()));
     spawn_local(observations::report(host.clone()));
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -122,6 +122,8 @@
     pub(super) hosts_asked_at: Cell<BootInstant>,
     /// Wakes the lease renewal task.
     pub(super) renew_now: Notify,
+    /// Wakes the task that records the beginning of an era of the store.
+    pub(super) restored: Notify,
     /// What the lease renewal task does, and since when.
     pub(super) renewal_stage: Cell<(RenewalStage, BootInstant)>,
     pub(super) phase: watch::Sender<HostPhase>,
@@ -206,6 +208,7 @@
             secret: OnceCell::new(),
             hosts_asked_at: Cell::new(now),
             renew_now: Notify::new(),
+            restored: Notify::new(),
             renewal_stage: Cell::new((RenewalStage::Waiting, now)),
             phase: watch::Sender::new(HostPhase::Serving),
             connections: Cell::new(0),
--- a/crates/proxy/src/ledger/duty.rs
+++ b/crates/proxy/src/ledger/duty.rs
@@ -4,7 +4,9 @@
 use tanagerdeal_adapter::control::DutyCredential;
 use tanagerdeal_adapter::store::RowName;
 use tanagerdeal_core::ledger::clock::BootInstant;
-use tanagerdeal_core::ledger::duty::{DutyApplicant, DutyDecision, DutyLease, decide_duty_lease};
+use tanagerdeal_core::ledger::duty::{
+    DUTY_LEASE_MARGIN, DutyApplicant, DutyDecision, DutyLease, decide_duty_lease, min_token,
+};
 
 use super::context::{HostContext, boot_now};
 use super::follow::{READ_TIMEOUT, encode};
@@ -71,8 +73,16 @@
     let known = row.and_then(|row| row.value.as_deref()).map(|value| decode(duty, value));
     let known = known.transpose()?;
     let term = host.settings.duty_term;
-    let applicant =
-        DutyApplicant { host: &host.settings.host, incarnation: host.incarnation, term };
+    // The copy may name a former holder. The last one's lease ends within this time.
+    if host.state.borrow().is_restored_within(term + DUTY_LEASE_MARGIN, boot_now()) {
+        return Err(ClaimError::Held);
+    }
+    let applicant = DutyApplicant {
+        host: &host.settings.host,
+        incarnation: host.incarnation,
+        term,
+        min_token: min_token(host.store.era()),
+    };
     match decide_duty_lease(known.as_ref(), applicant, page.now) {
         DutyDecision::Take(lease) => Ok(DutyClaim {
             duty,
--- a/crates/proxy/src/ledger/failover/change.rs
+++ b/crates/proxy/src/ledger/failover/change.rs
@@ -16,6 +16,7 @@
 };
 use tanagerdeal_core::ledger::group::{GroupEntry, GroupRecord, PendingChange};
 use tanagerdeal_core::ledger::lease::LEASE_TERM;
+use tanagerdeal_core::ledger::version::era_of;
 use tokio::time::{sleep, timeout};
 
 use super::{ChangeReason, PROXY_NAME, STATUS_TIMEOUT, endpoint_status, record_confirmation};
@@ -102,7 +103,9 @@
         entry: GroupEntry,
         reason: ChangeReason,
     ) -> Result<Self, ChangeError> {
-        let is_continued = entry.record.change.is_some();
+        // Hosts may have renewed since the row that lacks the mark, without having seen it.
+        let is_written = !host.state.borrow().groups.is_unwritten(&entry.record.group);
+        let is_continued = entry.record.change.is_some() && is_written;
         let mut change = Self {
             host,
             reason,
@@ -272,8 +275,12 @@
                 host_read_at = boot_now().after(HOST_READ_INTERVAL);
                 has_host_list |= self.read_hosts().await;
             }
+            self.check_era()?;
+            let has_unknown_leases = self.host.state.borrow().has_unknown_leases(boot_now());
             match self.missing_hosts() {
-                Some(missing) if has_host_list && missing.is_empty() => return Ok(()),
+                Some(missing) if has_host_list && missing.is_empty() && !has_unknown_leases => {
+                    return Ok(());
+                }
                 Some(missing) if has_host_list && !std::mem::replace(&mut is_logged, true) => {
                     let fields = json!({ "group": self.record.group, "hosts": missing });
                     journal::event("takeover", "waiting", fields);
@@ -294,6 +301,15 @@
         }
     }
 
+    /// Fails if the store was restored since the group was marked: hosts may have renewed without
+    /// having seen the mark, and their rows look as if they had.
+    fn check_era(&self) -> Result<(), ChangeError> {
+        match era_of(self.change_started_version) == self.host.store.era() {
+            true => Ok(()),
+            false => Err(ChangeError::Conflict),
+        }
+    }
+
     /// Reads the host table. Returns whether the store replied.
     async fn read_hosts(&self) -> bool {
         let asked_at = boot_now();
@@ -361,6 +377,7 @@
     async fn promote(&mut self, target: &str) -> Result<(), ChangeError> {
         for _ in 0..4 {
             self.ensure_failover_lease(PROMOTION_TIMEOUT + Duration::from_millis(200)).await?;
+            self.check_era()?;
             let call = PromotionCall { group: &self.record.group, endpoint: target };
             let duty = DutyCredential { holder: &self.host.settings.host, token: self.token };
             let outcome = self.host.control.promote(call, duty, PROMOTION_TIMEOUT).await;
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -207,7 +207,11 @@
 }
 
 fn apply_group(host: &HostContext, row: &StoreRow) {
-    let Some(value) = row.value.as_deref() else { return };
+    let Some(value) = row.value.as_deref() else {
+        // No host removes the row of a group, so a restored store has lost it.
+        journal::event("group", "lost", json!({ "group": row.key, "row_version": row.version }));
+        return host.state.borrow_mut().groups.note_lost(&row.key);
+    };
     let record: GroupRecord = match serde_json::from_slice(value) {
         Ok(record) => record,
         Err(error) => {
--- a/crates/proxy/src/ledger/peers.rs
+++ b/crates/proxy/src/ledger/peers.rs
@@ -32,7 +32,7 @@
 use super::{extension, failover, journal, observations, relay, suspicion, token_loans, usage};
 
 /// Store table of fleet-wide values.
-const FLEET_TABLE: &str = "fleet";
+pub(super) const FLEET_TABLE: &str = "fleet";
 const SECRET_KEY: &str = "secret";
 /// Length of the secret in bytes.
 const SECRET_BYTES: usize = 32;
--- a/crates/proxy/src/ledger/quota.rs
+++ b/crates/proxy/src/ledger/quota.rs
@@ -18,6 +18,7 @@
 use super::lease::{WRITE_TIMEOUT, create_groups};
 use super::mirror::{self, MirrorRead};
 use super::pool;
+use super::restore;
 
 /// Interval between checks of the shares.
 const SHARE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -65,6 +66,7 @@
         update_readiness(&host, now);
         host.state.borrow_mut().quota.tick(now);
         trim_pools(&host, now);
+        restore::rewrite_groups(&host, now).await;
         if now >= create_groups_at {
             create_groups_at = now.after(HOST_READ_INTERVAL);
             create_groups(&host).await;
--- a/crates/proxy/tests/site/restore.rs
+++ b/crates/proxy/tests/site/restore.rs
@@ -5,7 +5,7 @@
 use tokio::time::sleep;
 
 use crate::freshness::{APPLY_LIMIT, put_config, time_to_version};
-use crate::support::{KEY, OTHER_KEY, SiteDeployment, until_done};
+use crate::support::{KEY, OTHER_KEY, SiteDeployment, until, until_done};
 
 /// Guards against rows of a restored store that are ignored because their versions look old, or
 /// known because the same number was given out before.
@@ -46,3 +46,26 @@
     assert_that!(reply.failure, some(eq("NOAUTH")));
     assert_that!(site.hosts[0].log().contains("\"restored\""), eq(true));
 }
+
+/// Guards against a group that has no primary after the store has lost a change of primary: the
+/// hosts write again what they know, and a later change takes place.
+#[tokio::test]
+async fn a_lost_change_of_primary_is_written_again() {
+    let site = SiteDeployment::start(3).await;
+    let primary = || {
+        let row = site.store.row("groups", "g1").unwrap_or_default();
+        row["primary"].as_str().unwrap_or_default().to_owned()
+    };
+    let mut client = site.session(1, "current").await;
+    until_done(&mut client, "WRITE item one").await;
+    let backup = site.store.backup();
+    site.group.drain(0);
+    until("the primary is replaced", async || primary() != "g1-0").await;
+    let successor = primary();
+    until_done(&mut client, "WRITE item two").await;
+    site.store.restore(&backup);
+    until("the change is written again", async || primary() == successor).await;
+    until_done(&mut client, "WRITE item three").await;
+    // No second change was needed for that.
+    assert_that!(site.store.promotions().len(), eq(1));
+}
