Let no share grow while hosts may not know that the store was restored

What callers could see: a customer beyond its rate, since the copy gives a host a share that it has passed on to another one after the copy was made, and both spend it.

Cause: the sum of the shares was bounded by the row, and the row went back.

Change: from the first reply of a restored store, for the term of a lease, a share is the smaller of what the host holds and what the row says, and no row is changed. Then all hosts have seen the copy or have lost their leases, and the rows count again. A process that starts meanwhile uses what the row gives to its name, as nobody knows more; what its predecessor had passed on in the lost seconds is spent twice then (open).

Way dropped: to hold what each host has in memory without taking the minimum. After the term, a host whose share the copy cut grows smaller only when it reads the row, which others do sooner.

The test gives 600,000 units to a host that holds 300,000; without the minimum it fails.

--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -8,6 +8,7 @@
 //! Each customer has home hosts, one in each of some failure domains. The homes of a customer hold
 //! what no other host needs of its rate, and lend tokens to hosts that run out.
 
+mod hold;
 mod share;
 
 use std::collections::{BTreeMap, HashMap};
@@ -120,6 +121,8 @@
     demand_known_at: BootInstant,
     /// Whether the last changes were refused because rows had newer versions.
     had_conflict: bool,
+    /// Until when the shares of this host must not grow; `None` if they may.
+    growth_held_until: Option<BootInstant>,
     shares: HashMap<String, CustomerShare>,
 }
 
@@ -155,6 +158,7 @@
             next_change_at: now,
             demand_known_at: now.after(DEMAND_WARM_UP),
             had_conflict: false,
+            growth_held_until: None,
             shares: HashMap::new(),
         }
     }
@@ -207,6 +211,8 @@
             return;
         }
         let units = record.shares.get(&self.host).map_or(0, |host_share| host_share.units);
+        let is_growth_held = self.growth_held_until.is_some() && !share.is_unread;
+        let units = if is_growth_held { units.min(share.units) } else { units };
         share.bucket.settle(instant, share.units);
         share.bucket.clamp(units);
         let is_first = std::mem::take(&mut share.is_unread);
--- a/crates/core/src/ledger/restoration.rs
+++ b/crates/core/src/ledger/restoration.rs
@@ -29,6 +29,7 @@
     /// ```
     pub fn note_restoration(&mut self, at: BootInstant) {
         self.restored_at = self.restored_at.max(Some(at));
+        self.quota.hold_growth(at.after(LEASE_TERM + LEASE_MARGIN));
     }
 
     /// Whether a host may hold a lease from before a restoration.
--- a/crates/core/tests/ledger/restoration.rs
+++ b/crates/core/tests/ledger/restoration.rs
@@ -6,6 +6,7 @@
 };
 use tanagerdeal_core::ledger::group::{GroupEntry, PendingChange};
 use tanagerdeal_core::ledger::lease::LEASE_TERM;
+use tanagerdeal_core::ledger::quota::{HostShare, QuotaTable, ShareRecord};
 use tanagerdeal_core::ledger::state::PrimaryRefusal;
 use tanagerdeal_core::ledger::version::version_in;
 
@@ -72,6 +73,29 @@
     expect_that!(state.has_unknown_leases(at(100).after(LEASE_TERM)), eq(true));
 }
 
+fn share(units: u64) -> ShareRecord {
+    let mut record = ShareRecord::default();
+    record.shares.insert("h1".to_owned(), HostShare { units, demand: 0 });
+    record
+}
+
+/// Guards against a rate that is spent twice: the copy gives a host what it has passed on to another
+/// one since. A share shrinks at once and grows when all hosts know the copy.
+#[gtest]
+fn a_share_grows_only_when_all_know_the_copy() {
+    let mut table = QuotaTable::new("h1", Default::default(), at(0));
+    table.set_rate("acme", 100, 100, at(0));
+    table.adopt("acme", version_in(1, 50), share(300_000), at(1));
+    table.hold_growth(at(1_000));
+    table.adopt("acme", version_in(2, 20), share(600_000), at(2));
+    expect_that!(table.units("acme"), eq(300_000));
+    table.adopt("acme", version_in(2, 21), share(200_000), at(3));
+    expect_that!(table.units("acme"), eq(200_000));
+    expect_that!(table.end_growth_hold(at(1_000)), eq(true));
+    table.adopt("acme", version_in(2, 21), share(600_000), at(1_001));
+    expect_that!(table.units("acme"), eq(600_000));
+}
+
 /// Guards against a fencing token that two hosts use: the copy has an older token, and the next one
 /// was given out already.
 #[gtest]
--- a/crates/proxy/src/ledger/quota.rs
+++ b/crates/proxy/src/ledger/quota.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use super::context::{HostContext, boot_now};
-use super::follow::{HOST_TABLE, SHARE_TABLE, apply_row, encode};
+use super::follow::{HOST_TABLE, SHARE_TABLE, apply_row, encode, reapply_known};
 use super::journal;
 use super::lease::{WRITE_TIMEOUT, create_groups};
 use super::mirror::{self, MirrorRead};
@@ -60,12 +60,20 @@
     let (mut share_read_at, mut starved_check_at) =
         (boot_now().after(SHARE_READ_INTERVAL), boot_now());
     let mut starved_interval = STARVED_READ_INTERVAL;
+    let mut era = host.era.get();
     loop {
         sleep(SHARE_CHECK_INTERVAL).await;
         let now = boot_now();
         update_readiness(&host, now);
         host.state.borrow_mut().quota.tick(now);
         trim_pools(&host, now);
+        if std::mem::replace(&mut era, host.era.get()) != era {
+            share_read_at = now;
+        }
+        if host.state.borrow_mut().quota.end_growth_hold(now) {
+            refresh_table(&host, SHARE_TABLE).await;
+            reapply_known(&host, SHARE_TABLE);
+        }
         restore::rewrite_groups(&host, now).await;
         if now >= create_groups_at {
             create_groups_at = now.after(HOST_READ_INTERVAL);
@@ -213,7 +221,7 @@
 fn planned_changes(host: &HostContext) -> Vec<ShareChange> {
     let now = boot_now();
     let mut state = host.state.borrow_mut();
-    if !state.lease.is_valid(now) {
+    if !state.lease.is_valid(now) || state.quota.is_growth_held() {
         return Vec::new();
     }
     let Some(clock) = state.lease.clock() else { return Vec::new() };
