Keep the word of operators and endpoints until they have written it again

What callers could see after the store was restored from a copy: requests in a failure domain that operators had taken out, or at an endpoint that had said that it is leaving, in the seconds until the operator and the endpoint have written that again.

Cause: a row that is missing, or that says 'ready' again, was taken for a decision.

Change: for 5 s from the first reply of a restored store, an evacuation that the copy lacks stays in force, and a process of an endpoint that has said that it is draining goes on draining. After that the store counts again. Within an era nothing changes.

Both tests fail when the word of before is dropped at once.

--- a/crates/core/src/ledger/restoration.rs
+++ b/crates/core/src/ledger/restoration.rs
@@ -10,6 +10,9 @@
 use super::lease::{LEASE_MARGIN, LEASE_TERM};
 use super::state::HostState;
 
+/// Time after which operators and endpoints have written again what the copy lacks.
+pub const REWRITE_TERM: Duration = Duration::from_secs(5);
+
 impl HostState {
     /// Records that the store was restored, as seen at `at` for the first time.
     ///
@@ -37,6 +40,12 @@
         self.is_restored_within(LEASE_TERM + LEASE_MARGIN, now)
     }
 
+    /// Whether operators and endpoints may not have written their rows again. What they had said
+    /// before holds meanwhile.
+    pub fn is_being_rewritten(&self, now: BootInstant) -> bool {
+        self.is_restored_within(REWRITE_TERM, now)
+    }
+
     /// Whether the store was restored less than `term` before `now`.
     pub fn is_restored_within(&self, term: Duration, now: BootInstant) -> bool {
         self.restored_at.is_some_and(|at| now < at.after(term))
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -194,6 +194,8 @@
         (false, true) => {
             host_state.evacuated.insert(domain.to_owned(), boot_now());
         }
+        // The operator may write again what a restored store has lost.
+        (true, false) if host_state.is_being_rewritten(boot_now()) => return,
         (true, false) => {
             host_state.evacuated.remove(domain);
         }
@@ -206,6 +208,25 @@
     );
 }
 
+/// Takes back evacuations that the restored store has lost, once the operator has had the time to
+/// write them again.
+pub(super) fn drop_lost_evacuations(host: &HostContext) {
+    let mut host_state = host.state.borrow_mut();
+    if host_state.is_being_rewritten(boot_now()) {
+        return;
+    }
+    let versions = host.versions.borrow();
+    let is_written =
+        |domain: &str| versions.evacuations.get(domain).is_some_and(|known| *known > 0);
+    host_state.evacuated.retain(|domain, _| {
+        let is_written = is_written(domain);
+        if !is_written {
+            journal::event("domain", "returned", json!({ "domain": domain }));
+        }
+        is_written
+    });
+}
+
 fn apply_group(host: &HostContext, row: &StoreRow) {
     let Some(value) = row.value.as_deref() else {
         // No host removes the row of a group, so a restored store has lost it.
--- a/crates/proxy/src/ledger/registrations.rs
+++ b/crates/proxy/src/ledger/registrations.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use super::context::{HostContext, boot_now};
-use super::follow::load_table;
+use super::follow::{drop_lost_evacuations, load_table};
 use super::journal;
 use super::mirror::{self, MirrorRead};
 
@@ -88,6 +88,7 @@
             host.wait_for_store().await;
         }
         remove_missing(&host);
+        drop_lost_evacuations(&host);
     }
 }
 
@@ -124,8 +125,12 @@
         return journal::event("endpoint", "missing", json!({ "endpoint": id }));
     };
     match decode_registration(id, value) {
-        Ok(record) => {
+        Ok(mut record) => {
             let key = host_state.endpoints.find(id);
+            // A restored store may have lost that the endpoint is draining.
+            let former = key.and_then(|key| host_state.endpoints.get(key)).map(|it| &it.record);
+            record.is_draining |= host_state.is_being_rewritten(now)
+                && former.is_some_and(|former| former.is_draining && former.born == record.born);
             let known = key.and_then(|key| host_state.endpoints.get_mut(key));
             if let Some(state) = known.filter(|state| state.record == record) {
                 // A heartbeat, unless the registration had been missing.
--- a/crates/proxy/tests/site/restore.rs
+++ b/crates/proxy/tests/site/restore.rs
@@ -1,6 +1,9 @@
 //! A store that was restored from a copy some seconds old.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
+use serde_json::json;
 use tanagerdeal_standin::configuration;
 use tokio::time::sleep;
 
@@ -47,6 +50,32 @@
     assert_that!(site.hosts[0].log().contains("\"restored\""), eq(true));
 }
 
+/// Guards against work in a failure domain that operators have taken out, because the copy lacks
+/// that. They write it again; if they do not, the domain is back after a while.
+#[tokio::test]
+async fn a_copy_takes_no_evacuation_back_at_once() {
+    let site = SiteDeployment::start(2).await;
+    let has_logged = |host: usize, event: &str| {
+        site.hosts[host].log().contains(&format!("\"domain\":\"d2\",\"event\":\"{event}\""))
+    };
+    let backup = site.store.backup();
+    site.store.put("op", "evacuate/d2", &json!({}));
+    for host in 0..2 {
+        until("the domain is taken out", async || has_logged(host, "evacuated")).await;
+    }
+    site.store.restore(&backup);
+    sleep(Duration::from_secs(3)).await;
+    site.store.put("op", "evacuate/d2", &json!({}));
+    sleep(Duration::from_secs(4)).await;
+    for host in 0..2 {
+        assert_that!(has_logged(host, "returned"), eq(false));
+    }
+    site.store.restore(&backup);
+    for host in 0..2 {
+        until("the domain is back", async || has_logged(host, "returned")).await;
+    }
+}
+
 /// Guards against a group that has no primary after the store has lost a change of primary: the
 /// hosts write again what they know, and a later change takes place.
 #[tokio::test]
@@ -69,3 +98,30 @@
     // No second change was needed for that.
     assert_that!(site.store.promotions().len(), eq(1));
 }
+
+/// Guards against work for an endpoint that is leaving, because the copy lacks that it has said so.
+#[tokio::test]
+async fn an_endpoint_of_a_copy_goes_on_draining() {
+    let site = SiteDeployment::start(1).await;
+    // An endpoint that does not write its row again by itself.
+    let put_state = |state: &str| {
+        let row = json!({ "service": "g1", "address": "127.0.0.1:9", "zone": "d3", "version": 1,
+            "slots": 2, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+            "databaseRole": "replica" });
+        site.store.put("servers", "g1-9", &row);
+    };
+    let registrations = |is_draining: bool| {
+        let part =
+            format!("\"draining\":{is_draining},\"endpoint\":\"g1-9\",\"event\":\"registered\"");
+        site.hosts[0].log().matches(&part).count()
+    };
+    put_state("ready");
+    until("the endpoint is known", async || registrations(false) == 1).await;
+    let backup = site.store.backup();
+    put_state("draining");
+    until("the endpoint is draining", async || registrations(true) == 1).await;
+    site.store.restore(&backup);
+    // Less than the time for which the word of before counts, and more than between two reads.
+    sleep(Duration::from_millis(4_500)).await;
+    assert_that!(registrations(false), eq(1));
+}
