Send no second report of a window after a restoration of the store

What the platform could see: two reports of one window with different totals, if the row that fixed the first one was written after the copy was made.

Change: a window that ended before the first reply of the restored store, and for which the copy has no report, gets none. It is logged and counted as dropped, to be billed by hand.

Way weighed: to remember in memory what was sent and write that again. The host that fixed a window may be another one, or gone, so a missing memory proves nothing.

--- a/crates/core/src/ledger/restoration.rs
+++ b/crates/core/src/ledger/restoration.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::clock::BootInstant;
+use super::clock::{BootInstant, StoreInstant};
 use super::lease::{LEASE_MARGIN, LEASE_TERM};
 use super::state::HostState;
 
@@ -46,6 +46,13 @@
         self.is_restored_within(REWRITE_TERM, now)
     }
 
+    /// Whether rows that were written after the store's clock showed `time` may be lost.
+    pub fn may_lack_rows_since(&self, time: StoreInstant) -> bool {
+        let clock = self.lease.clock();
+        let began_at = clock.map_or(BootInstant::from_micros(0), |clock| clock.not_after(time));
+        self.restored_at.is_some_and(|restored_at| began_at <= restored_at)
+    }
+
     /// Whether the store was restored less than `term` before `now`.
     pub fn is_restored_within(&self, term: Duration, now: BootInstant) -> bool {
         self.restored_at.is_some_and(|at| now < at.after(term))
--- a/crates/core/tests/ledger/restoration.rs
+++ b/crates/core/tests/ledger/restoration.rs
@@ -1,5 +1,7 @@
 //! What a host keeps when the store was restored from a copy.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use tanagerdeal_core::ledger::duty::{
     DutyApplicant, DutyDecision, DutyLease, MIN_DUTY_TERM, decide_duty_lease, min_token,
@@ -73,6 +75,18 @@
     expect_that!(state.has_unknown_leases(at(100).after(LEASE_TERM)), eq(true));
 }
 
+/// Guards against a second, other report of a window: the copy lacks the row that fixed the first
+/// one. A window that ended after the restoration cannot have been fixed before.
+#[gtest]
+fn rows_from_before_a_restoration_may_be_lost() {
+    let mut state = host_state();
+    let now = state.lease.clock().unwrap().latest(at(100));
+    expect_that!(state.may_lack_rows_since(now), eq(false));
+    state.note_restoration(at(100));
+    expect_that!(state.may_lack_rows_since(now.before(Duration::from_secs(5))), eq(true));
+    expect_that!(state.may_lack_rows_since(now.after(Duration::from_secs(1))), eq(false));
+}
+
 fn share(units: u64) -> ShareRecord {
     let mut record = ShareRecord::default();
     record.shares.insert("h1".to_owned(), HostShare { units, demand: 0 });
--- a/crates/proxy/src/ledger/usage/report.rs
+++ b/crates/proxy/src/ledger/usage/report.rs
@@ -176,6 +176,13 @@
                 Some((claim, _)) => send(host, &claim, stored.version, report).await,
                 None => WindowResult::Retry,
             },
+            // The row that says what was sent may be lost, and another total must not be sent.
+            ReportStep::Fix(report)
+                if host.state.borrow().may_lack_rows_since(self.clock.end_of(self.window)) =>
+            {
+                log_dropped(host, report.window);
+                WindowResult::Done
+            }
             ReportStep::Fix(report) => match claim(host, Some((&report, stored.version))).await {
                 Some((claim, version)) => {
                     log_fixed(host, &report, slot);
@@ -234,10 +241,15 @@
     }
 }
 
+/// Logs a window without a report, which has to be billed by hand.
+fn log_dropped(host: &HostContext, window: u64) {
+    host.metrics.usage_reports.with_label_values(&["dropped"]).inc();
+    journal::event("usage", "dropped", json!({ "window": window }));
+}
+
 fn log_fixed(host: &HostContext, report: &UsageReport, replaced: Option<&UsageReport>) {
     if let Some(lost) = replaced.filter(|replaced| !replaced.is_sent) {
-        host.metrics.usage_reports.with_label_values(&["dropped"]).inc();
-        journal::event("usage", "dropped", json!({ "window": lost.window }));
+        log_dropped(host, lost.window);
     }
     if !report.missing.is_empty() {
         host.metrics.usage_reports.with_label_values(&["incomplete"]).inc();
