--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -6,7 +6,6 @@
 //! its catalog, its primaries and its own lease are current. Messages between hosts carry loans,
 //! hints and requests, and any of them may be lost.
 
-pub mod access;
 pub mod catalog;
 pub mod choose;
 pub mod clock;
@@ -15,6 +14,7 @@
 pub mod endpoint;
 pub mod extension;
 pub mod failover;
+pub mod freshness;
 pub mod group;
 pub mod isolation;
 pub mod lease;
