--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -19,6 +19,7 @@
 pub mod isolation;
 pub mod lease;
 pub mod mirror;
+pub mod pooling;
 pub mod position;
 pub mod quota;
 pub mod renewal;
--- a/crates/core/src/ledger/lease.rs
+++ b/crates/core/src/ledger/lease.rs
@@ -11,6 +11,7 @@
 
 use super::clock::{BootInstant, StoreInstant};
 use super::extension::{ExtensionQuorum, FRESH_TERM};
+use super::pooling::PoolOffer;
 
 /// Validity of a lease. It outlasts the store's usual outages of up to 9 s by one renewal interval
 /// of 4 s. A failover may have to wait that long for a host that is cut off.
@@ -55,6 +56,9 @@
         /// builds that do not report usage.
         #[serde(default)]
         pub time_offset_ms: Option<i64>,
+        /// Offer to run statements of other hosts. `None` in rows of builds that run none.
+        #[serde(default)]
+        pub pool: Option<PoolOffer>,
     }
 }
 
--- a/crates/core/tests/ledger/support.rs
+++ b/crates/core/tests/ledger/support.rs
@@ -73,6 +73,7 @@
             consent: None,
             writes_epoch: true,
             time_offset_ms: None,
+            pool: None,
         },
     }
 }
--- a/crates/proxy/src/ledger/lease.rs
+++ b/crates/proxy/src/ledger/lease.rs
@@ -211,6 +211,7 @@
         consent,
         writes_epoch: true,
         time_offset_ms,
+        pool: host.settings.pool_offer(),
     })
 }
 
--- a/crates/proxy/src/ledger/settings.rs
+++ b/crates/proxy/src/ledger/settings.rs
@@ -8,6 +8,7 @@
 use ini::{Ini, ParseOption};
 use tanagerdeal_core::ledger::duty::MIN_DUTY_TERM;
 use tanagerdeal_core::ledger::lease::MAX_RENEW_INTERVAL;
+use tanagerdeal_core::ledger::pooling::{FeatureMode, PoolOffer};
 use tanagerdeal_core::ledger::quota::LimitTolerance;
 
 /// Value of a setting that a template left empty. It is treated as missing.
@@ -53,6 +54,14 @@
     pub duty_term: Duration,
     /// Reports of the customers' usage; `None` if the platform takes none.
     pub usage: Option<UsageSettings>,
+    /// Address for statements of other hosts; `None` if the host runs none.
+    pub forwarding: Option<SocketAddr>,
+    /// Thousandths of a processor that the host has.
+    pub processor: u32,
+    /// Whether hosts pool their connections.
+    pub pooling: FeatureMode,
+    /// Whether statements for an endpoint are queued by priority at its pool host.
+    pub scheduling: FeatureMode,
 }
 
 /// Settings of the usage reports.
@@ -98,18 +107,24 @@
 }
 
 /// Section, key and help text of every setting.
-const SETTINGS: [(&str, &str, &str); 19] = [
+const SETTINGS: [(&str, &str, &str); 23] = [
     ("host", "name", "name of the host"),
     ("host", "domain", "failure domain of the host"),
     ("host", "domains", "all failure domains, separated by commas"),
     ("listen", "callers", "address for clients"),
     ("listen", "admin", "address for readiness and metrics"),
     ("listen", "peers", "address for messages of other hosts"),
+    (
+        "listen",
+        "forwarding",
+        "address for statements of other hosts; without it the host runs none and forwards none",
+    ),
     ("platform", "store", "address of the store"),
     ("platform", "control", "address that takes promotions"),
     ("limits", "shutdown_s", "time that a shutdown may take, in seconds; 6 by default"),
     ("limits", "descriptors", "descriptors that the process may have open; 1024 by default"),
     ("limits", "link_mbps", "speed of the network link, in Mbit/s; unknown by default"),
+    ("limits", "processor", "part of a processor that the host has, 0.001 to 1024; 1 by default"),
     ("limits", "config_apply_ms", "time in which a configuration takes effect; 3000 by default"),
     ("limits", "drain_ms", "time in which work to a leaving endpoint stops; 7000 by default"),
     ("limits", "rate_overage", "part by which a window may exceed a customer's rate; 0 by default"),
@@ -134,6 +149,18 @@
         "usage_late_s",
         "time after its window at which a usage report is due; twice the window by default",
     ),
+    (
+        "endpoints",
+        "pooling",
+        "whether hosts pool their connections: auto (with fewer than two for each), on or off; \
+         auto by default",
+    ),
+    (
+        "endpoints",
+        "scheduling",
+        "whether pool hosts queue statements by priority: auto (if priorities differ), on or off; \
+         auto by default",
+    ),
 ];
 
 /// Default of `config_apply_ms`, in milliseconds.
@@ -152,6 +179,10 @@
 const MIN_USAGE_WINDOW_S: f64 = 1.0;
 /// Longest window and lateness of usage reports, in seconds.
 const MAX_USAGE_S: f64 = 86_400.0;
+/// Default and bounds of `processor`, in processors.
+const DEFAULT_PROCESSORS: f64 = 1.0;
+const MIN_PROCESSORS: f64 = 0.001;
+const MAX_PROCESSORS: f64 = 1_024.0;
 /// Default of `descriptors`.
 const DEFAULT_DESCRIPTORS: usize = 1_024;
 
@@ -234,11 +265,38 @@
             duty_term: Duration::from_millis(value_or_default(&ini, "duties", "lease_ms", 0)?)
                 .max(MIN_DUTY_TERM),
             usage: usage_settings(&ini)?,
+            forwarding: optional_value(&ini, "listen", "forwarding")?,
+            processor: processor(&ini)?,
+            pooling: value_or_default(&ini, "endpoints", "pooling", FeatureMode::Auto)?,
+            scheduling: value_or_default(&ini, "endpoints", "scheduling", FeatureMode::Auto)?,
         };
         Ok(settings)
     }
 }
 
+impl SiteSettings {
+    /// The offer to run statements of other hosts.
+    pub(super) fn pool_offer(&self) -> Option<PoolOffer> {
+        let address = self.forwarding.filter(|_| self.pooling != FeatureMode::Off)?;
+        Some(PoolOffer { address, weight: self.processor })
+    }
+}
+
+fn processor(ini: &Ini) -> Result<u32, SiteSettingsError> {
+    let processors: f64 = value_or_default(ini, "limits", "processor", DEFAULT_PROCESSORS)?;
+    match processors {
+        value if (MIN_PROCESSORS..=MAX_PROCESSORS).contains(&value) => {
+            Ok((value * 1_000.0).round() as u32)
+        }
+        value => Err(SiteSettingsError::Value {
+            section: "limits",
+            key: "processor",
+            value: value.to_string(),
+            reason: format!("must be between {MIN_PROCESSORS} and {MAX_PROCESSORS}"),
+        }),
+    }
+}
+
 fn usage_settings(ini: &Ini) -> Result<Option<UsageSettings>, SiteSettingsError> {
     let window_s: f64 = value_or_default(ini, "duties", "usage_window_s", 0.0)?;
     let late_s: f64 = value_or_default(ini, "duties", "usage_late_s", 2.0 * window_s)?;
@@ -303,6 +361,21 @@
     })
 }
 
+fn optional_value<T>(
+    ini: &Ini,
+    section: &'static str,
+    key: &'static str,
+) -> Result<Option<T>, SiteSettingsError>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    match required_value(ini, section, key) {
+        Err(SiteSettingsError::Missing { .. }) => Ok(None),
+        result => result.map(Some),
+    }
+}
+
 fn value_or_default<T>(
     ini: &Ini,
     section: &'static str,
@@ -313,8 +386,5 @@
     T: FromStr,
     T::Err: std::fmt::Display,
 {
-    match required_value(ini, section, key) {
-        Err(SiteSettingsError::Missing { .. }) => Ok(default),
-        result => result,
-    }
+    optional_value(ini, section, key).map(|value| value.unwrap_or(default))
 }
