--- a/crates/core/src/ledger/connections.rs
+++ b/crates/core/src/ledger/connections.rs
@@ -16,6 +16,9 @@
 /// One host opens at most an endpoint's connections divided by this.
 const OPEN_DIVISOR: usize = 2;
 
+/// A pool host leaves an endpoint's connections divided by this to other hosts.
+const POOLED_RESERVE_DIVISOR: usize = 4;
+
 scalar_type! {
     /// Limits on the connections of one host to one endpoint.
     pub struct ConnectionBudget {
@@ -26,6 +29,20 @@
     }
 }
 
+/// The limits of an endpoint's pool host, which runs the statements of all hosts on an endpoint that
+/// accepts `total` connections. A part is left for hosts that cannot reach it.
+///
+/// ```
+/// use tanagerdeal_core::ledger::connections::pooled_budget;
+///
+/// let budget = pooled_budget(56);
+/// assert_eq!((budget.kept, budget.most), (28, 42));
+/// ```
+pub fn pooled_budget(total: usize) -> ConnectionBudget {
+    let reserve = total / POOLED_RESERVE_DIVISOR;
+    ConnectionBudget { kept: (total / KEPT_DIVISOR).max(1), most: (total - reserve).max(1) }
+}
+
 /// The limits for each of `hosts` hosts on an endpoint that accepts `total` connections.
 ///
 /// ```
--- a/crates/core/src/ledger/session.rs
+++ b/crates/core/src/ledger/session.rs
@@ -82,6 +82,11 @@
         self.prepared.remove(name).is_some()
     }
 
+    /// Names and values of the variables.
+    pub fn values(&self) -> impl Iterator<Item = (&String, &String)> {
+        self.values.iter()
+    }
+
     /// The prepared statement with a name.
     pub fn prepared(&self, name: &str) -> Option<&PreparedShape> {
         self.prepared.get(name)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod counter;
 pub mod drain;
 pub mod failover;
-mod hash;
+pub mod hash;
 pub mod host;
 pub mod lease;
 pub mod ledger;
--- a/crates/proxy/src/ledger.rs
+++ b/crates/proxy/src/ledger.rs
@@ -6,12 +6,14 @@
 
 mod admin;
 mod boot;
+mod bound;
 mod connection;
 mod context;
 mod duty;
 mod extension;
 mod failover;
 mod follow;
+mod forward;
 mod freshness;
 mod isolation;
 mod journal;
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -16,8 +16,8 @@
 use super::follow::{GROUP_TABLE, HOST_TABLE, follow, load_table};
 use super::settings::SiteSettings;
 use super::{
-    admin, extension, failover, freshness, isolation, journal, lease, mirror, observations, peers,
-    quota, registrations, relay, restore, session, suspicion, usage,
+    admin, extension, failover, forward, freshness, isolation, journal, lease, mirror,
+    observations, peers, quota, registrations, relay, restore, session, suspicion, usage,
 };
 
 /// Part of the shutdown time-out after which the process exits even if sessions are open, in
@@ -79,6 +79,10 @@
     let clients = TcpListener::bind(host.settings.callers).await.map_err(to_text)?;
     let datagrams = UdpSocket::bind(host.settings.peers).await.map_err(to_text)?;
     let table_requests = TcpListener::bind(host.settings.peers).await.map_err(to_text)?;
+    if let Some(address) = host.settings.forwarding {
+        let statements = TcpListener::bind(address).await.map_err(to_text)?;
+        spawn_local(forward::serve(host.clone(), statements));
+    }
     journal::event(
         "process",
         "started",
@@ -234,7 +238,8 @@
     host.phase.send_replace(HostPhase::Stopping(began_at));
     host.renew_now.notify_one();
     let deadline = began_at.after(host.settings.shutdown_limit * DRAIN_TENTHS / 10);
-    let is_drained = || host.is_closed.get() && host.connections.get() == 0;
+    let is_drained =
+        || host.is_closed.get() && host.connections.get() == 0 && host.links.served() == 0;
     while !is_drained() && boot_now() < deadline {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
--- a/crates/proxy/src/ledger/connection.rs
+++ b/crates/proxy/src/ledger/connection.rs
@@ -95,11 +95,7 @@
         let failed = |error: std::io::Error| ConnectionError::Connect(error.to_string());
         let stream = TcpStream::connect(target.address).await.map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
-        rustix::net::sockopt::set_tcp_user_timeout(
-            &stream,
-            u32::try_from(TCP_USER_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
-        )
-        .map_err(|error| failed(error.into()))?;
+        limit_unacknowledged(&stream).map_err(failed)?;
         let (reader, writer) = stream.into_split();
         let codec = LinesCodec::new_with_max_length(MAX_MESSAGE_BYTES);
         let mut connection = Self {
@@ -227,6 +223,12 @@
     }
 }
 
+/// Has the kernel close a connection whose data is not acknowledged in time.
+pub(super) fn limit_unacknowledged(stream: &TcpStream) -> std::io::Result<()> {
+    let millis = u32::try_from(TCP_USER_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    rustix::net::sockopt::set_tcp_user_timeout(stream, millis).map_err(std::io::Error::from)
+}
+
 /// Runs an exchange, and fails with [`ConnectionError::TimedOut`] at its deadline.
 async fn with_deadline<T>(
     deadline: BootInstant,
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
+use super::forward::HostLinks;
 use super::journal;
 use super::metrics::HostMetrics;
 use super::mirror::TableMirrors;
@@ -113,6 +114,8 @@
     pub(super) confirmed: Notify,
     /// Counts of the customers' requests.
     pub(super) usage: UsageState,
+    /// Connections to pool hosts.
+    pub(super) links: HostLinks,
     pub(super) registrations: RegistrationFeed,
     /// Local copies of the store's tables.
     pub(super) mirrors: TableMirrors,
@@ -198,6 +201,7 @@
             peer_suspicions: RefCell::default(),
             peers: PeerSender::default(),
             usage: UsageState::default(),
+            links: HostLinks::default(),
             loans: PendingRequests::default(),
             observations: PendingRequests::default(),
             renewals: PendingRenewals::default(),
--- /dev/null
+++ b/crates/proxy/src/ledger/forward/server.rs
@@ -0,0 +1,327 @@
+//! Statements of other hosts: the side of the pool host.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::endpoint::EndpointKey;
+use tanagerdeal_core::ledger::session::{PreparedShape, SessionSetup};
+use tanagerdeal_core::ledger::state::{HostState, PrimaryPermit};
+use tanagerdeal_core::ledger::statement::SessionState;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::frames::{self, FrameSink, FrameStream, LinkError};
+use super::link::HostLinks;
+use super::message::{Request, Response, StatementMessage, StatementResult};
+use crate::ledger::bound::{self, BoundConnection};
+use crate::ledger::connection::{ConnectionError, EndpointReply};
+use crate::ledger::context::{HostContext, HostPhase, boot_now, sleep_until_optional};
+use crate::ledger::journal;
+use crate::ledger::operation::StatementTiming;
+use crate::ledger::pool::AcquireError;
+use crate::ledger::statement::{
+    AccessRequest, RunError, StatementContext, StatementTarget, run_on_primary, run_single,
+};
+
+/// Pause after a failed `accept`, for example when no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections of other hosts until the process ends.
+pub(in crate::ledger) async fn serve(host: Rc<HostContext>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let host = host.clone();
+                spawn_local(async move {
+                    let error = serve_link(&host, stream).await;
+                    journal::event("forward", "link_ended", json!({ "reason": error.to_string() }));
+                });
+            }
+            Err(error) => {
+                journal::event("forward", "not_accepted", json!({ "reason": error.to_string() }));
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves the statements of one host. When its connection ends, its open transactions are rolled
+/// back.
+async fn serve_link(host: &Rc<HostContext>, stream: TcpStream) -> LinkError {
+    let Some(secret) = host.secret.get() else {
+        return LinkError::Closed("this host has not loaded the secret of the fleet".to_owned());
+    };
+    let (sink, stream, name) = match frames::accept(stream, secret).await {
+        Ok(accepted) => accepted,
+        Err(error) => return error,
+    };
+    journal::event("forward", "link", json!({ "host": name }));
+    let (responses, queue) = mpsc::unbounded_channel();
+    tokio::select! {
+        error = send_responses(sink, queue) => error,
+        error = receive_requests(host, stream, responses.clone()) => error,
+        error = announce_shutdown(host, responses) => error,
+    }
+}
+
+/// Tells the other host of the shutdown of this one, once it begins.
+async fn announce_shutdown(
+    host: &HostContext,
+    responses: mpsc::UnboundedSender<Response>,
+) -> LinkError {
+    let mut phase = host.phase.subscribe();
+    // The sender of the phase lives as long as the process.
+    let _ = phase.wait_for(|phase| *phase != HostPhase::Serving).await;
+    let _ = responses.send(Response::Leaving);
+    std::future::pending().await
+}
+
+async fn send_responses(
+    mut sink: FrameSink,
+    mut queue: mpsc::UnboundedReceiver<Response>,
+) -> LinkError {
+    while let Some(response) = queue.recv().await {
+        let mut sent = sink.feed(&response).await;
+        while let (Ok(()), Ok(response)) = (&sent, queue.try_recv()) {
+            sent = sink.feed(&response).await;
+        }
+        let flushed = match sent {
+            Ok(()) => sink.flush().await,
+            error => error,
+        };
+        if let Err(error) = flushed {
+            return error;
+        }
+    }
+    LinkError::Closed("no longer used".to_owned())
+}
+
+async fn receive_requests(
+    host: &Rc<HostContext>,
+    mut stream: FrameStream,
+    responses: mpsc::UnboundedSender<Response>,
+) -> LinkError {
+    let mut transactions: HashMap<u64, mpsc::UnboundedSender<Box<StatementMessage>>> =
+        HashMap::new();
+    loop {
+        let request = match stream.next().await {
+            Ok(request) => request,
+            Err(error) => return error,
+        };
+        let responses = responses.clone();
+        match request {
+            Request::Run { call, statement } => {
+                let (host, served) = (host.clone(), HostLinks::serving(host));
+                spawn_local(async move {
+                    let result = run(&host, &statement).await.into();
+                    // Without a connection there is nobody to tell.
+                    let _ = responses.send(Response::Result { call, result });
+                    drop(served);
+                });
+            }
+            Request::Begin { call, is_read_only, statement } => {
+                let (sender, statements) = mpsc::unbounded_channel();
+                transactions.retain(|_, sender| !sender.is_closed());
+                transactions.insert(call, sender);
+                let respond = move |result| {
+                    let _ = responses.send(Response::Result { call, result });
+                };
+                let (host, served) = (host.clone(), HostLinks::serving(host));
+                spawn_local(async move {
+                    serve_transaction(&host, is_read_only, &statement, statements, respond).await;
+                    drop(served);
+                });
+            }
+            Request::Continue { call, statement } => {
+                let sent = transactions.get(&call).map(|sender| sender.send(statement));
+                if !matches!(sent, Some(Ok(()))) {
+                    let error = ConnectionError::Lost("the transaction has ended".to_owned());
+                    let result = Err(RunError::NotSent(error)).into();
+                    let _ = responses.send(Response::Result { call, result });
+                }
+            }
+            Request::End { call } => {
+                transactions.remove(&call);
+            }
+            Request::Ping => {
+                let _ = responses.send(Response::Pong);
+            }
+        }
+    }
+}
+
+/// A forwarded statement as this host runs it.
+struct ForwardedStatement<'a> {
+    message: &'a StatementMessage,
+    target: StatementTarget,
+    group: String,
+    setup: SessionSetup,
+    shape: Option<PreparedShape>,
+    timing: StatementTiming,
+}
+
+impl<'a> ForwardedStatement<'a> {
+    /// Checks with this host's own state whether the statement may run.
+    fn new(host: &HostContext, message: &'a StatementMessage) -> Result<Self, RunError> {
+        let now = boot_now();
+        let host_state = host.state.borrow();
+        let gone = || RunError::NoConnection(AcquireError::Gone);
+        let endpoint = host_state.endpoints.find(&message.endpoint).ok_or_else(gone)?;
+        let state = host_state.endpoints.get(endpoint).ok_or_else(gone)?;
+        let group = state.record.group.clone();
+        let permit = match message.on_primary {
+            true => Some(primary_permit(&host_state, &group, endpoint, now)?),
+            false if host_state.is_leaving(state) => return Err(gone()),
+            false => None,
+        };
+        let clock = host_state.lease.clock().ok_or_else(gone)?;
+        let timing = StatementTiming {
+            began_at: now,
+            wait_deadline: clock.not_after(message.wait_deadline),
+            deadline: clock.not_after(message.deadline),
+        };
+        match timing.deadline {
+            deadline if deadline <= now => Err(RunError::NoConnection(AcquireError::Exhausted)),
+            _ => Ok(Self {
+                message,
+                target: StatementTarget { endpoint, permit, min_position: message.min_position },
+                group,
+                setup: message.setup(),
+                shape: message.shape(),
+                timing,
+            }),
+        }
+    }
+
+    fn context<'b>(&'b self, host: &'b Rc<HostContext>) -> StatementContext<'b> {
+        StatementContext {
+            host,
+            group: &self.group,
+            customer: &self.message.customer,
+            session: &self.setup,
+        }
+    }
+
+    fn request(&self) -> AccessRequest<'_> {
+        AccessRequest {
+            id: &self.message.request,
+            text: &self.message.text,
+            mode: self.message.mode(),
+            prepared: self.shape.as_ref(),
+            priority: self.message.priority,
+            route: self.message.route,
+        }
+    }
+}
+
+fn primary_permit(
+    host_state: &HostState,
+    group: &str,
+    endpoint: EndpointKey,
+    now: BootInstant,
+) -> Result<PrimaryPermit, RunError> {
+    let permit = host_state.primary_permit(group, now).ok();
+    let permit = permit.filter(|permit| permit.endpoint == endpoint);
+    permit.ok_or(RunError::NotSent(ConnectionError::Revoked))
+}
+
+async fn run(
+    host: &Rc<HostContext>,
+    message: &StatementMessage,
+) -> Result<EndpointReply, RunError> {
+    let statement = ForwardedStatement::new(host, message)?;
+    host.pool(statement.target.endpoint).note_forwarded(boot_now());
+    let (ctx, request) = (statement.context(host), statement.request());
+    match statement.target.permit {
+        Some(permit) => run_on_primary(ctx, permit, request, statement.timing).await,
+        None => run_single(ctx, statement.target, request, statement.timing).await,
+    }
+}
+
+/// Serves a transaction until its host ends it, its connection is lost, or it stays idle for too
+/// long. If it is still open then, dropping its connection rolls it back.
+async fn serve_transaction(
+    host: &Rc<HostContext>,
+    is_read_only: bool,
+    first: &StatementMessage,
+    mut statements: mpsc::UnboundedReceiver<Box<StatementMessage>>,
+    respond: impl Fn(StatementResult),
+) {
+    let begun = begin(host, is_read_only, first).await;
+    let mut bound = match begun {
+        Ok((bound, result)) => {
+            let is_open = is_open(&result);
+            respond(result.into());
+            if !is_open {
+                return;
+            }
+            bound
+        }
+        Err(error) => return respond(StatementResult::not_begun(&error)),
+    };
+    loop {
+        let idle = host.state.borrow().catalog.as_ref().map(|catalog| catalog.transaction_idle);
+        let idle_deadline = idle.map(|idle| boot_now().after(idle));
+        let message = tokio::select! {
+            message = statements.recv() => message,
+            () = sleep_until_optional(idle_deadline) => None,
+        };
+        let Some(message) = message else { break };
+        let result = continue_transaction(host, &mut bound, &message).await;
+        let is_open = is_open(&result);
+        match (is_open, &result) {
+            (false, Ok(reply)) => {
+                let state = reply.state;
+                respond(result.into());
+                bound.release(state);
+                return;
+            }
+            (false, Err(_)) => return respond(result.into()),
+            (true, _) => respond(result.into()),
+        }
+    }
+    bound.roll_back(host).await;
+}
+
+/// Whether a transaction goes on after the result of a statement.
+fn is_open(result: &Result<EndpointReply, RunError>) -> bool {
+    matches!(result, Ok(reply) if reply.state == SessionState::Open)
+}
+
+async fn begin(
+    host: &Rc<HostContext>,
+    is_read_only: bool,
+    message: &StatementMessage,
+) -> Result<(BoundConnection, Result<EndpointReply, RunError>), RunError> {
+    let statement = ForwardedStatement::new(host, message)?;
+    host.pool(statement.target.endpoint).note_forwarded(boot_now());
+    let (ctx, request) = (statement.context(host), statement.request());
+    bound::begin_with(ctx, statement.target, is_read_only, request, statement.timing).await
+}
+
+async fn continue_transaction(
+    host: &Rc<HostContext>,
+    bound: &mut BoundConnection,
+    message: &StatementMessage,
+) -> Result<EndpointReply, RunError> {
+    let clock = host.state.borrow().lease.clock();
+    let clock = clock.ok_or(RunError::NotSent(ConnectionError::Revoked))?;
+    let group = bound.group(host).ok_or(RunError::NoConnection(AcquireError::Gone))?;
+    let (setup, shape) = (message.setup(), message.shape());
+    let ctx =
+        StatementContext { host, group: &group, customer: &message.customer, session: &setup };
+    let request = AccessRequest {
+        id: &message.request,
+        text: &message.text,
+        mode: message.mode(),
+        prepared: shape.as_ref(),
+        priority: message.priority,
+        route: message.route,
+    };
+    bound.run(ctx, request, clock.not_after(message.deadline)).await
+}
--- a/crates/proxy/src/ledger/metrics.rs
+++ b/crates/proxy/src/ledger/metrics.rs
@@ -26,6 +26,8 @@
     pub(super) platform_calls: IntCounterVec,
     /// Attempts to open connections to endpoints by outcome.
     pub(super) connections: IntCounterVec,
+    /// Statements for pooled endpoints by where they ran.
+    pub(super) forwarded: IntCounterVec,
     /// Failovers and planned changes of primary by outcome.
     pub(super) changes: IntCounterVec,
     /// Usage reports by outcome.
@@ -98,6 +100,11 @@
                 "Connections to endpoints by outcome",
                 &["outcome"],
             )?,
+            forwarded: counter(
+                "tanagerdeal_forwarded_total",
+                "Statements for pooled endpoints by where they ran",
+                &["outcome"],
+            )?,
             changes: counter(
                 "tanagerdeal_primary_changes_total",
                 "Changes of primary by outcome",
--- a/crates/proxy/src/ledger/operation.rs
+++ b/crates/proxy/src/ledger/operation.rs
@@ -11,10 +11,11 @@
 
 use super::connection::{ConnectionError, EndpointReply};
 use super::context::{HostContext, boot_now};
+use super::forward;
 use super::journal;
 use super::observations;
 use super::pool::AcquireError;
-use super::statement::{AccessRequest, RunError, StatementContext, run_on_primary, run_single};
+use super::statement::{AccessRequest, RunError, StatementContext, StatementTarget};
 
 /// Most endpoints that are tried for one read.
 const MAX_READ_ATTEMPTS: usize = 5;
@@ -107,11 +108,9 @@
         let Some(endpoint) = target else { break };
         tried.push(endpoint);
         let permit = host.state.borrow().primary_permit(group, boot_now()).ok();
-        let StatementTiming { wait_deadline, deadline, .. } = timing;
-        let result = match permit.filter(|permit| permit.endpoint == endpoint) {
-            Some(permit) => run_on_primary(ctx, permit, request, wait_deadline, deadline).await,
-            None => run_single(ctx, endpoint, request, min_position, wait_deadline, deadline).await,
-        };
+        let permit = permit.filter(|permit| permit.endpoint == endpoint);
+        let target = StatementTarget { endpoint, permit, min_position };
+        let result = forward::run(ctx, target, request, timing).await;
         match classify_read(ctx.host, endpoint, request, result) {
             ReadOutcome::Reply(reply) => return Ok(reply),
             ReadOutcome::TryNext(failure) => last_failure = failure,
@@ -151,7 +150,7 @@
             _ => return ReadOutcome::Reply(reply),
         },
         Err(error @ (RunError::NoConnection(_) | RunError::NotSent(_))) => {
-            let failure = OperationFailure::busy(&error.to_string(), BUSY_RETRY);
+            let failure = OperationFailure::busy(&error.to_string(), retry_after(&error));
             (error.to_string(), ReadOutcome::TryNext(failure))
         }
         Err(RunError::Sent(ConnectionError::TimedOut)) => {
@@ -185,10 +184,17 @@
     let permit = ctx.host.state.borrow().primary_permit(ctx.group, boot_now());
     let permit =
         permit.map_err(|refusal| OperationFailure::busy(&refusal.to_string(), FAILOVER_RETRY))?;
-    let StatementTiming { wait_deadline, deadline, .. } = timing;
-    match run_on_primary(ctx, permit, request, wait_deadline, deadline).await {
-        Ok(reply) => Ok(reply),
-        Err(error) => Err(primary_failure(request.mode, error)),
+    let target =
+        StatementTarget { endpoint: permit.endpoint, permit: Some(permit), min_position: None };
+    let result = forward::run(ctx, target, request, timing).await;
+    result.map_err(|error| primary_failure(request.mode, error))
+}
+
+/// Retry delay for a client whose statement was not sent.
+fn retry_after(error: &RunError) -> Duration {
+    match error {
+        RunError::NoConnection(AcquireError::Backlog { retry_after }) => *retry_after,
+        _ => BUSY_RETRY,
     }
 }
 
@@ -198,6 +204,9 @@
         (_, RunError::NoConnection(AcquireError::Exhausted)) => {
             OperationFailure::busy("no free connection to the primary", BUSY_RETRY)
         }
+        (_, error @ RunError::NoConnection(AcquireError::Backlog { .. })) => {
+            OperationFailure::busy(&error.to_string(), retry_after(&error))
+        }
         (_, RunError::NoConnection(error)) => {
             OperationFailure::busy(&error.to_string(), FAILOVER_RETRY)
         }
--- a/crates/proxy/src/ledger/peers.rs
+++ b/crates/proxy/src/ledger/peers.rs
@@ -201,7 +201,7 @@
     }
 }
 
-fn authentication_code(secret: &[u8], body: &[u8]) -> Vec<u8> {
+pub(super) fn authentication_code(secret: &[u8], body: &[u8]) -> Vec<u8> {
     // HMAC accepts keys of any length.
     let Ok(mut mac) = Hmac::<Sha256>::new_from_slice(secret) else { return Vec::new() };
     mac.update(body);
--- a/crates/proxy/src/ledger/pool.rs
+++ b/crates/proxy/src/ledger/pool.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tanagerdeal_core::ledger::clock::BootInstant;
-use tanagerdeal_core::ledger::connections::{ConnectionBudget, connection_budget};
+use tanagerdeal_core::ledger::connections::{ConnectionBudget, connection_budget, pooled_budget};
 use tanagerdeal_core::ledger::endpoint::EndpointKey;
 use tanagerdeal_core::ledger::statement::{FailureReason, SessionState};
 use tanagerdeal_core::ledger::suspicion;
@@ -22,6 +22,8 @@
 const FULL_BACKOFF: Duration = Duration::from_millis(40);
 /// Idle time after which a connection is closed while the pool exceeds its budget.
 const EXCESS_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after a pooled statement for which this host counts as the endpoint's pool host.
+const POOLED_TERM: Duration = Duration::from_secs(5);
 /// Idle time after which a connection is closed in any case.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -38,6 +40,12 @@
     /// The endpoint could not be reached.
     #[error("{0}")]
     Unreachable(String),
+    /// The endpoint has too much work for the statement to be served in time.
+    #[error("the endpoint has too much work")]
+    Backlog {
+        /// When a statement that arrives again can be served.
+        retry_after: Duration,
+    },
 }
 
 /// Pool of the connections to one endpoint.
@@ -47,6 +55,8 @@
     open_count: Cell<usize>,
     connecting_count: Cell<usize>,
     backoff_until: Cell<BootInstant>,
+    /// Until when this host counts as the endpoint's pool host, as it runs the statements of others.
+    pooled_until: Cell<BootInstant>,
     released: Notify,
 }
 
@@ -109,10 +119,21 @@
             open_count: Cell::new(0),
             connecting_count: Cell::new(0),
             backoff_until: Cell::new(BootInstant::from_micros(0)),
+            pooled_until: Cell::new(BootInstant::from_micros(0)),
             released: Notify::new(),
         }
     }
 
+    /// Records that a statement was run here because this host is the endpoint's pool host.
+    pub(super) fn note_forwarded(&self, now: BootInstant) {
+        self.pooled_until.set(now.after(POOLED_TERM));
+    }
+
+    /// Whether this host is the endpoint's pool host.
+    pub(super) fn is_pooled(&self, now: BootInstant) -> bool {
+        now < self.pooled_until.get()
+    }
+
     fn record_closed(&self) {
         self.open_count.set(self.open_count.get() - 1);
         self.released.notify_one();
@@ -183,7 +204,10 @@
     let catalog = host_state.catalog.as_ref();
     let limits = group.zip(catalog).and_then(|(group, catalog)| catalog.group(group));
     let total = limits.map_or(1, |limits| limits.connections as usize);
-    connection_budget(total, host_state.live_hosts())
+    match host.pool(endpoint).is_pooled(boot_now()) {
+        true => pooled_budget(total),
+        false => connection_budget(total, host_state.live_hosts()),
+    }
 }
 
 /// Acquires a connection for a customer, and waits for one until `deadline`.
--- a/crates/proxy/src/ledger/session/query.rs
+++ b/crates/proxy/src/ledger/session/query.rs
@@ -5,6 +5,7 @@
 
 use serde_json::json;
 use tanagerdeal_adapter::line;
+use tanagerdeal_core::hash::hash_bytes;
 use tanagerdeal_core::ledger::catalog::{
     AccessError, CallerIdentity, DatabaseRoute, ReadConsistency,
 };
@@ -140,11 +141,12 @@
             },
             (_, ClientStatement::Rollback) => self.roll_back(identity).await,
             (_, ClientStatement::Commit) => {
-                let request = AccessRequest { id, text, mode: AccessMode::Read, prepared: None };
+                let mode = AccessMode::Read;
+                let request = access_request(route, id, text, mode, None);
                 self.commit(identity, request).await
             }
             (_, ClientStatement::Access(mode)) => {
-                let request = AccessRequest { id, text, mode, prepared: None };
+                let request = access_request(route, id, text, mode, None);
                 self.read_or_write(identity, route, request).await
             }
             (_, ClientStatement::Execute { name, arguments }) => {
@@ -152,12 +154,8 @@
                 let shape = self.setup.prepared(name).cloned().ok_or_else(unknown)?;
                 let text = line::execute_text(&shape.shared_name, arguments);
                 let (mode, prepared) = (shape.mode, Some(&shape));
-                self.read_or_write(
-                    identity,
-                    route,
-                    AccessRequest { id, text: &text, mode, prepared },
-                )
-                .await
+                let request = access_request(route, id, &text, mode, prepared);
+                self.read_or_write(identity, route, request).await
             }
         }
     }
@@ -315,6 +313,17 @@
     }
 }
 
+fn access_request<'a>(
+    route: &DatabaseRoute,
+    id: &'a str,
+    text: &'a str,
+    mode: AccessMode,
+    prepared: Option<&'a PreparedShape>,
+) -> AccessRequest<'a> {
+    let work = hash_bytes(route.database.bytes());
+    AccessRequest { id, text, mode, prepared, priority: route.priority, route: work }
+}
+
 fn consistency_label(route: &DatabaseRoute) -> &'static str {
     match route.consistency {
         ReadConsistency::Current => "current",
--- a/crates/proxy/src/ledger/statement.rs
+++ b/crates/proxy/src/ledger/statement.rs
@@ -14,6 +14,7 @@
 use super::connection::{ConnectionError, EndpointReply};
 use super::context::{HostContext, boot_now};
 use super::journal;
+use super::operation::StatementTiming;
 use super::pool::{AcquireError, PooledConnection, acquire};
 use super::usage::UsageGuard;
 
@@ -31,6 +32,20 @@
     pub(super) mode: AccessMode,
     /// Prepared statement that the text executes, if any.
     pub(super) prepared: Option<&'a PreparedShape>,
+    /// Priority of the route; 0 is the highest.
+    pub(super) priority: u8,
+    /// Hash of the database's name, which tells kinds of work apart.
+    pub(super) route: u64,
+}
+
+/// Endpoint for a statement, and what it needs there.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StatementTarget {
+    pub(super) endpoint: EndpointKey,
+    /// Permission to use the endpoint as the primary of its group, if it is that.
+    pub(super) permit: Option<PrimaryPermit>,
+    /// Position that the endpoint's log must have reached.
+    pub(super) min_position: Option<LogPosition>,
 }
 
 /// Host, group, customer and session for which a statement runs.
@@ -116,13 +131,12 @@
     ctx: StatementContext<'_>,
     endpoint: EndpointKey,
     request: AccessRequest<'_>,
-    wait_deadline: BootInstant,
-    deadline: BootInstant,
+    timing: StatementTiming,
 ) -> Result<PooledConnection, RunError> {
-    let acquired = acquire(ctx.host, endpoint, ctx.customer, wait_deadline).await;
+    let acquired = acquire(ctx.host, endpoint, ctx.customer, timing.wait_deadline).await;
     let mut pooled = acquired.map_err(RunError::NoConnection)?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
-    let done = connection.apply_session(ctx.session, request.prepared, None, deadline).await;
+    let done = connection.apply_session(ctx.session, request.prepared, None, timing.deadline).await;
     done.map_err(RunError::NotSent)?;
     Ok(pooled)
 }
@@ -134,14 +148,14 @@
 /// Fails when there is no complete reply; the error shows whether the statement was sent.
 pub(super) async fn run_single(
     ctx: StatementContext<'_>,
-    endpoint: EndpointKey,
+    target: StatementTarget,
     request: AccessRequest<'_>,
-    min_position: Option<LogPosition>,
-    wait_deadline: BootInstant,
-    deadline: BootInstant,
+    timing: StatementTiming,
 ) -> Result<EndpointReply, RunError> {
+    let StatementTarget { endpoint, min_position, .. } = target;
+    let deadline = timing.deadline;
     let _in_flight = InFlightGuard::new(ctx.host, endpoint);
-    let mut pooled = prepared_connection(ctx, endpoint, request, wait_deadline, deadline).await?;
+    let mut pooled = prepared_connection(ctx, endpoint, request, timing).await?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
     let text = line::forward(request.id, request.text, min_position);
     let usage = UsageGuard::new(ctx.host, ctx.customer);
@@ -162,14 +176,11 @@
     ctx: StatementContext<'_>,
     permit: PrimaryPermit,
     request: AccessRequest<'_>,
-    wait_deadline: BootInstant,
-    deadline: BootInstant,
+    timing: StatementTiming,
 ) -> Result<EndpointReply, RunError> {
-    let (host, group) = (ctx.host, ctx.group);
+    let (host, group, deadline) = (ctx.host, ctx.group, timing.deadline);
     let _in_flight = InFlightGuard::new(host, permit.endpoint);
-    let prepared =
-        prepared_connection(ctx, permit.endpoint, request, wait_deadline, deadline).await;
-    let mut pooled = prepared?;
+    let mut pooled = prepared_connection(ctx, permit.endpoint, request, timing).await?;
     let min_position = match request.mode {
         AccessMode::Read => newest_position(host, group),
         AccessMode::Write => None,
