--- a/crates/proxy/src/ledger/forward/frames.rs
+++ b/crates/proxy/src/ledger/forward/frames.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures::stream::{SplitSink, SplitStream};
 use futures::{SinkExt as _, StreamExt as _};
+use rustix::net::sockopt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
@@ -18,6 +19,10 @@
 
 /// Longest frame: a statement or a reply of 1 MiB, and what goes with it.
 const MAX_FRAME_BYTES: usize = 2 * 1_024 * 1_024;
+/// Idle time of a connection after which the kernel probes it, and the interval of the probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which the connection is closed.
+const MAX_LOST_KEEPALIVES: u32 = 2;
 /// Time-out for opening a connection and for the two messages that begin it. Hosts of one region
 /// are some milliseconds apart.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
@@ -150,10 +155,21 @@
 fn framed(stream: TcpStream) -> Result<Framed<TcpStream, LengthDelimitedCodec>, LinkError> {
     stream.set_nodelay(true).map_err(closed)?;
     limit_unacknowledged(&stream).map_err(closed)?;
+    set_keepalive(&stream).map_err(closed)?;
     let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
     Ok(Framed::new(stream, codec))
 }
 
+/// Has the kernel close a connection whose peer is gone, also while nothing is sent. A transaction
+/// of a host that is cut off holds a connection of the endpoint until then.
+fn set_keepalive(stream: &TcpStream) -> std::io::Result<()> {
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, KEEPALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepcnt(stream, MAX_LOST_KEEPALIVES)?;
+    Ok(())
+}
+
 fn check_version(found: u32) -> Result<(), LinkError> {
     match found {
         PROTOCOL_VERSION => Ok(()),
--- a/crates/proxy/src/ledger/forward/server.rs
+++ b/crates/proxy/src/ledger/forward/server.rs
@@ -8,7 +8,7 @@
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::EndpointKey;
 use tanagerdeal_core::ledger::session::{PreparedShape, SessionSetup};
-use tanagerdeal_core::ledger::state::{HostState, PrimaryPermit};
+use tanagerdeal_core::ledger::state::{HostState, PrimaryPermit, PrimaryRefusal};
 use tanagerdeal_core::ledger::statement::SessionState;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -225,9 +225,14 @@
     endpoint: EndpointKey,
     now: BootInstant,
 ) -> Result<PrimaryPermit, RunError> {
-    let permit = host_state.primary_permit(group, now).ok();
-    let permit = permit.filter(|permit| permit.endpoint == endpoint);
-    permit.ok_or(RunError::NotSent(ConnectionError::Revoked))
+    match host_state.primary_permit(group, now) {
+        Ok(permit) if permit.endpoint == endpoint => Ok(permit),
+        // The client's host then probes the primary as well.
+        Err(refusal @ PrimaryRefusal::Unreachable) => {
+            Err(RunError::NoConnection(AcquireError::Unreachable(refusal.to_string())))
+        }
+        _ => Err(RunError::NotSent(ConnectionError::Revoked)),
+    }
 }
 
 async fn run(
