Use another host when a pool host cannot use an endpoint

Now a refusal for too many connections counts as a reply, hosts that pool an endpoint's connections keep none for probes, and what a pool host declines goes to the next one or directly.

--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -23,6 +23,7 @@
 
 use super::context::{HostContext, boot_now};
 use super::follow::apply_group_entry;
+use super::forward;
 use super::journal;
 use super::lease::drain_timeout;
 use super::peers::{ConfirmationPayload, PeerMessage};
@@ -214,7 +215,11 @@
         let reply = outcome.ok()?;
         let state = reply.state;
         let row = decode_status(reply.first_row.as_deref()?);
-        borrowed.release_if_idle(state);
+        // Hosts that do not pool the endpoint's connections keep none of them: together they would
+        // take all that it accepts.
+        if !forward::is_in_effect(host, key) {
+            borrowed.release_if_idle(state);
+        }
         row
     };
     let row = tokio::time::timeout(STATUS_TIMEOUT, exchange).await.ok()??;
--- a/crates/proxy/src/ledger/forward/link.rs
+++ b/crates/proxy/src/ledger/forward/link.rs
@@ -8,6 +8,7 @@
 
 use serde_json::json;
 use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::endpoint::EndpointKey;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -76,6 +77,7 @@
     links: RefCell<HashMap<SocketAddr, Rc<HostLink>>>,
     opening: RefCell<HashMap<SocketAddr, Rc<tokio::sync::Mutex<()>>>>,
     unresponsive_until: RefCell<HashMap<String, BootInstant>>,
+    declined_until: RefCell<HashMap<(String, EndpointKey), BootInstant>>,
     served: Cell<usize>,
 }
 
@@ -90,8 +92,25 @@
 }
 
 impl HostLinks {
+    /// Whether a pool host is not used for an endpoint at present.
+    pub(super) fn is_excluded(&self, name: &str, endpoint: EndpointKey, now: BootInstant) -> bool {
+        let declined = self.declined_until.borrow();
+        self.is_unresponsive(name, now)
+            || declined
+                .iter()
+                .any(|((host, key), until)| host == name && *key == endpoint && now < *until)
+    }
+
+    /// Does not use a pool host for an endpoint until an instant.
+    pub(super) fn exclude_for(&self, name: &str, endpoint: EndpointKey, until: BootInstant) {
+        let mut declined = self.declined_until.borrow_mut();
+        let now = boot_now();
+        declined.retain(|_, until| now < *until);
+        declined.insert((name.to_owned(), endpoint), until);
+    }
+
     /// Whether a pool host is not used because it did not respond.
-    pub(super) fn is_unresponsive(&self, name: &str, now: BootInstant) -> bool {
+    fn is_unresponsive(&self, name: &str, now: BootInstant) -> bool {
         self.unresponsive_until.borrow().get(name).is_some_and(|until| now < *until)
     }
 
--- a/crates/proxy/src/ledger/pool.rs
+++ b/crates/proxy/src/ledger/pool.rs
@@ -293,6 +293,10 @@
             Ok(PooledConnection { pool: pool.clone(), connection: Some(connection) })
         }
         Err(ConnectionError::Refused(FailureReason::TooManyConnections | FailureReason::Busy)) => {
+            // The endpoint replies, so it has not failed.
+            if let Some(state) = state {
+                state.forget_failures();
+            }
             pool.backoff_until.set(boot_now().after(FULL_BACKOFF));
             Err(AcquireError::Exhausted)
         }
--- a/crates/proxy/src/ledger/suspicion.rs
+++ b/crates/proxy/src/ledger/suspicion.rs
@@ -10,6 +10,7 @@
 use super::context::{HostContext, boot_now};
 use super::failover;
 use super::follow::HOST_TABLE;
+use super::forward;
 use super::journal;
 use super::peers::PeerMessage;
 use super::quota::refresh_table;
@@ -27,6 +28,8 @@
 /// Interval between messages about the same suspicion. Shorter than the time for which the
 /// receivers probe, so that they probe without interruption.
 const NOTIFY_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Pause after a probe that was answered by an endpoint whose connections are pooled.
+const POOLED_PROBE_PAUSE: Duration = Duration::from_millis(500);
 /// Interval between checks of this host's suspicions.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -37,7 +40,11 @@
     if let Some(key) = key.filter(|key| host.probes.borrow_mut().insert(*key)) {
         let host = host.clone();
         tokio::task::spawn_local(async move {
-            failover::endpoint_status(&host, key).await;
+            let status = failover::endpoint_status(&host, key).await;
+            // Each probe opens a connection where the endpoint's connections are pooled.
+            if status.is_some() && forward::is_in_effect(&host, key) {
+                sleep(POOLED_PROBE_PAUSE).await;
+            }
             host.probes.borrow_mut().remove(&key);
         });
     }
--- a/crates/proxy/src/ledger/transaction.rs
+++ b/crates/proxy/src/ledger/transaction.rs
@@ -11,7 +11,7 @@
 
 use super::connection::EndpointReply;
 use super::context::boot_now;
-use super::forward::{self, BoundTransaction};
+use super::forward::{self, BegunTransaction, BoundTransaction};
 use super::observations;
 use super::operation::{OperationFailure, StatementTiming, primary_failure};
 use super::statement::{AccessRequest, RunError, StatementContext, StatementTarget};
@@ -116,7 +116,7 @@
         last_write: Option<LogPosition>,
         request: AccessRequest<'_>,
         timing: StatementTiming,
-    ) -> Result<(BoundTransaction, Result<EndpointReply, RunError>), OperationFailure> {
+    ) -> Result<BegunTransaction, OperationFailure> {
         let (host, group) = (ctx.host, ctx.group);
         let min_position =
             observations::min_read_position(host, &self.route, last_write, self.began_at).await;
@@ -140,7 +140,7 @@
         ctx: StatementContext<'_>,
         request: AccessRequest<'_>,
         timing: StatementTiming,
-    ) -> Result<(BoundTransaction, Result<EndpointReply, RunError>), OperationFailure> {
+    ) -> Result<BegunTransaction, OperationFailure> {
         let permit = ctx.host.state.borrow().primary_permit(ctx.group, boot_now());
         let permit =
             permit.map_err(|refusal| OperationFailure::busy(&refusal.to_string(), BEGIN_RETRY))?;
