Learn what an endpoint takes well, and choose reads by hints of its pool host

Cause: endpoints are filled up to their registered slots and beyond, also those that slow down long before, and reads are placed by fixed costs, as no host sees enough of an endpoint's work to learn from it.

Ruled out: the window of the schedule module.

Change: EndpointCapacity compares the durations at neighbouring levels of concurrency, keeps the speed apart from the classes of work, and reduces the limit after refusals and failures down to probes. ReadChoice takes hints; a part of the reads that grows with the difference in wait leaves an endpoint.

--- a/crates/core/src/ledger/endpoint.rs
+++ b/crates/core/src/ledger/endpoint.rs
@@ -17,6 +17,10 @@
 const LAGGING_PAUSE: Duration = Duration::from_millis(250);
 /// Time for which an endpoint counts as busy after it refused work; others are preferred.
 const BUSY_PAUSE: Duration = Duration::from_millis(30);
+/// Age from which on a hint says nothing any more about the wait at an endpoint.
+const HINT_WAIT_TERM: Duration = Duration::from_millis(2_000);
+/// Age from which on a hint says nothing any more about an endpoint.
+const HINT_TERM: Duration = Duration::from_millis(10_000);
 /// Weight of the newest sample in the moving average of latency.
 const LATENCY_WEIGHT: f64 = 0.1;
 
@@ -35,6 +39,22 @@
         pub number: u64,
     }
 
+    /// Load of an endpoint as its pool host has sent it.
+    pub struct LoadHint {
+        /// Expected wait of a read before it runs, in microseconds.
+        pub expected_wait_us: u32,
+        /// Expected duration of a read once it runs, in microseconds.
+        pub service_us: u32,
+        /// Statements that run.
+        pub running: u32,
+        /// Statements that may run at once.
+        pub limit: u32,
+        /// Statements that wait at the pool host.
+        pub waiting: u32,
+        /// When this host received it.
+        pub at: BootInstant,
+    }
+
     /// Role that an endpoint reports.
     pub enum EndpointRole {
         /// Accepts writes.
@@ -86,6 +106,8 @@
     pub lagging_until: BootInstant,
     /// Until when it counts as busy.
     pub busy_until: BootInstant,
+    /// Newest hint of its pool host.
+    pub load: Option<LoadHint>,
     /// When this host learned that it is draining.
     pub draining_since: Option<BootInstant>,
     /// When its registration disappeared.
@@ -132,6 +154,7 @@
             failures: 0,
             lagging_until: BootInstant::from_micros(0),
             busy_until: BootInstant::from_micros(0),
+            load: None,
             draining_since: None,
             missing_since: None,
         }
@@ -172,6 +195,54 @@
         self.lagging_until = now.after(LAGGING_PAUSE);
     }
 
+    /// Records a hint of its pool host, unless a newer one is known.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    /// use tanagerdeal_core::ledger::endpoint::{
+    ///     EndpointRecord, EndpointRole, EndpointTable, LoadHint,
+    /// };
+    ///
+    /// let record = EndpointRecord {
+    ///     id: "e1".to_owned(),
+    ///     group: "g1".to_owned(),
+    ///     address: "10.0.0.1:1".parse().unwrap(),
+    ///     domain: "d1".to_owned(),
+    ///     slots: 3,
+    ///     is_draining: false,
+    ///     role: EndpointRole::Replica,
+    ///     born: None,
+    /// };
+    /// let (mut table, now) = (EndpointTable::default(), BootInstant::from_micros(5));
+    /// let (key, _) = table.register(record, now);
+    /// let hint = LoadHint {
+    ///     expected_wait_us: 9_000,
+    ///     service_us: 20_000,
+    ///     running: 3,
+    ///     limit: 3,
+    ///     waiting: 2,
+    ///     at: now,
+    /// };
+    /// table.get_mut(key).unwrap().note_load(hint);
+    /// assert_eq!(table.get(key).unwrap().fresh_load(now), Some(hint));
+    /// ```
+    pub fn note_load(&mut self, hint: LoadHint) {
+        self.load = self.load.filter(|known| known.at > hint.at).or(Some(hint));
+    }
+
+    /// The hint of its pool host, if it is not too old. Its wait and its queue shrink with its age,
+    /// as what waited then is served meanwhile.
+    pub fn fresh_load(&self, now: BootInstant) -> Option<LoadHint> {
+        let hint = self.load.filter(|hint| now.since(hint.at) < HINT_TERM)?;
+        let age = now.since(hint.at).as_secs_f64() / HINT_WAIT_TERM.as_secs_f64();
+        let decayed = |value: u32| (f64::from(value) * (1.0 - age).max(0.0)) as u32;
+        Some(LoadHint {
+            expected_wait_us: decayed(hint.expected_wait_us),
+            waiting: decayed(hint.waiting),
+            ..hint
+        })
+    }
+
     /// Records that the endpoint refused work because it is full.
     pub fn note_busy(&mut self, now: BootInstant) {
         self.busy_until = now.after(BUSY_PAUSE);
--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::catalog::{DatabaseRoute, ReadConsistency, SiteCatalog};
-use super::choose::ReadChoice;
+use super::choose::{REMOTE_PRICE, ReadChoice};
 use super::clock::{BootInstant, StoreInstant};
 use super::endpoint::{EndpointKey, EndpointState, EndpointTable, LogPosition};
 use super::extension::{ExtensionTable, is_up_to_date};
@@ -58,6 +58,8 @@
     pub host: String,
     /// Failure domain of this host.
     pub domain: String,
+    /// Price of a read in another failure domain, as latency.
+    pub remote_price: Duration,
     /// The configuration in effect, once one is known.
     pub catalog: Option<Arc<SiteCatalog>>,
     /// Until when that configuration counts as fresh.
@@ -101,6 +103,7 @@
         Self {
             host: host.to_owned(),
             domain: domain.to_owned(),
+            remote_price: REMOTE_PRICE,
             catalog: None,
             catalog_deadline: BootInstant::from_micros(0),
             evacuated: HashMap::new(),
@@ -302,13 +305,22 @@
             primary: primary.map(|state| state.record.id.as_str()),
             min_position,
             domain: &self.domain,
+            remote_price: self.remote_price,
             evacuated: &self.evacuated,
             tried,
             now,
+            draw: self.draw(now),
         };
         choice.best(&self.endpoints)
     }
 
+    /// A number from 0 to 1 that differs between hosts and instants.
+    fn draw(&self, now: BootInstant) -> f64 {
+        let bytes = self.host.bytes().chain([0]).chain(now.as_micros().to_le_bytes());
+        // The upper 53 bits are what a `f64` holds exactly.
+        (hash_bytes(bytes) >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
     /// Whether a statement can be served now: the group has a usable primary, or, for a read, a
     /// known minimum position.
     pub fn check_available(
--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of a host in a fleet that coordinates only through a table service.
 
+mod capacity;
 mod choice;
 mod connections;
 mod epoch;
