Make the fair queue generic over customer, request and clock

The pool host of an endpoint queues its statements by customer and deadline as `run` does, but with the boot clock, keys of its own and one queue for each priority. A second fair queue was ruled out, and so was a conversion of boot instants to `Instant`, which would tie decisions to the real clock.

`GroupQueue` is now an alias of `FlowQueue<K, V, I>`; the order, the measurement of rates and the tests of `run` are unchanged. New are `service_order`, the whole order of service for forecasts, and a test that compares it with repeated services.

--- a/crates/core/src/schedule.rs
+++ b/crates/core/src/schedule.rs
@@ -1,6 +1,6 @@
 //! Queues of requests that wait for an endpoint.
 
-mod flow;
+pub(crate) mod flow;
 #[cfg(test)]
 mod tests;
 mod window;
@@ -13,7 +13,7 @@
 
 use crate::message::{EndpointKey, GroupKey, SessionKey};
 use crate::profile::SchedulerPolicy;
-use flow::GroupQueue;
+use flow::{FlowEntry, FlowPosition, FlowQueue};
 use window::ConcurrencyWindow;
 
 /// Maximum number of requests that wait for one group, which bounds memory use.
@@ -33,6 +33,28 @@
     wait.max(MIN_REMAINING) + wait / WAIT_MARGIN_DIVISOR <= remaining
 }
 
+/// Requests that wait for one group.
+type GroupQueue = FlowQueue<CustomerName, SessionKey, Instant>;
+
+/// A clock's instants, to measure intervals of service.
+pub(crate) trait QueueInstant: Copy + Ord {
+    /// The instant a duration later.
+    fn after(self, duration: Duration) -> Self;
+
+    /// Time since an earlier instant; zero if `earlier` is later.
+    fn since(self, earlier: Self) -> Duration;
+}
+
+impl QueueInstant for Instant {
+    fn after(self, duration: Duration) -> Self {
+        self + duration
+    }
+
+    fn since(self, earlier: Self) -> Duration {
+        self.saturating_duration_since(earlier)
+    }
+}
+
 /// Queues by group and customer, and the load on each endpoint.
 #[derive(Default)]
 pub struct QueueTable {
@@ -52,7 +74,7 @@
 
     /// Order among the requests of one customer: by deadline, which is absent when requests are
     /// served in order of arrival; then by arrival.
-    pub(crate) struct QueueOrder(Option<Instant>, u64);
+    pub(crate) struct QueueOrder<I = Instant>(pub(crate) Option<I>, pub(crate) u64);
 }
 
 value_type! {
@@ -78,16 +100,21 @@
 }
 
 /// What one scan of a queue has found to be blocked.
-#[derive(Default)]
-pub(crate) struct QueuePass {
+pub(crate) struct QueuePass<K = CustomerName> {
     /// Sequence numbers of requests that wait for a replica to reach a log position.
     pub(crate) skipped: HashSet<u64>,
     /// Customers whose lane waits for an endpoint with room.
-    pub(crate) full: HashSet<(CustomerName, WorkLane)>,
+    pub(crate) full: HashSet<(K, WorkLane)>,
     /// Whether no write can be placed.
     pub(crate) writes_blocked: bool,
 }
 
+impl<K> Default for QueuePass<K> {
+    fn default() -> Self {
+        Self { skipped: HashSet::new(), full: HashSet::new(), writes_blocked: false }
+    }
+}
+
 impl QueuePass {
     /// Skips one request that waits for a log position.
     pub(crate) fn pass_over(&mut self, ticket: &QueueTicket) {
@@ -95,6 +122,24 @@
     }
 }
 
+impl From<QueueEntry> for FlowEntry<CustomerName, SessionKey> {
+    fn from(entry: QueueEntry) -> Self {
+        let QueueEntry { session, account, lane, weight, worth, .. } = entry;
+        Self { account, lane, item: session, weight, worth }
+    }
+}
+
+impl QueueTicket {
+    fn new(group: GroupKey, position: FlowPosition<CustomerName, Instant>) -> Self {
+        let FlowPosition { account, lane, order } = position;
+        Self { group, account, lane, order }
+    }
+
+    fn position(&self) -> FlowPosition<CustomerName, Instant> {
+        FlowPosition { account: self.account.clone(), lane: self.lane, order: self.order }
+    }
+}
+
 /// Load of this host on one endpoint.
 #[derive(Default)]
 struct EndpointLoad {
@@ -123,14 +168,14 @@
         let deadline = (policy == SchedulerPolicy::Fair).then_some(entry.deadline);
         let order = QueueOrder(deadline, self.sequence);
         let (account, lane) = (entry.account.clone(), entry.lane);
-        queue.add(order, entry);
+        queue.add(order, entry.into());
         Some(QueueTicket { group, account, lane, order })
     }
 
     /// Removes a request from its queue without serving it.
     pub(crate) fn remove(&mut self, ticket: &QueueTicket) {
         if let Some(queue) = self.groups.get_mut(&ticket.group) {
-            queue.remove(ticket);
+            queue.remove(&ticket.position());
         }
         self.prune(ticket.group);
     }
@@ -138,7 +183,7 @@
     /// Removes a request from its queue because an endpoint was assigned to it.
     pub(crate) fn serve(&mut self, now: Instant, ticket: &QueueTicket) {
         if let Some(queue) = self.groups.get_mut(&ticket.group) {
-            queue.serve(now, ticket);
+            queue.serve(now, &ticket.position());
         }
         self.prune(ticket.group);
     }
@@ -161,8 +206,8 @@
         group: GroupKey,
         pass: &QueuePass,
     ) -> Option<(QueueTicket, SessionKey)> {
-        let (account, lane, order, session) = self.groups.get(&group)?.next(policy, pass)?;
-        Some((QueueTicket { group, account, lane, order }, session))
+        let (position, session) = self.groups.get(&group)?.next(policy, pass)?;
+        Some((QueueTicket::new(group, position), session))
     }
 
     /// Records that a lane waits for room on an endpoint, so that the time until the next service
@@ -206,8 +251,8 @@
         let mut late = Vec::new();
         for (group, queue) in &self.groups {
             late.extend(queue.late(policy, now).into_iter().map(
-                |(account, lane, order, session, served_at)| {
-                    (QueueTicket { group: *group, account, lane, order }, session, served_at)
+                |(position, session, served_at)| {
+                    (QueueTicket::new(*group, position), session, served_at)
                 },
             ));
         }
--- a/crates/core/src/schedule/tests.rs
+++ b/crates/core/src/schedule/tests.rs
@@ -7,7 +7,8 @@
 use slotmap::{Key as _, KeyData};
 use tanagerdeal_wire::CustomerName;
 
-use super::{QueueEntry, QueuePass, QueueTable, QueueTicket, WorkLane, is_admitted};
+use super::flow::{FlowEntry, FlowQueue};
+use super::{QueueEntry, QueueOrder, QueuePass, QueueTable, QueueTicket, WorkLane, is_admitted};
 use crate::message::{EndpointKey, GroupKey, SessionKey};
 use crate::profile::SchedulerPolicy;
 
@@ -332,3 +333,30 @@
     let run = overload(16, |step| if step < 500 { step % 3 == 0 } else { step % 15 == 0 });
     expect_that!(run.longest_refusal, le(REFUSAL_BOUND));
 }
+
+/// Guards against expected waits that are computed for another order than that of service.
+#[gtest]
+fn the_service_order_is_that_of_repeated_services() {
+    let now = Instant::now();
+    let mut queue = FlowQueue::default();
+    for number in 0..120_u64 {
+        let account = ["a", "b", "c", "d"][(number % 7 % 4) as usize];
+        let lane = if number % 3 == 0 { WorkLane::Write } else { WorkLane::Read };
+        let order = QueueOrder(Some(now + millis(number * 37 % 50)), number);
+        let weight = if account == "b" { 3 } else { 1 };
+        queue.add(order, FlowEntry { account, lane, item: number, weight, worth: 1 });
+        if number % 5 == 0 {
+            let (position, _) = queue.next(FAIR, &QueuePass::default()).unwrap();
+            queue.serve(now, &position);
+        }
+    }
+    let expected = queue.service_order();
+    let served: Vec<u64> = std::iter::from_fn(|| {
+        let (position, item) = queue.next(FAIR, &QueuePass::default())?;
+        queue.serve(now, &position);
+        Some(item)
+    })
+    .collect();
+    expect_that!(served, len(eq(96)));
+    expect_that!(expected, eq(&served));
+}
