Schedule the statements of an endpoint at its pool host

Endpoints of a large fleet are filled by hosts that see one statement a second each, so urgent work is refused by chance like the rest. The new `ledger::admission` orders all statements for one endpoint: open transactions, then priority, then fair among customers, then deadline. It forecasts starts from the running statements, the service times and the demand of more urgent work, and refuses at once what can't start in time.

`capacity.rs` is a stand-in with a fixed limit, to be replaced by the real one with the same signatures.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -6,6 +6,8 @@
 //! its catalog, its primaries and its own lease are current. Messages between hosts carry loans,
 //! hints and requests, and any of them may be lost.
 
+pub mod admission;
+pub mod capacity;
 pub mod catalog;
 pub mod choose;
 pub mod clock;
--- a/crates/core/tests/ledger/support.rs
+++ b/crates/core/tests/ledger/support.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tanagerdeal_core::ledger::admission::StatementDemand;
+use tanagerdeal_core::ledger::capacity::{WorkClass, WorkKind};
 use tanagerdeal_core::ledger::catalog::{DatabaseRoute, ReadConsistency};
 use tanagerdeal_core::ledger::clock::{BootInstant, StoreInstant};
 use tanagerdeal_core::ledger::endpoint::{EndpointRecord, EndpointRole, LogPosition};
@@ -89,3 +91,9 @@
     state.apply_group(group(1, "p", None));
     state
 }
+
+/// A read outside a transaction.
+pub fn demand(customer: &str, priority: u8, wait_deadline: BootInstant) -> StatementDemand<'_> {
+    let work = WorkClass { route: 1, kind: WorkKind::Read };
+    StatementDemand { customer, priority, work, wait_deadline, is_continuation: false }
+}
