--- a/crates/core/src/ledger/admission/turns.rs
+++ b/crates/core/src/ledger/admission/turns.rs
@@ -6,7 +6,7 @@
 
 /// Starts in order of priority after which one start goes to a lower level that was passed over as
 /// often. At full load, the lower levels together get one start in `FLOOR_STARTS + 1`.
-pub(super) const FLOOR_STARTS: u32 = 16;
+pub(super) const FLOOR_STARTS: u32 = 32;
 
 scalar_type! {
     /// Place of a statement in the order of service; lower ones go first.
