--- a/crates/core/src/ledger/admission.rs
+++ b/crates/core/src/ledger/admission.rs
@@ -288,6 +288,23 @@
         self.next_check.filter(|_| !self.waiting.is_empty() || !self.displaced.is_empty())
     }
 
+    /// Expected duration of a statement once it runs.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use tanagerdeal_core::ledger::admission::EndpointAdmission;
+    /// use tanagerdeal_core::ledger::capacity::{WorkClass, WorkKind};
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    ///
+    /// let admission = EndpointAdmission::new(3, BootInstant::from_micros(0));
+    /// let work = WorkClass { route: 1, kind: WorkKind::Read };
+    /// assert!(admission.service_time(work) > Duration::ZERO);
+    /// ```
+    pub fn service_time(&self, work: WorkClass) -> Duration {
+        self.capacity.service_time(work)
+    }
+
     /// The load on the endpoint.
     ///
     /// ```
--- a/crates/core/src/ledger/catalog.rs
+++ b/crates/core/src/ledger/catalog.rs
@@ -63,6 +63,7 @@
         customers: HashMap<String, Arc<CustomerRecord>>,
         customers_by_key: HashMap<String, Arc<CustomerRecord>>,
         groups: HashMap<String, GroupLimits>,
+        has_priorities: bool,
         /// Longest time that a transaction may stay idle.
         pub transaction_idle: Duration,
         /// Time limit for a client to name its database.
@@ -115,10 +116,14 @@
             .iter()
             .flat_map(|customer| customer.keys.iter().map(|key| (key.clone(), customer.clone())))
             .collect();
+        let has_priorities = routes
+            .iter()
+            .any(|route| Some(route.priority) != routes.first().map(|first| first.priority));
         let routes =
             routes.into_iter().map(|route| (route.database.clone(), Arc::new(route))).collect();
         Self {
             version,
+            has_priorities,
             routes,
             customers_by_key,
             customers: customers.into_iter().map(|entry| (entry.name.clone(), entry)).collect(),
@@ -148,6 +153,11 @@
         self.groups.get(name)
     }
 
+    /// Whether the routes differ in priority.
+    pub fn has_priorities(&self) -> bool {
+        self.has_priorities
+    }
+
     /// Names of all groups that a route leads to.
     pub fn routed_groups(&self) -> HashSet<&str> {
         self.routes.values().map(|route| route.group.as_str()).collect()
--- a/crates/core/src/ledger/pooling.rs
+++ b/crates/core/src/ledger/pooling.rs
@@ -76,6 +76,25 @@
     }
 }
 
+/// Whether statements for an endpoint are queued by priority at this host: it is the endpoint's pool
+/// host, and the routes of the configuration differ in priority.
+///
+/// ```
+/// use tanagerdeal_core::ledger::pooling::{FeatureMode, is_scheduled};
+///
+/// assert!(is_scheduled(FeatureMode::Auto, true, true));
+/// assert!(!is_scheduled(FeatureMode::Auto, true, false));
+/// assert!(!is_scheduled(FeatureMode::On, false, true));
+/// ```
+pub fn is_scheduled(mode: FeatureMode, is_pool_host: bool, has_priorities: bool) -> bool {
+    is_pool_host
+        && match mode {
+            FeatureMode::Auto => has_priorities,
+            FeatureMode::On => true,
+            FeatureMode::Off => false,
+        }
+}
+
 /// The pool host of an endpoint: of the live hosts of its failure domain that offer to run
 /// statements and are not excluded, the first in an order that differs by endpoint. A host is first
 /// for a part of the endpoints that is proportional to its weight.
--- a/crates/proxy/src/ledger.rs
+++ b/crates/proxy/src/ledger.rs
@@ -15,6 +15,7 @@
 mod follow;
 mod forward;
 mod freshness;
+mod gate;
 mod isolation;
 mod journal;
 mod lease;
--- a/crates/proxy/src/ledger/bound.rs
+++ b/crates/proxy/src/ledger/bound.rs
@@ -11,6 +11,7 @@
 
 use super::connection::{ConnectionError, EndpointReply};
 use super::context::{HostContext, boot_now};
+use super::gate;
 use super::operation::StatementTiming;
 use super::pool::{PooledConnection, acquire};
 use super::statement::{
@@ -53,10 +54,14 @@
         request: AccessRequest<'_>,
         deadline: BootInstant,
     ) -> Result<EndpointReply, RunError> {
+        let endpoint = self.connection.endpoint();
+        let admitted = gate::admit(ctx, endpoint, request, deadline, true).await?;
         let connection = self.connection.connection().map_err(RunError::NotSent)?;
         let applied = connection.apply_session(ctx.session, request.prepared, None, deadline).await;
         applied.map_err(RunError::NotSent)?;
-        self.exchange(ctx, request, deadline).await
+        let result = self.exchange(ctx, request, deadline).await;
+        admitted.inspect(|admitted| admitted.note(&result));
+        result
     }
 
     async fn exchange(
@@ -117,9 +122,11 @@
     request: AccessRequest<'_>,
     timing: StatementTiming,
 ) -> Result<(BoundConnection, Result<EndpointReply, RunError>), RunError> {
+    let admitted = gate::admit(ctx, target.endpoint, request, timing.wait_deadline, false).await?;
     let connection = begin(ctx, target, is_read_only, request, timing).await?;
     let mut bound = BoundConnection { connection, permit: target.permit, is_counted: false };
     let result = bound.exchange(ctx, request, timing.deadline).await;
+    admitted.inspect(|admitted| admitted.note(&result));
     Ok((bound, result))
 }
 
--- a/crates/proxy/src/ledger/forward.rs
+++ b/crates/proxy/src/ledger/forward.rs
@@ -12,6 +12,7 @@
 
 use std::time::Duration;
 
+use tanagerdeal_core::ledger::capacity::WorkKind;
 use tanagerdeal_core::ledger::position::PrimaryObservation;
 use tanagerdeal_core::ledger::statement::AccessMode;
 
@@ -60,7 +61,7 @@
         let deadline = timing.deadline.after(REPLY_MARGIN);
         let sent_at = boot_now();
         let message = Request::Run { call, statement };
-        match pool_host.link.call(call, message, is_write, deadline).await {
+        match pool_host.link.call(call, target.endpoint, message, is_write, deadline).await {
             Ok(result) => match result.into_result(sent_at) {
                 Err(error) if is_declined(&error) => {
                     path::note_declined(ctx.host, &pool_host.name, target.endpoint, &error);
@@ -125,9 +126,10 @@
         request: request.id.to_owned(),
         text: request.text.to_owned(),
         is_write: request.mode == AccessMode::Write,
+        is_commit: request.work.kind == WorkKind::Commit,
         on_primary: target.permit.is_some(),
         min_position: target.min_position,
-        route: request.route,
+        route: request.work.route,
         priority: request.priority,
         wait_deadline: clock.earliest(timing.wait_deadline),
         deadline: clock.earliest(timing.deadline),
--- a/crates/proxy/src/ledger/forward/link.rs
+++ b/crates/proxy/src/ledger/forward/link.rs
@@ -67,6 +67,7 @@
 }
 
 struct PendingCall {
+    endpoint: EndpointKey,
     sent_at: BootInstant,
     result: oneshot::Sender<StatementResult>,
 }
@@ -244,10 +245,16 @@
 ) -> LinkError {
     loop {
         match stream.next().await {
-            Ok(Response::Result { call, result }) => {
+            Ok(Response::Result { call, result, load }) => {
                 link.note_received();
-                // The request may have been given up.
                 let pending = link.waiting.borrow_mut().remove(&call);
+                let mut host_state = host.state.borrow_mut();
+                let endpoint = pending.as_ref().map(|pending| pending.endpoint);
+                let state = endpoint.and_then(|key| host_state.endpoints.get_mut(key));
+                if let Some((state, load)) = state.zip(load) {
+                    state.note_load(load.into_hint(boot_now()));
+                }
+                // The request may have been given up.
                 pending.map(|pending| pending.result.send(result));
             }
             Ok(Response::Pong) => link.note_received(),
@@ -313,7 +320,7 @@
         call
     }
 
-    /// Sends a request and waits for its result. Unless `waits_silently`, a pool host that does not
+    /// Sends a request for an endpoint and waits for its result. Unless `waits_silently`, a pool host that does not
     /// reply ends the wait.
     ///
     /// # Errors
@@ -322,13 +329,14 @@
     pub(super) async fn call(
         &self,
         call: u64,
+        endpoint: EndpointKey,
         request: Request,
         waits_silently: bool,
         deadline: BootInstant,
     ) -> Result<StatementResult, CallError> {
         let now = boot_now();
         let (result, received) = oneshot::channel();
-        self.waiting.borrow_mut().insert(call, PendingCall { sent_at: now, result });
+        self.waiting.borrow_mut().insert(call, PendingCall { endpoint, sent_at: now, result });
         self.used_at.set(now);
         self.send(request);
         let mut condition = self.condition.subscribe();
--- a/crates/proxy/src/ledger/forward/message.rs
+++ b/crates/proxy/src/ledger/forward/message.rs
@@ -5,15 +5,16 @@
 
 use std::time::Duration;
 
+use tanagerdeal_core::ledger::capacity::{WorkClass, WorkKind};
 use tanagerdeal_core::ledger::clock::{BootInstant, StoreInstant};
-use tanagerdeal_core::ledger::endpoint::LogPosition;
+use tanagerdeal_core::ledger::endpoint::{LoadHint, LogPosition};
 use tanagerdeal_core::ledger::session::{PreparedShape, SessionSetup};
 use tanagerdeal_core::ledger::statement::{AccessMode, FailureReason, SessionState};
 use tanagerdeal_wire::wire_type;
 
 use crate::ledger::connection::{ConnectionError, EndpointReply};
 use crate::ledger::pool::AcquireError;
-use crate::ledger::statement::RunError;
+use crate::ledger::statement::{AccessRequest, RunError};
 
 /// Version of the protocol. A connection to a host with another version is closed.
 pub(super) const PROTOCOL_VERSION: u32 = 1;
@@ -56,13 +57,23 @@
     /// A message from a pool host.
     pub(super) enum Response {
         /// Result of a statement.
-        Result { call: u64, result: StatementResult },
+        Result { call: u64, result: StatementResult, load: Option<LoadMessage> },
         /// Answer to a ping.
         Pong,
         /// The sender is shutting down. It takes no new calls, and finishes those under way.
         Leaving,
     }
 
+    /// Load of an endpoint.
+    #[derive(Copy)]
+    pub(super) struct LoadMessage {
+        expected_wait_us: u32,
+        service_us: u32,
+        running: u32,
+        limit: u32,
+        waiting: u32,
+    }
+
     /// A statement with all that is needed to run it.
     pub(super) struct StatementMessage {
         /// Identity of the endpoint.
@@ -79,6 +90,8 @@
         pub(super) text: String,
         /// Whether the statement changes data.
         pub(super) is_write: bool,
+        /// Whether the statement commits a transaction.
+        pub(super) is_commit: bool,
         /// Whether the endpoint has to be the primary of its group.
         pub(super) on_primary: bool,
         /// Position that the endpoint's log must have reached.
@@ -189,6 +202,40 @@
     }
 }
 
+impl StatementMessage {
+    /// The statement as it is run. `shape` is its prepared statement.
+    pub(super) fn request<'a>(&'a self, shape: Option<&'a PreparedShape>) -> AccessRequest<'a> {
+        let kind = match self.is_write {
+            _ if self.is_commit => WorkKind::Commit,
+            true => WorkKind::Write,
+            false => WorkKind::Read,
+        };
+        AccessRequest {
+            id: &self.request,
+            text: &self.text,
+            mode: self.mode(),
+            prepared: shape,
+            priority: self.priority,
+            work: WorkClass { route: self.route, kind },
+        }
+    }
+}
+
+impl From<LoadHint> for LoadMessage {
+    fn from(hint: LoadHint) -> Self {
+        let LoadHint { expected_wait_us, service_us, running, limit, waiting, .. } = hint;
+        Self { expected_wait_us, service_us, running, limit, waiting }
+    }
+}
+
+impl LoadMessage {
+    /// The load as this host received it at `at`.
+    pub(super) fn into_hint(self, at: BootInstant) -> LoadHint {
+        let Self { expected_wait_us, service_us, running, limit, waiting } = self;
+        LoadHint { expected_wait_us, service_us, running, limit, waiting, at }
+    }
+}
+
 fn access_mode(is_write: bool) -> AccessMode {
     if is_write { AccessMode::Write } else { AccessMode::Read }
 }
--- a/crates/proxy/src/ledger/forward/path.rs
+++ b/crates/proxy/src/ledger/forward/path.rs
@@ -11,6 +11,7 @@
 use super::count;
 use super::link::{self, HostLink};
 use crate::ledger::context::{HostContext, boot_now};
+use crate::ledger::gate;
 use crate::ledger::journal;
 
 /// Pool hosts that may be passed over before statements run directly. Each may cost a time-out.
@@ -80,6 +81,12 @@
         }
         Some(StatementPath::Own) => {
             host.pool(endpoint).note_forwarded(boot_now());
+            let load = gate::load(host, endpoint);
+            let mut host_state = host.state.borrow_mut();
+            let state = host_state.endpoints.get_mut(endpoint);
+            if let Some((state, load)) = state.zip(load) {
+                state.note_load(load);
+            }
             count(host, "own");
             None
         }
--- a/crates/proxy/src/ledger/forward/server.rs
+++ b/crates/proxy/src/ledger/forward/server.rs
@@ -17,10 +17,11 @@
 
 use super::frames::{self, FrameSink, FrameStream, LinkError};
 use super::link::HostLinks;
-use super::message::{Request, Response, StatementMessage, StatementResult};
+use super::message::{LoadMessage, Request, Response, StatementMessage, StatementResult};
 use crate::ledger::bound::{self, BoundConnection};
 use crate::ledger::connection::{ConnectionError, EndpointReply};
 use crate::ledger::context::{HostContext, HostPhase, boot_now, sleep_until_optional};
+use crate::ledger::gate;
 use crate::ledger::journal;
 use crate::ledger::operation::StatementTiming;
 use crate::ledger::pool::AcquireError;
@@ -119,8 +120,9 @@
                 let (host, served) = (host.clone(), HostLinks::serving(host));
                 spawn_local(async move {
                     let result = run(&host, &statement).await.into();
+                    let load = endpoint_load(&host, &statement.endpoint);
                     // Without a connection there is nobody to tell.
-                    let _ = responses.send(Response::Result { call, result });
+                    let _ = responses.send(Response::Result { call, result, load });
                     drop(served);
                 });
             }
@@ -128,8 +130,10 @@
                 let (sender, statements) = mpsc::unbounded_channel();
                 transactions.retain(|_, sender| !sender.is_closed());
                 transactions.insert(call, sender);
+                let (endpoint, respondent) = (statement.endpoint.clone(), host.clone());
                 let respond = move |result| {
-                    let _ = responses.send(Response::Result { call, result });
+                    let load = endpoint_load(&respondent, &endpoint);
+                    let _ = responses.send(Response::Result { call, result, load });
                 };
                 let (host, served) = (host.clone(), HostLinks::serving(host));
                 spawn_local(async move {
@@ -142,7 +146,7 @@
                 if !matches!(sent, Some(Ok(()))) {
                     let error = ConnectionError::Lost("the transaction has ended".to_owned());
                     let result = Err(RunError::NotSent(error)).into();
-                    let _ = responses.send(Response::Result { call, result });
+                    let _ = responses.send(Response::Result { call, result, load: None });
                 }
             }
             Request::End { call } => {
@@ -155,6 +159,12 @@
     }
 }
 
+/// The load of an endpoint whose statements are queued at this host.
+fn endpoint_load(host: &HostContext, endpoint: &str) -> Option<LoadMessage> {
+    let key = host.state.borrow().endpoints.find(endpoint)?;
+    gate::load(host, key).map(LoadMessage::from)
+}
+
 /// A forwarded statement as this host runs it.
 struct ForwardedStatement<'a> {
     message: &'a StatementMessage,
@@ -208,14 +218,7 @@
     }
 
     fn request(&self) -> AccessRequest<'_> {
-        AccessRequest {
-            id: &self.message.request,
-            text: &self.message.text,
-            mode: self.message.mode(),
-            prepared: self.shape.as_ref(),
-            priority: self.message.priority,
-            route: self.message.route,
-        }
+        self.message.request(self.shape.as_ref())
     }
 }
 
@@ -320,13 +323,6 @@
     let (setup, shape) = (message.setup(), message.shape());
     let ctx =
         StatementContext { host, group: &group, customer: &message.customer, session: &setup };
-    let request = AccessRequest {
-        id: &message.request,
-        text: &message.text,
-        mode: message.mode(),
-        prepared: shape.as_ref(),
-        priority: message.priority,
-        route: message.route,
-    };
+    let request = message.request(shape.as_ref());
     bound.run(ctx, request, clock.not_after(message.deadline)).await
 }
--- a/crates/proxy/src/ledger/forward/transaction.rs
+++ b/crates/proxy/src/ledger/forward/transaction.rs
@@ -80,7 +80,7 @@
     let sent_at = boot_now();
     let message = Request::Begin { call, is_read_only, statement };
     let deadline = timing.deadline.after(REPLY_MARGIN);
-    let result = match link.call(call, message, false, deadline).await {
+    let result = match link.call(call, target.endpoint, message, false, deadline).await {
         Ok(result @ StatementResult::NotBegun { .. }) => {
             transaction.is_open = false;
             let result = result.into_result(sent_at);
@@ -117,7 +117,7 @@
         let message = Request::Continue { call: self.call, statement };
         let deadline = timing.deadline.after(REPLY_MARGIN);
         // The statement is bound to its connection, so it waits for a silent pool host.
-        let result = self.link.call(self.call, message, true, deadline).await;
+        let result = self.link.call(self.call, self.target.endpoint, message, true, deadline).await;
         let result = match result {
             Ok(result) => result.into_result(sent_at),
             Err(error) => Err(RunError::Sent(connection_error(error))),
--- a/crates/proxy/src/ledger/metrics.rs
+++ b/crates/proxy/src/ledger/metrics.rs
@@ -28,6 +28,10 @@
     pub(super) connections: IntCounterVec,
     /// Statements for pooled endpoints by where they ran.
     pub(super) forwarded: IntCounterVec,
+    /// Statements that this host refused as a pool host, by priority and reason.
+    pub(super) admission_refusals: IntCounterVec,
+    /// Time that statements waited at this host as a pool host, by priority.
+    pub(super) queue_time: HistogramVec,
     /// Failovers and planned changes of primary by outcome.
     pub(super) changes: IntCounterVec,
     /// Usage reports by outcome.
@@ -77,6 +81,11 @@
             "Time that statements waited for a connection to an endpoint",
         ))?;
         registry.register(Box::new(connection_wait.clone()))?;
+        let queue_time = HistogramVec::new(
+            options("tanagerdeal_queue_seconds", "Time that statements waited at a pool host"),
+            &["priority"],
+        )?;
+        registry.register(Box::new(queue_time.clone()))?;
         let usage_reports =
             counter("tanagerdeal_usage_reports_total", "Usage reports by outcome", &["outcome"])?;
         // A report that is not sent is rare, so the counters exist before the first one.
@@ -100,6 +109,12 @@
                 "Connections to endpoints by outcome",
                 &["outcome"],
             )?,
+            admission_refusals: counter(
+                "tanagerdeal_admission_refusals_total",
+                "Statements that a pool host refused, by priority and reason",
+                &["priority", "reason"],
+            )?,
+            queue_time,
             forwarded: counter(
                 "tanagerdeal_forwarded_total",
                 "Statements for pooled endpoints by where they ran",
--- a/crates/proxy/src/ledger/pool.rs
+++ b/crates/proxy/src/ledger/pool.rs
@@ -1,7 +1,7 @@
 //! Connection pool of one endpoint. A connection serves only one customer, whose name is part of
 //! the start-up message. The number of connections that an endpoint accepts is shared by all hosts.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 
 use super::connection::{ConnectionError, ConnectionTarget, EndpointConnection};
 use super::context::{HostContext, boot_now};
+use super::gate::EndpointGate;
 
 /// Time-out for opening a connection. An idle endpoint of the users accepts one in 12 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -57,6 +58,8 @@
     backoff_until: Cell<BootInstant>,
     /// Until when this host counts as the endpoint's pool host, as it runs the statements of others.
     pooled_until: Cell<BootInstant>,
+    /// Queue of the statements for the endpoint, once there was one.
+    gate: OnceCell<Rc<EndpointGate>>,
     released: Notify,
 }
 
@@ -120,6 +123,7 @@
             connecting_count: Cell::new(0),
             backoff_until: Cell::new(BootInstant::from_micros(0)),
             pooled_until: Cell::new(BootInstant::from_micros(0)),
+            gate: OnceCell::new(),
             released: Notify::new(),
         }
     }
@@ -134,6 +138,11 @@
         now < self.pooled_until.get()
     }
 
+    /// The queue of the statements for the endpoint, which has `slots` slots.
+    pub(super) fn gate(&self, slots: u32) -> Rc<EndpointGate> {
+        self.gate.get_or_init(|| EndpointGate::start(slots)).clone()
+    }
+
     fn record_closed(&self) {
         self.open_count.set(self.open_count.get() - 1);
         self.released.notify_one();
--- a/crates/proxy/src/ledger/session/query.rs
+++ b/crates/proxy/src/ledger/session/query.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 use tanagerdeal_adapter::line;
 use tanagerdeal_core::hash::hash_bytes;
+use tanagerdeal_core::ledger::capacity::{WorkClass, WorkKind};
 use tanagerdeal_core::ledger::catalog::{
     AccessError, CallerIdentity, DatabaseRoute, ReadConsistency,
 };
@@ -141,8 +142,8 @@
             },
             (_, ClientStatement::Rollback) => self.roll_back(identity).await,
             (_, ClientStatement::Commit) => {
-                let mode = AccessMode::Read;
-                let request = access_request(route, id, text, mode, None);
+                let mut request = access_request(route, id, text, AccessMode::Read, None);
+                request.work.kind = WorkKind::Commit;
                 self.commit(identity, request).await
             }
             (_, ClientStatement::Access(mode)) => {
@@ -320,8 +321,12 @@
     mode: AccessMode,
     prepared: Option<&'a PreparedShape>,
 ) -> AccessRequest<'a> {
-    let work = hash_bytes(route.database.bytes());
-    AccessRequest { id, text, mode, prepared, priority: route.priority, route: work }
+    let kind = match mode {
+        AccessMode::Read => WorkKind::Read,
+        AccessMode::Write => WorkKind::Write,
+    };
+    let work = WorkClass { route: hash_bytes(route.database.bytes()), kind };
+    AccessRequest { id, text, mode, prepared, priority: route.priority, work }
 }
 
 fn consistency_label(route: &DatabaseRoute) -> &'static str {
--- a/crates/proxy/src/ledger/statement.rs
+++ b/crates/proxy/src/ledger/statement.rs
@@ -4,6 +4,7 @@
 
 use serde_json::json;
 use tanagerdeal_adapter::line;
+use tanagerdeal_core::ledger::capacity::WorkClass;
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::{EndpointKey, LogPosition};
 use tanagerdeal_core::ledger::position::PrimaryObservation;
@@ -13,6 +14,7 @@
 
 use super::connection::{ConnectionError, EndpointReply};
 use super::context::{HostContext, boot_now};
+use super::gate;
 use super::journal;
 use super::operation::StatementTiming;
 use super::pool::{AcquireError, PooledConnection, acquire};
@@ -34,8 +36,8 @@
     pub(super) prepared: Option<&'a PreparedShape>,
     /// Priority of the route; 0 is the highest.
     pub(super) priority: u8,
-    /// Hash of the database's name, which tells kinds of work apart.
-    pub(super) route: u64,
+    /// Kind of work, of which an endpoint's speed is learned.
+    pub(super) work: WorkClass,
 }
 
 /// Endpoint for a statement, and what it needs there.
@@ -154,6 +156,7 @@
 ) -> Result<EndpointReply, RunError> {
     let StatementTarget { endpoint, min_position, .. } = target;
     let deadline = timing.deadline;
+    let admitted = gate::admit(ctx, endpoint, request, timing.wait_deadline, false).await?;
     let _in_flight = InFlightGuard::new(ctx.host, endpoint);
     let mut pooled = prepared_connection(ctx, endpoint, request, timing).await?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
@@ -161,7 +164,9 @@
     let usage = UsageGuard::new(ctx.host, ctx.customer);
     let outcome = connection.exchange(&text, deadline).await;
     note_outcome(ctx.host, endpoint, request.id, &outcome);
-    let reply = usage.finish(outcome.map_err(RunError::Sent))?;
+    let outcome = outcome.map_err(RunError::Sent);
+    admitted.inspect(|admitted| admitted.note(&outcome));
+    let reply = usage.finish(outcome)?;
     pooled.release_if_idle(reply.state);
     Ok(reply)
 }
@@ -179,6 +184,7 @@
     timing: StatementTiming,
 ) -> Result<EndpointReply, RunError> {
     let (host, group, deadline) = (ctx.host, ctx.group, timing.deadline);
+    let admitted = gate::admit(ctx, permit.endpoint, request, timing.wait_deadline, false).await?;
     let _in_flight = InFlightGuard::new(host, permit.endpoint);
     let mut pooled = prepared_connection(ctx, permit.endpoint, request, timing).await?;
     let min_position = match request.mode {
@@ -188,6 +194,7 @@
     let text = line::forward(request.id, request.text, min_position);
     let usage = UsageGuard::new(host, ctx.customer);
     let outcome = exchange_on_primary(ctx, permit, &mut pooled, request.id, &text, deadline).await;
+    admitted.inspect(|admitted| admitted.note(&outcome));
     let reply = usage.finish(outcome)?;
     pooled.release_if_idle(reply.state);
     Ok(reply)
