--- a/crates/proxy/src/ledger/bound.rs
+++ b/crates/proxy/src/ledger/bound.rs
@@ -122,7 +122,7 @@
     request: AccessRequest<'_>,
     timing: StatementTiming,
 ) -> Result<(BoundConnection, Result<EndpointReply, RunError>), RunError> {
-    let admitted = gate::admit(ctx, target.endpoint, request, timing.wait_deadline, false).await?;
+    let admitted = gate::admit(ctx, target.endpoint, request, timing.queue_deadline, false).await?;
     let connection = begin(ctx, target, is_read_only, request, timing).await?;
     let mut bound = BoundConnection { connection, permit: target.permit, is_counted: false };
     let result = bound.exchange(ctx, request, timing.deadline).await;
@@ -140,7 +140,7 @@
     timing: StatementTiming,
 ) -> Result<PooledConnection, RunError> {
     let (host, endpoint): (&Rc<HostContext>, _) = (ctx.host, target.endpoint);
-    let acquired = acquire(host, endpoint, ctx.customer, timing.wait_deadline).await;
+    let acquired = acquire(host, endpoint, ctx.customer, timing.connection_deadline()).await;
     let mut pooled = acquired.map_err(RunError::NoConnection)?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
     let min_position = match target.permit {
--- a/crates/proxy/src/ledger/forward.rs
+++ b/crates/proxy/src/ledger/forward.rs
@@ -131,7 +131,7 @@
         min_position: target.min_position,
         route: request.work.route,
         priority: request.priority,
-        wait_deadline: clock.earliest(timing.wait_deadline),
+        wait_deadline: clock.earliest(timing.queue_deadline),
         deadline: clock.earliest(timing.deadline),
     }))
 }
--- a/crates/proxy/src/ledger/forward/server.rs
+++ b/crates/proxy/src/ledger/forward/server.rs
@@ -193,6 +193,7 @@
         let timing = StatementTiming {
             began_at: now,
             wait_deadline: clock.not_after(message.wait_deadline),
+            queue_deadline: clock.not_after(message.wait_deadline),
             deadline: clock.not_after(message.deadline),
         };
         match timing.deadline {
--- a/crates/proxy/src/ledger/operation.rs
+++ b/crates/proxy/src/ledger/operation.rs
@@ -26,6 +26,12 @@
 /// Divisor of the route's latency objective that gives the longest wait for a connection or a rate
 /// token. A later refusal would leave the client too little time to try another host.
 const WAIT_TIME_DIVISOR: u32 = 4;
+/// The same for the longest wait in the queue of a pool host, which sees all work of its endpoint
+/// and refuses at once what cannot be served by then.
+const QUEUE_TIME_DIVISOR: u32 = 2;
+
+/// Shortest wait for a connection: an idle endpoint accepts one in 12 ms.
+const MIN_CONNECTION_WAIT: Duration = Duration::from_millis(25);
 
 /// A failure that is reported to the client.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -45,6 +51,8 @@
     pub(super) began_at: BootInstant,
     /// Latest instant up to which the statement waits for a connection or a rate token.
     pub(super) wait_deadline: BootInstant,
+    /// Latest instant up to which the statement waits in the queue of a pool host.
+    pub(super) queue_deadline: BootInstant,
     /// Instant at which the statement times out.
     pub(super) deadline: BootInstant,
 }
@@ -74,15 +82,23 @@
     /// Computes the limits of a statement that arrives now.
     pub(super) fn new(route: &DatabaseRoute, began_at: BootInstant) -> Self {
         let now = boot_now();
-        let max_wait = route.objective / WAIT_TIME_DIVISOR;
         Self {
             began_at,
-            wait_deadline: now.after(max_wait),
+            wait_deadline: now.after(route.objective / WAIT_TIME_DIVISOR),
+            queue_deadline: now.after(route.objective / QUEUE_TIME_DIVISOR),
             deadline: now.after(route.statement_limit),
         }
     }
 }
 
+impl StatementTiming {
+    /// Latest instant up to which the statement waits for a connection. One that has waited in the
+    /// queue of a pool host still gets the time to open one.
+    pub(super) fn connection_deadline(&self) -> BootInstant {
+        self.wait_deadline.max(boot_now().after(MIN_CONNECTION_WAIT)).min(self.deadline)
+    }
+}
+
 /// Runs a read outside a transaction. If an endpoint cannot serve it, others are tried.
 ///
 /// # Errors
--- a/crates/proxy/src/ledger/statement.rs
+++ b/crates/proxy/src/ledger/statement.rs
@@ -135,7 +135,7 @@
     request: AccessRequest<'_>,
     timing: StatementTiming,
 ) -> Result<PooledConnection, RunError> {
-    let acquired = acquire(ctx.host, endpoint, ctx.customer, timing.wait_deadline).await;
+    let acquired = acquire(ctx.host, endpoint, ctx.customer, timing.connection_deadline()).await;
     let mut pooled = acquired.map_err(RunError::NoConnection)?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
     let done = connection.apply_session(ctx.session, request.prepared, None, timing.deadline).await;
@@ -156,7 +156,7 @@
 ) -> Result<EndpointReply, RunError> {
     let StatementTarget { endpoint, min_position, .. } = target;
     let deadline = timing.deadline;
-    let admitted = gate::admit(ctx, endpoint, request, timing.wait_deadline, false).await?;
+    let admitted = gate::admit(ctx, endpoint, request, timing.queue_deadline, false).await?;
     let _in_flight = InFlightGuard::new(ctx.host, endpoint);
     let mut pooled = prepared_connection(ctx, endpoint, request, timing).await?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
@@ -184,7 +184,7 @@
     timing: StatementTiming,
 ) -> Result<EndpointReply, RunError> {
     let (host, group, deadline) = (ctx.host, ctx.group, timing.deadline);
-    let admitted = gate::admit(ctx, permit.endpoint, request, timing.wait_deadline, false).await?;
+    let admitted = gate::admit(ctx, permit.endpoint, request, timing.queue_deadline, false).await?;
     let _in_flight = InFlightGuard::new(host, permit.endpoint);
     let mut pooled = prepared_connection(ctx, permit.endpoint, request, timing).await?;
     let min_position = match request.mode {
