--- a/crates/core/src/ledger/choose.rs
+++ b/crates/core/src/ledger/choose.rs
@@ -14,12 +14,12 @@
 /// Difference in the cost without the wait, in microseconds, up to which endpoints share the reads
 /// of a host.
 const SHARE_MARGIN_US: f64 = 20_000.0;
-/// Difference in the expected completion, in microseconds, from which on all reads go elsewhere.
-/// With fresh hints it is small.
-const SPILL_RANGE_US: f64 = 100_000.0;
-/// Growth of this range with the age of a hint. All hosts react to what has happened since only
-/// after that time; a greater part would make the load swing between the endpoints.
-const SPILL_RANGE_PER_AGE: f64 = 0.6;
+/// Difference in the expected completion, in microseconds, from which on all reads that consider
+/// another endpoint go there, with fresh hints.
+const SPILL_RANGE_US: f64 = 30_000.0;
+/// Growth of this difference with the age of a hint. Hosts see the effect of the reads that they
+/// move only after that time, so moving more would make the load swing between the endpoints.
+const SPILL_RANGE_PER_AGE: f64 = 0.4;
 /// Cost of an endpoint that was full a moment ago, as microseconds of latency.
 const BUSY_COST_US: f64 = 60_000.0;
 /// Cost of a replica that is behind the minimum position, as microseconds of latency: most reads
