Check a configuration of the users' platform before it is sent

Hosts take a configuration as it is: they leave out entries that cannot be read, let the last of several entries with one name count, and ignore a version that is not above the known one. Operators learned of it from the log, if at all.

Keys are counted and never printed. The messages of serde quote a value of the wrong type, which could be a key and went into the log of a host; they are replaced by messages from a table of the fields.

Ruled out: rules on the decoded catalog, where duplicates are gone, and a rule on the sum of all rates, as the number of endpoints is not in the file.

--- a/crates/core/src/ledger/catalog.rs
+++ b/crates/core/src/ledger/catalog.rs
@@ -1,11 +1,14 @@
 //! The configuration in effect: routes, customers with their keys, and groups.
 
+pub mod check;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use tanagerdeal_wire::{scalar_type, value_type};
 
+use self::check::CatalogFinding;
 use crate::limit::CustomerRate;
 
 scalar_type! {
@@ -55,6 +58,24 @@
         pub connections: u32,
     }
 
+    /// Records of one version of the configuration in their order, duplicates included.
+    pub struct CatalogRecords {
+        /// Version.
+        pub version: u64,
+        /// Routes.
+        pub routes: Vec<DatabaseRoute>,
+        /// Customers.
+        pub customers: Vec<CustomerRecord>,
+        /// Names and limits of groups.
+        pub groups: Vec<(String, GroupLimits)>,
+        /// Longest time that a transaction may stay idle.
+        pub transaction_idle: Duration,
+        /// Time limit for a client to name its database.
+        pub startup_limit: Duration,
+        /// What the decoder left out or ignored.
+        pub findings: Vec<CatalogFinding>,
+    }
+
     /// One version of the configuration.
     pub struct SiteCatalog {
         /// Version; the greatest one is in effect.
@@ -90,6 +111,19 @@
     UnknownKey,
 }
 
+impl From<CatalogRecords> for SiteCatalog {
+    fn from(records: CatalogRecords) -> Self {
+        Self::new(
+            records.version,
+            records.routes,
+            records.customers,
+            records.groups,
+            records.transaction_idle,
+            records.startup_limit,
+        )
+    }
+}
+
 impl SiteCatalog {
     /// Builds a version from its records. Of several records with one name the last one counts.
     ///
--- a/crates/core/src/ledger/position.rs
+++ b/crates/core/src/ledger/position.rs
@@ -20,6 +20,8 @@
 const OBSERVATION_SPACING: Duration = Duration::from_millis(20);
 /// Observations kept for each group. With the spacing they reach back more than 5 s.
 const MAX_OBSERVATIONS: usize = 256;
+/// How far back observations reach under load. A longer age admits no older position then.
+pub const HISTORY_REACH: Duration = OBSERVATION_SPACING.saturating_mul(MAX_OBSERVATIONS as u32);
 
 scalar_type! {
     /// A log position of a primary, with the time at which the statement that showed it was sent.
--- a/crates/core/src/ledger/quota.rs
+++ b/crates/core/src/ledger/quota.rs
@@ -39,7 +39,7 @@
 /// empty, since what the former process spent is unknown.
 const INITIAL_TOLERANCE: f64 = 0.5;
 /// Time for whose expected demand a host borrows in advance.
-const LOAN_LOOKAHEAD: Duration = Duration::from_millis(300);
+pub const LOAN_LOOKAHEAD: Duration = Duration::from_millis(300);
 /// Time in which borrowed tokens have to be spent, so that they cannot accumulate on top of the
 /// burst.
 const LOAN_TERM: Duration = Duration::from_millis(600);
--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of a host in a fleet that coordinates only through a table service.
 
+mod catalog_check;
 mod choice;
 mod connections;
 mod epoch;
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -165,9 +165,42 @@
         )
 }
 
+fn check_command() -> Command {
+    Command::new("check-config")
+        .about("Checks a configuration of the users' platform before it is sent; writes nothing")
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Configuration to check"),
+        )
+        .arg(
+            Arg::new("against")
+                .long("against")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .conflicts_with("store")
+                .help("Configuration in force, for the differences"),
+        )
+        .arg(
+            Arg::new("store")
+                .long("store")
+                .value_name("IP:PORT")
+                .help("Address of the store that holds the configuration in force"),
+        )
+        .arg(
+            Arg::new("strict")
+                .long("strict")
+                .action(ArgAction::SetTrue)
+                .help("Exit with 1 for warnings too"),
+        )
+}
+
 fn other_commands() -> Vec<Command> {
     vec![
         story_command(),
+        check_command(),
         Command::new("completions").about("Prints a completion script").arg(
             Arg::new("shell").required(true).value_parser(value_parser!(clap_complete::Shell)),
         ),
--- a/crates/ctl/src/context.rs
+++ b/crates/ctl/src/context.rs
@@ -14,7 +14,7 @@
 use crate::print::print_change;
 
 /// Timeout of one call of the platform.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Settings of one run of the tool.
 pub struct ToolContext {
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -30,6 +30,16 @@
     /// The state that was waited for did not come.
     #[error("{0}")]
     TimedOut(String),
+    /// A checked configuration has errors, or warnings that count as errors.
+    #[error("{file}: {errors} errors, {warnings} warnings")]
+    Rejected {
+        /// Checked file.
+        file: String,
+        /// Number of errors.
+        errors: usize,
+        /// Number of warnings.
+        warnings: usize,
+    },
     /// Output could not be written.
     #[error("output: {0}")]
     Output(#[from] std::io::Error),
@@ -37,7 +47,7 @@
 
 impl ToolError {
     /// Exit code of the process: 2 usage, 3 not in effect or timed out, 4 conflict, 5 platform,
-    /// 6 missing, 1 other.
+    /// 6 missing, 1 rejected or other.
     ///
     /// ```
     /// assert_eq!(tanagerctl::error::ToolError::NotInEffect(7).exit_code(), 3);
@@ -49,7 +59,7 @@
             Self::Conflict { .. } => 4,
             Self::Platform(_) => 5,
             Self::Missing(_) => 6,
-            Self::Output(_) => 1,
+            Self::Output(_) | Self::Rejected { .. } => 1,
         }
     }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,5 +1,6 @@
 //! Operators' tool: reads and changes records, and shows the state of the fleet.
 
+pub mod check;
 pub mod command;
 pub mod context;
 pub mod error;
@@ -42,6 +43,7 @@
     match name {
         "completions" => return write_completions(arguments),
         "story" => return story::tell(arguments),
+        "check-config" => return check::check_config(arguments).await,
         "man" => return clap_mangen::Man::new(command()).render(&mut stdout()).map_err(Into::into),
         _ => {}
     }
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -197,3 +197,165 @@
         elements_are![starts_with("began"), starts_with("refused"), starts_with("lost")]
     );
 }
+
+/// Key in the configurations below, which no output may hold.
+const SECRET: &str = "sesame-4711";
+
+/// A directory with configuration files.
+struct ConfigFiles {
+    directory: tempfile::TempDir,
+}
+
+impl ConfigFiles {
+    fn new() -> Self {
+        Self { directory: tempfile::TempDir::new().unwrap() }
+    }
+
+    fn write(&self, name: &str, config: &Value) -> String {
+        let file = self.directory.path().join(name);
+        std::fs::write(&file, config.to_string()).unwrap();
+        file.display().to_string()
+    }
+}
+
+/// A configuration without findings.
+fn sound_config(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [{ "host": "orders", "service": "g1", "kind": "bounded_staleness",
+                     "timeoutMs": 2000, "targetLatencyMs": 400, "maxStalenessMs": 1500 }],
+        "services": [{ "name": "g1", "connectionLimit": 20 }],
+        "limits": { "headerTimeoutMs": 3000, "transactionIdleMs": 5000 },
+        "tenants": [{ "name": "quarry", "apiKeys": [SECRET], "ratePerS": 10, "burstSize": 20 }],
+    })
+}
+
+/// Exit status, output and messages of a check; none of them holds the key.
+fn check(arguments: &[&str]) -> (i32, String, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tanagerctl"));
+    let output = command.arg("check-config").args(arguments).output().unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    let (lines, messages) = (text(output.stdout), text(output.stderr));
+    expect_that!(lines, not(contains_substring(SECRET)));
+    expect_that!(messages, not(contains_substring(SECRET)));
+    (output.status.code().unwrap(), lines, messages)
+}
+
+/// Guards against an exit status that a script cannot rely on.
+#[gtest]
+fn the_check_exits_by_severity() {
+    let files = ConfigFiles::new();
+    let sound = files.write("sound.json", &sound_config(7));
+    expect_that!(check(&[&sound]), eq(&(0, String::new(), String::new())));
+    let mut config = sound_config(7);
+    config["routes"][0]["targetLatencyMs"] = json!(2500);
+    let warned = files.write("warned.json", &config);
+    let (status, lines, _) = check(&[&warned]);
+    expect_that!((status, lines.lines().count()), eq((0, 1)));
+    let (status, _, messages) = check(&["--strict", &warned]);
+    expect_that!((status, messages.as_str()), (eq(1), contains_substring("0 errors, 1 warnings")));
+    config["routes"][0]["timeoutMs"] = json!(0);
+    let wrong = files.write("wrong.json", &config);
+    expect_that!(check(&[&wrong]).0, eq(1));
+}
+
+/// Guards against a check that passes what it could not read.
+#[gtest]
+fn unreadable_files_and_stores_have_a_status_of_their_own() {
+    let files = ConfigFiles::new();
+    let sound = files.write("sound.json", &sound_config(7));
+    let unversioned = files.write("unversioned.json", &json!({ "routes": [] }));
+    let misplaced = files.write("misplaced.json", &json!({ "version": 7, "tenants": SECRET }));
+    let missing = files.directory.path().join("missing.json").display().to_string();
+    for arguments in [
+        vec![missing.as_str()],
+        vec![unversioned.as_str()],
+        vec![misplaced.as_str()],
+        vec![sound.as_str(), "--against", unversioned.as_str()],
+        vec![sound.as_str(), "--store", "127.0.0.1:1"],
+        vec![sound.as_str(), "--store", "127.0.0.1:1", "--against", sound.as_str()],
+    ] {
+        expect_that!(check(&arguments).0, eq(2), "{arguments:?}");
+    }
+}
+
+/// Guards against entries that hosts drop without a word, and against a key of the wrong form that
+/// is printed.
+#[gtest]
+fn entries_that_cannot_be_read_are_errors() {
+    let files = ConfigFiles::new();
+    let mut config = sound_config(7);
+    config["tenants"][0]["apiKeys"] = json!(SECRET);
+    config["tenants"][0]["ratePerS"] = json!("fast");
+    config["routes"][0]["priority"] = json!(256);
+    config["routes"][0]["maxStalenessMs"] = json!(-5);
+    config["routes"][0]["timoutMs"] = json!(9);
+    let (status, lines, _) = check(&[&files.write("config.json", &config)]);
+    expect_that!(status, eq(1));
+    expect_that!(lines, contains_substring("error: customer \"quarry\": "));
+    expect_that!(lines, contains_substring("apiKeys = (hidden); ratePerS = \"fast\""));
+    expect_that!(lines, contains_substring("maxStalenessMs = -5; priority = 256"));
+    expect_that!(lines, contains_substring("a whole number from 0 to 255"));
+    expect_that!(lines, contains_substring("warning: route \"orders\": a field is not known"));
+}
+
+/// Guards against an age bound that an operator takes for one in effect.
+#[gtest]
+fn an_age_bound_that_is_ignored_is_warned_of() {
+    let files = ConfigFiles::new();
+    let mut config = sound_config(7);
+    config["routes"][0]["kind"] = json!("primary");
+    let (status, lines, _) = check(&[&files.write("config.json", &config)]);
+    expect_that!((status, lines.lines().count()), eq((0, 1)));
+    expect_that!(lines, contains_substring("ignores the age bound: 1500 ms"));
+}
+
+/// Guards against JSON that a script cannot read, and against withdrawn keys that are not told.
+#[gtest]
+fn differences_to_a_file_are_printed_as_json() {
+    let files = ConfigFiles::new();
+    let former = files.write("former.json", &sound_config(7));
+    let mut config = sound_config(8);
+    config["tenants"][0]["apiKeys"] = json!(["other"]);
+    config["services"][0]["connectionLimit"] = json!(30);
+    let changed = files.write("changed.json", &config);
+    let (status, lines, _) = check(&["--json", &changed, "--against", &former]);
+    expect_that!(status, eq(0));
+    let report: Value = serde_json::from_str(&lines).unwrap();
+    let finding = |rule: &str| {
+        let findings = report["findings"].as_array().unwrap();
+        findings.iter().find(|finding| finding["rule"] == rule).unwrap().clone()
+    };
+    expect_that!(report["version"], eq(&json!(8)));
+    let withdrawn = finding("keys-withdrawn");
+    expect_that!(withdrawn["severity"], eq(&json!("difference")));
+    expect_that!(withdrawn["name"], eq(&json!("quarry")));
+    expect_that!(withdrawn["stops_clients"], eq(&json!(true)));
+    let connections = finding("connections");
+    expect_that!(connections["value"], eq(&json!("30 connections")));
+    expect_that!(connections["former"], eq(&json!("20 connections")));
+    expect_that!(lines, not(contains_substring("\"other\"")));
+    expect_that!(check(&[&former, "--against", &changed]).0, eq(1));
+}
+
+/// Guards against a comparison with another row than the one in force, and against a check that
+/// writes.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_version_in_force_is_read_from_the_store() {
+    let store = tanagerdeal_standin::StandinStore::start().await.unwrap();
+    let address = store.address().to_string();
+    let files = ConfigFiles::new();
+    let sound = files.write("sound.json", &sound_config(8));
+    let arguments = [sound.as_str(), "--store", address.as_str()];
+    let (status, lines, messages) = tokio::task::block_in_place(|| check(&arguments));
+    expect_that!((status, lines.as_str()), eq((0, "")));
+    expect_that!(messages, contains_substring("holds no configuration"));
+    expect_that!(store.row("op", "config"), none());
+    store.put("op", "config", &sound_config(7));
+    store.put("op", "config2", &sound_config(99));
+    let (status, lines, _) = tokio::task::block_in_place(|| check(&arguments));
+    expect_that!(status, eq(0));
+    expect_that!(lines, eq("difference: configuration: version: 8, before: 7\n"));
+    expect_that!(store.row("op", "config"), some(eq(&sound_config(7))));
+}
