Test the settings of pooling

The settings of `serve` had no tests: a bad value that is taken for a default, or a file of an earlier build that is refused, would have gone unnoticed.

--- a/crates/proxy/tests/site/main.rs
+++ b/crates/proxy/tests/site/main.rs
@@ -8,6 +8,7 @@
 mod process;
 mod relays;
 mod restore;
+mod settings;
 mod soak;
 mod statements;
 mod support;
