--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod capacity;
+mod catalog_check;
 mod choice;
 mod connections;
 mod epoch;
