Count no call to the store for a version of an earlier era

Cause: `StoreClient::follow` gave `HistoryGone` without a call when the version was of an earlier era, and the host counted it as an answer. A refusal carries the era too, so a store that was restored while it refused calls was held for reachable again at each such read, which woke all tasks that waited for it. Change: `StoreError::EarlierEra` says that no call was made; it is neither counted nor taken for an answer, and the table is read as a whole as before.

--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -267,11 +267,13 @@
         }
     }
 
-    /// Records the outcome of a call to the store.
+    /// Records the outcome of a call to the store. It says nothing about the store if no call was
+    /// made.
     pub(super) fn record_store_call<T>(&self, call: &str, result: &Result<T, StoreError>) {
         let (is_answered, outcome) = match result {
             Ok(_) => (true, "answered"),
             Err(StoreError::HistoryGone) => (true, "history_gone"),
+            Err(StoreError::EarlierEra { .. }) => return,
             Err(StoreError::Refused(_)) => (false, "refused"),
             Err(StoreError::Unknown(_)) => (false, "unanswered"),
         };
--- a/crates/proxy/src/ledger/mirror.rs
+++ b/crates/proxy/src/ledger/mirror.rs
@@ -257,8 +257,9 @@
                 apply_store_page(host, read.table, &to_mirror_page(page, false), asked_at);
                 return true;
             }
-            Err(StoreError::HistoryGone) => {
-                let fields = json!({ "table": read.table, "after": after });
+            Err(error @ (StoreError::HistoryGone | StoreError::EarlierEra { .. })) => {
+                let reason = error.to_string();
+                let fields = json!({ "table": read.table, "after": after, "reason": reason });
                 journal::event("store", "history_gone", fields);
             }
             Err(_) => return false,
--- a/crates/proxy/tests/site/restore.rs
+++ b/crates/proxy/tests/site/restore.rs
@@ -125,3 +125,29 @@
     sleep(Duration::from_millis(4_500)).await;
     assert_that!(registrations(false), eq(1));
 }
+
+/// Guards against tasks that try at once, because a store that was restored while it refuses calls is
+/// held for one that answers: no call is made for a version of an earlier era.
+#[tokio::test]
+async fn a_restored_store_that_refuses_calls_is_not_reachable() {
+    let site = SiteDeployment::start(1).await;
+    let logs = |event: &str| {
+        let part = format!("\"event\":\"{event}\"");
+        let log = site.hosts[0].log();
+        log.lines()
+            .filter(|line| line.contains(&part) && line.contains("\"part\":\"store\""))
+            .count()
+    };
+    let backup = site.store.backup();
+    site.store.set_down(true);
+    site.store.restore(&backup);
+    until("the store is away", async || logs("lost") == 1).await;
+    // Each table is read again meanwhile.
+    sleep(Duration::from_secs(6)).await;
+    assert_that!(logs("regained"), eq(0));
+    assert_that!(logs("lost"), eq(1));
+    site.store.set_down(false);
+    until("the store is back", async || logs("regained") == 1).await;
+    put_config(&site, 2);
+    time_to_version(&site, 0, 2).await;
+}
