Name the term of a stored lease once

Cause: `LEASE_TERM + LEASE_MARGIN` stood in the renewal and twice in the restoration. Change: `STORED_LEASE_TERM`; no behaviour changes.

--- a/crates/core/src/ledger/lease.rs
+++ b/crates/core/src/ledger/lease.rs
@@ -20,7 +20,9 @@
 pub const MAX_RENEW_INTERVAL: Duration = Duration::from_secs(4);
 /// Margin by which the stored end of a lease is later than the end that its holder observes. It
 /// covers the drift between two monotonic clocks over a lease.
-pub(super) const LEASE_MARGIN: Duration = Duration::from_millis(250);
+const LEASE_MARGIN: Duration = Duration::from_millis(250);
+/// Time from when a renewal is sent to the stored end of the lease.
+pub(super) const STORED_LEASE_TERM: Duration = LEASE_TERM.saturating_add(LEASE_MARGIN);
 /// Inverse of the largest rate at which two monotonic clocks drift apart. Quartz clocks stay below
 /// a tenth of that rate.
 const DRIFT_DIVISOR: u32 = 1_000;
@@ -160,7 +162,7 @@
     /// The end of the lease to store with a renewal that is sent at `sent_at`.
     pub fn stored_end(&self, sent_at: BootInstant) -> Option<StoreInstant> {
         let clock = self.clock.as_ref()?;
-        Some(clock.latest(sent_at).after(LEASE_TERM + LEASE_MARGIN))
+        Some(clock.latest(sent_at).after(STORED_LEASE_TERM))
     }
 
     /// Records the quorum of a renewal that is being sent. Until a renewal has succeeded, the row
--- a/crates/core/src/ledger/restoration.rs
+++ b/crates/core/src/ledger/restoration.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::clock::{BootInstant, StoreInstant};
-use super::lease::{LEASE_MARGIN, LEASE_TERM};
+use super::lease::STORED_LEASE_TERM;
 use super::state::HostState;
 
 /// Time after which operators and endpoints have written again what the copy lacks.
@@ -32,12 +32,12 @@
     /// ```
     pub fn note_restoration(&mut self, at: BootInstant) {
         self.restored_at = self.restored_at.max(Some(at));
-        self.quota.hold_growth(at.after(LEASE_TERM + LEASE_MARGIN));
+        self.quota.hold_growth(at.after(STORED_LEASE_TERM));
     }
 
     /// Whether a host may hold a lease from before a restoration.
     pub fn has_unknown_leases(&self, now: BootInstant) -> bool {
-        self.is_restored_within(LEASE_TERM + LEASE_MARGIN, now)
+        self.is_restored_within(STORED_LEASE_TERM, now)
     }
 
     /// Whether operators and endpoints may not have written their rows again. What they had said
