--- a/crates/core/tests/ledger/admission.rs
+++ b/crates/core/tests/ledger/admission.rs
@@ -99,7 +99,8 @@
 
 /// Load: urgent work that needs 80% of the endpoint, beside more of the lowest priority than the
 /// rest. Guards against shares that are fixed by weights: urgent work would wait for its share. The
-/// lowest priority delays it by the starts that it is due and by the statements that run.
+/// lowest priority delays it by the starts that it is due and by the statements that run. Fails with
+/// a `FLOOR_STARTS` of 2.
 #[gtest]
 fn urgent_work_that_needs_most_of_the_endpoint_gets_it() {
     let outcomes = run("heavy", &[Stream { per_s: 160, ..URGENT }, Stream { per_s: 200, ..BULK }]);
@@ -305,6 +306,7 @@
 }
 
 /// Guards against a slot for a client that has left, and against a slot that is lost with it.
+/// Fails if `EndpointAdmission::cancel` doesn't withdraw the statement.
 #[gtest]
 fn a_cancelled_statement_is_not_started() {
     let (mut admission, first) = busy_endpoint();
