--- a/crates/proxy/tests/site/freshness.rs
+++ b/crates/proxy/tests/site/freshness.rs
@@ -88,6 +88,26 @@
     }
 }
 
+/// Guards against hosts that hear of nothing new from a relay whose connections to the store have gone
+/// silent for good, like their own, some seconds before a configuration is written.
+#[tokio::test]
+async fn silent_connections_of_all_hosts_delay_no_configuration() {
+    let relayed = RelayedSite::start(4).await;
+    let site = &relayed.site;
+    for number in 2..5 {
+        for host in 0..4 {
+            relayed.break_open(&Lane::to_store(host), "silence").await;
+        }
+        sleep(Duration::from_millis(4_500)).await;
+        put_config(site, number);
+        let begin = Instant::now();
+        for host in 0..4 {
+            time_to_version(site, host, number).await;
+            assert_that!(begin.elapsed(), le(APPLY_LIMIT), "host {host}, version {number}");
+        }
+    }
+}
+
 /// Guards against one time-out for each idle connection, when all of them have gone silent: after
 /// the first one, further calls use new connections.
 #[tokio::test]
--- a/crates/proxy/tests/site/lanes.rs
+++ b/crates/proxy/tests/site/lanes.rs
@@ -45,6 +45,11 @@
         Self { from: CLIENTS.to_owned(), to: format!("h{host}") }
     }
 
+    /// From all hosts to the address of a host for messages and table reads.
+    pub fn to_peer(host: usize) -> Self {
+        Self { from: HOSTS.to_owned(), to: format!("peer h{host}") }
+    }
+
     /// The way of the answers.
     pub fn back(&self) -> Self {
         Self { from: self.to.clone(), to: self.from.clone() }
@@ -81,7 +86,24 @@
 
     /// Opens a port of the relay that leads to a target.
     pub async fn open(&self, target: SocketAddr, lane: &Lane) -> SocketAddr {
-        let port = json!({ "protocol": "tcp", "listen": "127.0.0.1:0", "target": target,
+        self.open_at("tcp", SocketAddr::from(([127, 0, 0, 1], 0)), target, lane).await
+    }
+
+    /// Opens a port of the relay for the messages to a host and for the table reads from it.
+    pub async fn open_peer(&self, host: usize) -> SocketAddr {
+        let (target, lane) = (self.site.hosts[host].peers, Lane::to_peer(host));
+        let address = self.open(target, &lane).await;
+        self.open_at("udp", address, target, &lane).await
+    }
+
+    async fn open_at(
+        &self,
+        protocol: &str,
+        listen: SocketAddr,
+        target: SocketAddr,
+        lane: &Lane,
+    ) -> SocketAddr {
+        let port = json!({ "protocol": protocol, "listen": listen, "target": target,
                            "domain": lane.to, "caller_domain": lane.from });
         let opened: Value = self.post("ports", &port).await.json().await.unwrap();
         opened["address"].as_str().unwrap().parse().unwrap()
--- a/crates/proxy/tests/site/relays.rs
+++ b/crates/proxy/tests/site/relays.rs
@@ -7,15 +7,13 @@
 use tanagerdeal_standin::configuration;
 use tokio::time::{sleep, timeout};
 
+use crate::freshness::{APPLY_LIMIT, put_config, time_to_version};
 use crate::lanes::{Lane, RelayedSite};
 use crate::support::{KEY, SiteDeployment, SiteHost, WAIT_LIMIT, until, until_done};
 
 /// Hosts 0 and 3 are in the same failure domain.
 const PAIR: [usize; 2] = [0, 3];
 
-/// Time in which a configuration has to be in force.
-const APPLY_LIMIT: Duration = Duration::from_secs(3);
-
 /// Calls of the store that a host has made, all but renewals.
 async fn reads(site: &SiteDeployment, host: usize) -> u64 {
     let (_, text) = site.hosts[host].page("/metrics").await;
@@ -100,6 +98,56 @@
     }
 }
 
+/// Name under which hosts reach the relay of their failure domain on disturbed connections.
+const RELAY_NAME: &str = "h9";
+
+/// Registers the relay of the pair under another name, with a fast link and the address of a port
+/// that leads to it. Returns the relay and the other host, once that one reads through the port.
+async fn register_relay(relayed: &RelayedSite) -> (usize, usize) {
+    let site = &relayed.site;
+    let (target, reader) = relay_and_other(site, PAIR).await;
+    let address = relayed.open_peer(target).await;
+    let mut row = site.store.row("hosts", &format!("h{target}")).unwrap();
+    row["host"] = RELAY_NAME.into();
+    row["peers"] = address.to_string().into();
+    row["link_mbps"] = 1_000.into();
+    // Longer than the test.
+    row["until"] = (row["until"].as_u64().unwrap() + 600_000).into();
+    site.store.put("hosts", RELAY_NAME, &row);
+    let is_listed = async || site.hosts[reader].log().contains(RELAY_NAME);
+    until("the relay is listed", is_listed).await;
+    // Ends the long poll at the store; the next one goes to the relay.
+    put_config(site, 2);
+    time_to_version(site, reader, 2).await;
+    let before = reads(site, reader).await;
+    put_config(site, 3);
+    time_to_version(site, reader, 3).await;
+    assert_that!(reads(site, reader).await - before, eq(0));
+    (target, reader)
+}
+
+/// Guards against a host that waits for a relay on a connection that has gone silent for good
+/// without a reset, while a configuration is written at once or some seconds later.
+#[tokio::test]
+async fn silent_connections_to_a_relay_delay_no_configuration() {
+    for pause_ms in [0, 4_500] {
+        let relayed = RelayedSite::start(4).await;
+        let (target, reader) = register_relay(&relayed).await;
+        let site = &relayed.site;
+        relayed.break_open(&Lane::to_peer(target), "silence").await;
+        sleep(Duration::from_millis(pause_ms)).await;
+        put_config(site, 4);
+        assert_that!(time_to_version(site, reader, 4).await, le(APPLY_LIMIT), "{pause_ms} ms");
+        // The long poll of the configuration ends too, although a renewal may be faster.
+        let is_op = |line: &str| line.contains("\"table\":\"op\"") && line.contains(RELAY_NAME);
+        let has_timed_out = |line: &str| line.contains("no_rows") && is_op(line);
+        until("the long poll has timed out", async || {
+            site.hosts[reader].log().lines().any(has_timed_out)
+        })
+        .await;
+    }
+}
+
 /// Guards against clients that stay with a host of a failure domain that is cut off: elsewhere they have
 /// most primaries. The host says that it is not ready, lets idle clients go, and comes back.
 #[tokio::test]
