Mend what a review of the forwarding found

- Draining and evacuation are checked again right before a statement is sent: it may have waited in a queue and for a connection since.
- A statement that was queued waits 60 ms for a connection at most, as it holds a place among those that run, and commits that would free connections wait behind it.
- A pool host that does not reply no longer counts as a failure of the endpoint, which could raise a suspicion of a healthy primary.
- The wait budget is sent as a time: as a deadline it lost the uncertainty of both clocks.
- A pool host that is shutting down declines new work after a second; what it declines, also for an endpoint that it does not know, goes another way.
- A statement whose deadline has passed is not sent; one that arrives as its transaction ends is answered.
- Connections between hosts stay open while a transaction uses them; lists of hosts are pruned.

--- a/crates/proxy/src/ledger/bound.rs
+++ b/crates/proxy/src/ledger/bound.rs
@@ -15,8 +15,8 @@
 use super::operation::StatementTiming;
 use super::pool::{PooledConnection, acquire};
 use super::statement::{
-    AccessRequest, InFlightGuard, RunError, StatementContext, StatementTarget, exchange_on_primary,
-    newest_position, note_outcome,
+    AccessRequest, InFlightGuard, RunError, StatementContext, StatementTarget, check_not_leaving,
+    exchange_on_primary, newest_position, note_outcome,
 };
 use super::usage::UsageGuard;
 
@@ -123,7 +123,8 @@
     timing: StatementTiming,
 ) -> Result<(BoundConnection, Result<EndpointReply, RunError>), RunError> {
     let admitted = gate::admit(ctx, target.endpoint, request, timing.queue_deadline, false).await?;
-    let connection = begin(ctx, target, is_read_only, request, timing).await?;
+    let is_queued = admitted.is_some();
+    let connection = begin(ctx, target, is_read_only, request, timing, is_queued).await?;
     let mut bound = BoundConnection { connection, permit: target.permit, is_counted: false };
     let result = bound.exchange(ctx, request, timing.deadline).await;
     admitted.inspect(|admitted| admitted.note(&result));
@@ -138,13 +139,16 @@
     is_read_only: bool,
     request: AccessRequest<'_>,
     timing: StatementTiming,
+    is_queued: bool,
 ) -> Result<PooledConnection, RunError> {
     let (host, endpoint): (&Rc<HostContext>, _) = (ctx.host, target.endpoint);
-    let acquired = acquire(host, endpoint, ctx.customer, timing.connection_deadline()).await;
+    let acquired =
+        acquire(host, endpoint, ctx.customer, timing.connection_deadline(is_queued)).await;
     let mut pooled = acquired.map_err(RunError::NoConnection)?;
+    check_not_leaving(ctx, endpoint, target.permit)?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
     let min_position = match target.permit {
-        Some(_) => newest_position(host, ctx.group).max(target.min_position),
+        Some(_) => newest_position(&host.state.borrow(), ctx.group).max(target.min_position),
         None => target.min_position,
     };
     let text = line::begin(is_read_only, min_position);
--- a/crates/proxy/src/ledger/connection.rs
+++ b/crates/proxy/src/ledger/connection.rs
@@ -234,6 +234,11 @@
     deadline: BootInstant,
     exchange: impl Future<Output = Result<T, ConnectionError>>,
 ) -> Result<T, ConnectionError> {
-    let result = timeout(deadline.since(boot_now()), exchange).await;
+    let left = deadline.since(boot_now());
+    // A time-out of zero would still send once.
+    if left.is_zero() {
+        return Err(ConnectionError::TimedOut);
+    }
+    let result = timeout(left, exchange).await;
     result.unwrap_or(Err(ConnectionError::TimedOut))
 }
--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -215,8 +215,8 @@
         let reply = outcome.ok()?;
         let state = reply.state;
         let row = decode_status(reply.first_row.as_deref()?);
-        // Hosts that do not pool the endpoint's connections keep none of them: together they would
-        // take all that it accepts.
+        // Where connections are pooled, that of a probe is closed: together, the hosts would take all
+        // that the endpoint accepts.
         if !forward::is_in_effect(host, key) {
             borrowed.release_if_idle(state);
         }
--- a/crates/proxy/src/ledger/forward.rs
+++ b/crates/proxy/src/ledger/forward.rs
@@ -21,8 +21,8 @@
 use super::operation::StatementTiming;
 use super::pool::AcquireError;
 use super::statement::{
-    AccessRequest, RunError, StatementContext, StatementTarget, note_outcome, run_on_primary,
-    run_single,
+    AccessRequest, RunError, StatementContext, StatementTarget, newest_position, note_outcome,
+    run_on_primary, run_single,
 };
 use link::CallError;
 use message::{PreparedMessage, Request, StatementMessage};
@@ -71,16 +71,13 @@
                     return result;
                 }
             },
-            // A read has no effect, so it is repeated on a connection of this host.
-            Err(CallError::Lost | CallError::Silent) if !is_write => {
-                count(ctx.host, "repeated");
-                break;
-            }
+            // A read has no effect, so it is repeated elsewhere.
+            Err(CallError::Lost | CallError::Silent) if !is_write => count(ctx.host, "repeated"),
             Err(error) => return Err(RunError::Sent(connection_error(error))),
         }
     }
     match target.permit {
-        Some(permit) => run_on_primary(ctx, permit, request, timing).await,
+        Some(permit) => run_on_primary(ctx, target, permit, request, timing).await,
         None => run_single(ctx, target, request, timing).await,
     }
 }
@@ -97,8 +94,9 @@
 fn is_declined(error: &RunError) -> bool {
     matches!(
         error,
-        RunError::NoConnection(AcquireError::Unreachable(_))
-            | RunError::NotSent(ConnectionError::Revoked)
+        RunError::NoConnection(
+            AcquireError::Unreachable(_) | AcquireError::Gone | AcquireError::Declined(_)
+        ) | RunError::NotSent(ConnectionError::Revoked)
     )
 }
 
@@ -128,14 +126,21 @@
         is_write: request.mode == AccessMode::Write,
         is_commit: request.work.kind == WorkKind::Commit,
         on_primary: target.permit.is_some(),
-        min_position: target.min_position,
+        min_position: match target.permit {
+            Some(_) => newest_position(&host_state, ctx.group).max(target.min_position),
+            None => target.min_position,
+        },
         route: request.work.route,
         priority: request.priority,
-        wait_deadline: clock.earliest(timing.queue_deadline),
+        wait_us: micros(timing.queue_deadline.since(boot_now())),
         deadline: clock.earliest(timing.deadline),
     }))
 }
 
+fn micros(time: Duration) -> u32 {
+    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
+}
+
 /// Records what the result of a forwarded statement shows of its endpoint.
 fn note_result(
     ctx: StatementContext<'_>,
--- a/crates/proxy/src/ledger/forward/link.rs
+++ b/crates/proxy/src/ledger/forward/link.rs
@@ -31,6 +31,9 @@
 /// Time without a statement after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// References to a connection that no transaction uses.
+const OWN_REFERENCES: usize = 2;
+
 /// What is known of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum LinkCondition {
@@ -117,7 +120,11 @@
 
     /// Does not use a pool host until an instant.
     fn exclude(&self, name: &str, until: BootInstant) {
-        self.unresponsive_until.borrow_mut().insert(name.to_owned(), until);
+        let mut excluded = self.unresponsive_until.borrow_mut();
+        let now = boot_now();
+        excluded.retain(|_, until| now < *until);
+        let known = excluded.entry(name.to_owned()).or_insert(until);
+        *known = until.max(*known);
     }
 
     /// Number of calls of other hosts that this host is carrying out.
@@ -270,14 +277,14 @@
 
 /// Asks a pool host that owes a response whether it is running, and notes when it does not reply.
 /// Ends when the connection has been idle for long.
-async fn watch_silence(host: &HostContext, name: &str, link: &HostLink) -> LinkError {
+async fn watch_silence(host: &HostContext, name: &str, link: &Rc<HostLink>) -> LinkError {
     loop {
         let checked_at = boot_now();
         sleep_until(checked_at.after(PING_AFTER)).await;
         let now = boot_now();
         let oldest = link.waiting.borrow().values().map(|call| call.sent_at).min();
         // This process may have been suspended, with responses waiting to be read.
-        let was_suspended = now.since(checked_at) > SILENT_AFTER;
+        let was_suspended = now.since(checked_at) > PING_AFTER * 2;
         let silence = oldest.map(|oldest| now.since(oldest.max(link.received_at.get())));
         match silence {
             Some(silence) if silence >= SILENT_AFTER && !was_suspended => {
@@ -288,7 +295,7 @@
                 link.send(Request::Ping);
             }
             Some(silence) if silence >= PING_AFTER => link.send(Request::Ping),
-            None if now.since(link.used_at.get()) > IDLE_TIMEOUT => {
+            None if is_idle(link, now) => {
                 return LinkError::Closed("idle".to_owned());
             }
             _ => (),
@@ -296,6 +303,12 @@
     }
 }
 
+/// Whether a connection has had no statement for long and holds no transaction. The list of
+/// connections and the task that serves it keep it as well.
+fn is_idle(link: &Rc<HostLink>, now: BootInstant) -> bool {
+    now.since(link.used_at.get()) > IDLE_TIMEOUT && Rc::strong_count(link) <= OWN_REFERENCES
+}
+
 impl HostLink {
     fn note_received(&self) {
         self.received_at.set(boot_now());
--- a/crates/proxy/src/ledger/forward/message.rs
+++ b/crates/proxy/src/ledger/forward/message.rs
@@ -100,8 +100,9 @@
         pub(super) route: u64,
         /// Priority of the route; 0 is the highest.
         pub(super) priority: u8,
-        /// Latest instant up to which the statement may wait for a connection.
-        pub(super) wait_deadline: StoreInstant,
+        /// How long the statement may wait from its arrival, in microseconds. A deadline would
+        /// lose the uncertainty of both hosts' clocks, which may exceed the whole wait.
+        pub(super) wait_us: u32,
         /// Instant at which the statement times out.
         pub(super) deadline: StoreInstant,
     }
@@ -137,6 +138,8 @@
         Unreachable,
         /// The endpoint has too much work for the statement to be served in time.
         Backlog,
+        /// The pool host takes no new work, or the statement was late by its clock.
+        Declined,
         /// The primary is being changed, or the pool host may not use it.
         Revoked,
         /// The endpoint refused a step that has to precede the statement.
@@ -305,6 +308,7 @@
         RunError::NoConnection(AcquireError::Backlog { retry_after }) => {
             (NotSentReason::Backlog, Some(millis(retry_after)))
         }
+        RunError::NoConnection(AcquireError::Declined(_)) => (NotSentReason::Declined, None),
         RunError::NotSent(ConnectionError::Revoked) => (NotSentReason::Revoked, None),
         RunError::NotSent(ConnectionError::Refused(reason)) => {
             (NotSentReason::Refused((*reason).into()), None)
@@ -320,6 +324,7 @@
         NotSentReason::Gone => RunError::NoConnection(AcquireError::Gone),
         NotSentReason::Unreachable => RunError::NoConnection(AcquireError::Unreachable(text)),
         NotSentReason::Backlog => RunError::NoConnection(AcquireError::Backlog { retry_after }),
+        NotSentReason::Declined => RunError::NoConnection(AcquireError::Declined(text)),
         NotSentReason::Revoked => RunError::NotSent(ConnectionError::Revoked),
         NotSentReason::Refused(code) => RunError::NotSent(ConnectionError::Refused(code.into())),
         NotSentReason::Lost => RunError::NotSent(ConnectionError::Lost(text)),
--- a/crates/proxy/src/ledger/forward/server.rs
+++ b/crates/proxy/src/ledger/forward/server.rs
@@ -29,6 +29,9 @@
     AccessRequest, RunError, StatementContext, StatementTarget, run_on_primary, run_single,
 };
 
+/// Time after the start of a shutdown in which statements of hosts that have not heard of it are
+/// still taken.
+const LEAVING_GRACE: Duration = Duration::from_secs(1);
 /// Pause after a failed `accept`, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -190,14 +193,22 @@
             false => None,
         };
         let clock = host_state.lease.clock().ok_or_else(gone)?;
+        let deadline = clock.not_after(message.deadline);
+        let wait_deadline = now.after(Duration::from_micros(u64::from(message.wait_us)));
+        let wait_deadline = wait_deadline.min(deadline);
         let timing = StatementTiming {
             began_at: now,
-            wait_deadline: clock.not_after(message.wait_deadline),
-            queue_deadline: clock.not_after(message.wait_deadline),
-            deadline: clock.not_after(message.deadline),
+            wait_deadline,
+            queue_deadline: wait_deadline,
+            deadline,
         };
-        match timing.deadline {
-            deadline if deadline <= now => Err(RunError::NoConnection(AcquireError::Exhausted)),
+        let declined =
+            |reason: &str| Err(RunError::NoConnection(AcquireError::Declined(reason.to_owned())));
+        match *host.phase.borrow() {
+            HostPhase::Stopping(since) if now >= since.after(LEAVING_GRACE) => {
+                declined("the pool host is shutting down")
+            }
+            _ if deadline <= now => declined("the statement is late by the pool host's clock"),
             _ => Ok(Self {
                 message,
                 target: StatementTarget { endpoint, permit, min_position: message.min_position },
@@ -247,7 +258,9 @@
     host.pool(statement.target.endpoint).note_forwarded(boot_now());
     let (ctx, request) = (statement.context(host), statement.request());
     match statement.target.permit {
-        Some(permit) => run_on_primary(ctx, permit, request, statement.timing).await,
+        Some(permit) => {
+            run_on_primary(ctx, statement.target, permit, request, statement.timing).await
+        }
         None => run_single(ctx, statement.target, request, statement.timing).await,
     }
 }
@@ -277,6 +290,7 @@
         let idle = host.state.borrow().catalog.as_ref().map(|catalog| catalog.transaction_idle);
         let idle_deadline = idle.map(|idle| boot_now().after(idle));
         let message = tokio::select! {
+            biased;
             message = statements.recv() => message,
             () = sleep_until_optional(idle_deadline) => None,
         };
@@ -294,6 +308,12 @@
             (true, _) => respond(result.into()),
         }
     }
+    // A statement that arrives from here on is answered by the reader of its connection.
+    statements.close();
+    while statements.recv().await.is_some() {
+        let error = ConnectionError::Lost("the transaction was idle for too long".to_owned());
+        respond(Err(RunError::NotSent(error)).into());
+    }
     bound.roll_back(host).await;
 }
 
--- a/crates/proxy/src/ledger/forward/transaction.rs
+++ b/crates/proxy/src/ledger/forward/transaction.rs
@@ -90,13 +90,13 @@
         Ok(result) => {
             let result = result.into_result(sent_at);
             transaction.note(&result);
+            note_result(ctx, target, request, &result);
             result
         }
         // The first statement may have run, so it is not repeated on another connection. Nothing
         // is kept: the pool host rolls the transaction back, or its connection is gone.
         Err(error) => Err(RunError::Sent(connection_error(error))),
     };
-    note_result(ctx, target, request, &result);
     Ok((BoundTransaction::Forwarded(transaction), result))
 }
 
@@ -118,12 +118,11 @@
         let deadline = timing.deadline.after(REPLY_MARGIN);
         // The statement is bound to its connection, so it waits for a silent pool host.
         let result = self.link.call(self.call, self.target.endpoint, message, true, deadline).await;
-        let result = match result {
-            Ok(result) => result.into_result(sent_at),
-            Err(error) => Err(RunError::Sent(connection_error(error))),
-        };
+        // After an error the pool host is still told to end the transaction. A pool host that does
+        // not reply says nothing about the endpoint.
+        let result = result.map_err(|error| RunError::Sent(connection_error(error)))?;
+        let result = result.into_result(sent_at);
         note_result(ctx, self.target, request, &result);
-        // After an error the pool host is still told to end the transaction.
         if result.is_ok() {
             self.note(&result);
         }
--- a/crates/proxy/src/ledger/operation.rs
+++ b/crates/proxy/src/ledger/operation.rs
@@ -30,8 +30,9 @@
 /// and refuses at once what cannot be served by then.
 const QUEUE_TIME_DIVISOR: u32 = 2;
 
-/// Shortest wait for a connection: an idle endpoint accepts one in 12 ms.
-const MIN_CONNECTION_WAIT: Duration = Duration::from_millis(25);
+/// Longest wait for a connection after the queue of a pool host: an idle endpoint accepts one in
+/// 12 ms, and one that was full is asked again after 40 ms.
+const QUEUED_CONNECTION_WAIT: Duration = Duration::from_millis(60);
 
 /// A failure that is reported to the client.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -92,10 +93,13 @@
 }
 
 impl StatementTiming {
-    /// Latest instant up to which the statement waits for a connection. One that has waited in the
-    /// queue of a pool host still gets the time to open one.
-    pub(super) fn connection_deadline(&self) -> BootInstant {
-        self.wait_deadline.max(boot_now().after(MIN_CONNECTION_WAIT)).min(self.deadline)
+    /// Latest instant up to which the statement waits for a connection. One that was queued before
+    /// holds a place among those that run, so it waits only as long as opening one takes.
+    pub(super) fn connection_deadline(&self, is_queued: bool) -> BootInstant {
+        match is_queued {
+            true => boot_now().after(QUEUED_CONNECTION_WAIT).min(self.deadline),
+            false => self.wait_deadline,
+        }
     }
 }
 
--- a/crates/proxy/src/ledger/pool.rs
+++ b/crates/proxy/src/ledger/pool.rs
@@ -41,6 +41,9 @@
     /// The endpoint could not be reached.
     #[error("{0}")]
     Unreachable(String),
+    /// A pool host does not take the statement; another way may be open.
+    #[error("{0}")]
+    Declined(String),
     /// The endpoint has too much work for the statement to be served in time.
     #[error("the endpoint has too much work")]
     Backlog {
--- a/crates/proxy/src/ledger/statement.rs
+++ b/crates/proxy/src/ledger/statement.rs
@@ -9,7 +9,7 @@
 use tanagerdeal_core::ledger::endpoint::{EndpointKey, LogPosition};
 use tanagerdeal_core::ledger::position::PrimaryObservation;
 use tanagerdeal_core::ledger::session::{PreparedShape, SessionSetup};
-use tanagerdeal_core::ledger::state::PrimaryPermit;
+use tanagerdeal_core::ledger::state::{HostState, PrimaryPermit, PrimaryRefusal};
 use tanagerdeal_core::ledger::statement::{AccessMode, FailureReason};
 
 use super::connection::{ConnectionError, EndpointReply};
@@ -134,8 +134,10 @@
     endpoint: EndpointKey,
     request: AccessRequest<'_>,
     timing: StatementTiming,
+    is_queued: bool,
 ) -> Result<PooledConnection, RunError> {
-    let acquired = acquire(ctx.host, endpoint, ctx.customer, timing.connection_deadline()).await;
+    let acquired =
+        acquire(ctx.host, endpoint, ctx.customer, timing.connection_deadline(is_queued)).await;
     let mut pooled = acquired.map_err(RunError::NoConnection)?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
     let done = connection.apply_session(ctx.session, request.prepared, None, timing.deadline).await;
@@ -158,7 +160,9 @@
     let deadline = timing.deadline;
     let admitted = gate::admit(ctx, endpoint, request, timing.queue_deadline, false).await?;
     let _in_flight = InFlightGuard::new(ctx.host, endpoint);
-    let mut pooled = prepared_connection(ctx, endpoint, request, timing).await?;
+    let is_queued = admitted.is_some();
+    let mut pooled = prepared_connection(ctx, endpoint, request, timing, is_queued).await?;
+    check_not_leaving(ctx, endpoint, None)?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
     let text = line::forward(request.id, request.text, min_position);
     let usage = UsageGuard::new(ctx.host, ctx.customer);
@@ -179,6 +183,7 @@
 /// Fails as [`run_single`] does.
 pub(super) async fn run_on_primary(
     ctx: StatementContext<'_>,
+    target: StatementTarget,
     permit: PrimaryPermit,
     request: AccessRequest<'_>,
     timing: StatementTiming,
@@ -186,9 +191,11 @@
     let (host, group, deadline) = (ctx.host, ctx.group, timing.deadline);
     let admitted = gate::admit(ctx, permit.endpoint, request, timing.queue_deadline, false).await?;
     let _in_flight = InFlightGuard::new(host, permit.endpoint);
-    let mut pooled = prepared_connection(ctx, permit.endpoint, request, timing).await?;
+    let is_queued = admitted.is_some();
+    let mut pooled = prepared_connection(ctx, permit.endpoint, request, timing, is_queued).await?;
+    check_not_leaving(ctx, permit.endpoint, Some(permit))?;
     let min_position = match request.mode {
-        AccessMode::Read => newest_position(host, group),
+        AccessMode::Read => newest_position(&host.state.borrow(), group).max(target.min_position),
         AccessMode::Write => None,
     };
     let text = line::forward(request.id, request.text, min_position);
@@ -200,9 +207,35 @@
     Ok(reply)
 }
 
+/// Checks that an endpoint has not begun to leave while a statement waited.
+///
+/// # Errors
+///
+/// Fails when no new work may be sent to the endpoint any more.
+pub(super) fn check_not_leaving(
+    ctx: StatementContext<'_>,
+    endpoint: EndpointKey,
+    permit: Option<PrimaryPermit>,
+) -> Result<(), RunError> {
+    let host_state = ctx.host.state.borrow();
+    let is_leaving = match permit {
+        Some(_) => {
+            let refusal = host_state.primary_permit(ctx.group, boot_now()).err();
+            refusal == Some(PrimaryRefusal::Leaving)
+        }
+        None => {
+            let state = host_state.endpoints.get(endpoint);
+            state.is_none_or(|state| host_state.is_leaving(state))
+        }
+    };
+    match is_leaving {
+        true => Err(RunError::NoConnection(AcquireError::Gone)),
+        false => Ok(()),
+    }
+}
+
 /// Returns the newest known log position of a group's primary.
-pub(super) fn newest_position(host: &HostContext, group: &str) -> Option<LogPosition> {
-    let host_state = host.state.borrow();
+pub(super) fn newest_position(host_state: &HostState, group: &str) -> Option<LogPosition> {
     let newest = host_state.positions.get(group)?.newest()?;
     (newest.position > LogPosition::default()).then_some(newest.position)
 }
