Test the pooling of connections while pool hosts fail

Real processes with pooling and scheduling on, two to four hosts. Each test names the failure that it guards against: a pool host that is killed, frozen or shut down, a transaction over the hop, a withdrawn key, an evacuated or draining endpoint, and strangers and replays on the address for forwarded statements.

--- a/crates/proxy/tests/site/main.rs
+++ b/crates/proxy/tests/site/main.rs
@@ -5,6 +5,7 @@
 mod freshness;
 mod lanes;
 mod logs;
+mod pooling;
 mod process;
 mod relays;
 mod restore;
