Hold the shapes of the deployments against the choice of pooling

The table lists connections and hosts of each deployment, and the tests hold is_pooled, is_scheduled and pool_host against it: shares by weight, excluded, leaving and expired hosts, hosts without an offer, hosts of other domains.

--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod isolation;
 mod mirror;
+mod pooling;
 mod position;
 mod renewal;
 mod restoration;
