Show limits, load and health of endpoints at their pool hosts

What a pool host learns was visible only as a log line when the limit had changed. Gauges by endpoint and group, rebuilt once a second, show limit, running and waiting statements, expected duration and health; values of endpoints that are gone or have another pool host are dropped. Changes of health are logged when a statement ends, and beginning and end of the role of pool host within a second. The log of the limit no longer computes the expected wait at each statement.

The test of the page for operators now has a pooled host as well, so that the metrics of pooling must be listed too; refusals of priority 0 are counted from 0 for that.

--- a/crates/core/src/ledger/admission.rs
+++ b/crates/core/src/ledger/admission.rs
@@ -22,7 +22,7 @@
 
 use self::forecast::DemandMeter;
 use self::turns::{ServiceLevel, TurnTable};
-use super::capacity::{EndpointCapacity, WorkClass};
+use super::capacity::{EndpointCapacity, EndpointHealth, WorkClass};
 use super::clock::BootInstant;
 use crate::schedule::flow::{FlowPosition, FlowQueue};
 use crate::schedule::{QueueInstant, is_admitted};
@@ -309,6 +309,32 @@
         self.capacity.service_time(work)
     }
 
+    /// Number of statements that may run at once.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::admission::EndpointAdmission;
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    ///
+    /// assert_eq!(EndpointAdmission::new(3, BootInstant::from_micros(0)).learned_limit(), 3);
+    /// ```
+    pub fn learned_limit(&self) -> u32 {
+        self.capacity.limit()
+    }
+
+    /// What may be sent to the endpoint.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::admission::EndpointAdmission;
+    /// use tanagerdeal_core::ledger::capacity::EndpointHealth;
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    ///
+    /// let now = BootInstant::from_micros(0);
+    /// assert_eq!(EndpointAdmission::new(3, now).health(now), EndpointHealth::Usable);
+    /// ```
+    pub fn health(&self, now: BootInstant) -> EndpointHealth {
+        self.capacity.state(now)
+    }
+
     /// The load on the endpoint.
     ///
     /// ```
--- a/crates/core/src/ledger/catalog.rs
+++ b/crates/core/src/ledger/catalog.rs
@@ -2,7 +2,7 @@
 
 pub mod check;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -192,6 +192,11 @@
         self.has_priorities
     }
 
+    /// Priorities of the routes.
+    pub fn priorities(&self) -> BTreeSet<u8> {
+        self.routes.values().map(|route| route.priority).collect()
+    }
+
     /// Names of all groups that a route leads to.
     pub fn routed_groups(&self) -> HashSet<&str> {
         self.routes.values().map(|route| route.group.as_str()).collect()
--- a/crates/proxy/src/ledger/boot.rs
+++ b/crates/proxy/src/ledger/boot.rs
@@ -16,7 +16,7 @@
 use super::follow::{GROUP_TABLE, HOST_TABLE, follow, load_table};
 use super::settings::SiteSettings;
 use super::{
-    admin, extension, failover, forward, freshness, isolation, journal, lease, mirror,
+    admin, extension, failover, forward, freshness, gate, isolation, journal, lease, mirror,
     observations, peers, quota, registrations, relay, restore, session, suspicion, usage,
 };
 
@@ -137,6 +137,7 @@
     spawn_local(suspicion::watch_suspicions(host.clone()));
     spawn_local(restore::record_eras(host.clone()));
     spawn_local(log_counters(host.clone()));
+    spawn_local(gate::watch(host.clone()));
     spawn_local(failover::watch(host.clone()));
     spawn_local(observations::report(host.clone()));
     spawn_local(isolation::watch(host.clone()));
--- a/crates/proxy/src/ledger/gate.rs
+++ b/crates/proxy/src/ledger/gate.rs
@@ -1,5 +1,7 @@
 //! Admission of statements at an endpoint whose pool host this host is.
 
+mod watch;
+
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -9,7 +11,7 @@
 use tanagerdeal_core::ledger::admission::{
     AdmissionDecision, AdmissionRefusal, EndpointAdmission, StatementDemand, TicketKey, WorkOutcome,
 };
-use tanagerdeal_core::ledger::capacity::{WorkClass, WorkKind};
+use tanagerdeal_core::ledger::capacity::{EndpointHealth, WorkClass, WorkKind};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::{EndpointKey, LoadHint};
 use tanagerdeal_core::ledger::pooling::is_scheduled;
@@ -23,15 +25,21 @@
 use super::pool::AcquireError;
 use super::statement::{AccessRequest, RunError, StatementContext};
 
+pub(super) use watch::watch;
+
 /// Work of an unknown class, whose expected duration is that of the endpoint's usual work.
 const USUAL_WORK: WorkClass = WorkClass { route: 0, kind: WorkKind::Read };
 
 /// Statements that wait for an endpoint or run on it, over all hosts that forward to this one.
 pub(super) struct EndpointGate {
+    /// Identity of the endpoint, for log lines.
+    endpoint: String,
     admission: RefCell<EndpointAdmission>,
     waiting: RefCell<SecondaryMap<TicketKey, oneshot::Sender<Result<(), AdmissionRefusal>>>>,
     /// Limit that was last logged.
     logged_limit: Cell<u32>,
+    /// Health that was last logged.
+    logged_health: Cell<EndpointHealth>,
     /// Wakes the task that takes decisions when they are due.
     changed: Notify,
 }
@@ -95,11 +103,13 @@
 
 impl EndpointGate {
     /// Creates the gate of an endpoint, and the task that takes its decisions in time.
-    pub(super) fn start(slots: u32) -> Rc<Self> {
+    pub(super) fn start(endpoint: &str, slots: u32) -> Rc<Self> {
         let gate = Rc::new(Self {
+            endpoint: endpoint.to_owned(),
             admission: RefCell::new(EndpointAdmission::new(slots, boot_now())),
             waiting: RefCell::default(),
             logged_limit: Cell::new(slots),
+            logged_health: Cell::new(EndpointHealth::Usable),
             changed: Notify::new(),
         });
         spawn_local(decide_in_time(Rc::downgrade(&gate)));
@@ -118,6 +128,7 @@
             // A receiver that is gone has given its ticket back.
             waiting.map(|waiting| waiting.send(result));
         }
+        self.log_changes();
         self.changed.notify_one();
     }
 
@@ -137,25 +148,45 @@
         }
     }
 
-    /// Logs the number of statements that the endpoint takes, when it has changed.
-    fn log_limit(&self, endpoint: &str) {
-        let (limit, service) = {
+    /// Logs the number of statements that the endpoint takes, and its health, when they have changed.
+    fn log_changes(&self) {
+        let (limit, health, service) = {
             let admission = self.admission.borrow();
-            (admission.summary(boot_now()).limit, admission.service_time(USUAL_WORK))
+            let health = admission.health(boot_now());
+            (admission.learned_limit(), health, admission.service_time(USUAL_WORK))
         };
+        let service_ms = service.as_millis() as u64;
         let former = self.logged_limit.replace(limit);
         if former != limit {
-            let service_ms = service.as_millis() as u64;
             journal::event(
                 "endpoint",
                 "limit",
-                json!({ "endpoint": endpoint, "former": former, "limit": limit,
+                json!({ "endpoint": self.endpoint, "former": former, "limit": limit,
+                        "service_ms": service_ms }),
+            );
+        }
+        let former = self.logged_health.replace(health);
+        if former != health {
+            journal::event(
+                "endpoint",
+                "health",
+                json!({ "endpoint": self.endpoint, "former": health_name(former),
+                        "health": health_name(health), "limit": limit,
                         "service_ms": service_ms }),
             );
         }
     }
 }
 
+/// Name of a state of health in log lines and metrics.
+fn health_name(health: EndpointHealth) -> &'static str {
+    match health {
+        EndpointHealth::Usable => "usable",
+        EndpointHealth::Failing => "failing",
+        EndpointHealth::Probing => "probing",
+    }
+}
+
 async fn decide_in_time(gate: Weak<EndpointGate>) {
     while let Some(current) = gate.upgrade() {
         let deadline = current.admission.borrow().next_deadline();
@@ -177,9 +208,9 @@
     if !is_scheduled(host.settings.scheduling, is_pooled, has_priorities) {
         return None;
     }
-    let slots = host_state.endpoints.get(endpoint)?.record.slots;
-    let gate = pool.gate(slots);
-    gate.admission.borrow_mut().set_slots(slots);
+    let record = &host_state.endpoints.get(endpoint)?.record;
+    let gate = pool.gate(&record.id, record.slots);
+    gate.admission.borrow_mut().set_slots(record.slots);
     Some(gate)
 }
 
@@ -229,9 +260,6 @@
         .observe(boot_now().since(began_at).as_secs_f64());
     match decision {
         Ok(Ok(())) => {
-            if let Some(state) = host.state.borrow().endpoints.get(endpoint) {
-                gate.log_limit(&state.record.id);
-            }
             let outcome = Cell::new(WorkOutcome::Cancelled);
             Ok(Some(AdmittedStatement { gate, ticket, outcome }))
         }
--- a/crates/proxy/src/ledger/metrics.rs
+++ b/crates/proxy/src/ledger/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a host.
 
+mod endpoints;
+
 use std::time::Duration;
 
 use prometheus::proto::MetricType;
@@ -7,6 +9,9 @@
     Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
+use tanagerdeal_core::ledger::admission::RefusalReason;
+
+pub(super) use endpoints::EndpointGauges;
 
 /// Bucket bounds of the latency histograms, in seconds. They enclose the latency objectives of the
 /// users' routes, which lie between 0.12 and 0.6 s.
@@ -15,6 +20,10 @@
 /// Outcomes of usage reports.
 const USAGE_OUTCOMES: [&str; 5] = ["sent", "incomplete", "late", "refused", "dropped"];
 
+/// Reasons for which a pool host refuses statements.
+const ADMISSION_REASONS: [RefusalReason; 3] =
+    [RefusalReason::Backlog, RefusalReason::Expired, RefusalReason::QueueFull];
+
 /// Metrics of the process.
 pub(super) struct HostMetrics {
     registry: Registry,
@@ -32,6 +41,8 @@
     pub(super) admission_refusals: IntCounterVec,
     /// Time that statements waited at this host as a pool host, by priority.
     pub(super) queue_time: HistogramVec,
+    /// Endpoints whose pool host this host is.
+    pub(super) endpoints: EndpointGauges,
     /// Failovers and planned changes of primary by outcome.
     pub(super) changes: IntCounterVec,
     /// Usage reports by outcome.
@@ -92,6 +103,16 @@
         for outcome in USAGE_OUTCOMES {
             usage_reports.with_label_values(&[outcome]).reset();
         }
+        let admission_refusals = counter(
+            "tanagerdeal_admission_refusals_total",
+            "Statements that a pool host refused, by priority and reason",
+            &["priority", "reason"],
+        )?;
+        // Refusals of the most urgent statements are rare, so they are counted from 0.
+        for reason in ADMISSION_REASONS {
+            let labels = ["0".to_owned(), format!("{reason:?}")];
+            admission_refusals.with_label_values(&labels).reset();
+        }
         Ok(Self {
             statements: counter(
                 "tanagerdeal_statements_total",
@@ -109,12 +130,9 @@
                 "Connections to endpoints by outcome",
                 &["outcome"],
             )?,
-            admission_refusals: counter(
-                "tanagerdeal_admission_refusals_total",
-                "Statements that a pool host refused, by priority and reason",
-                &["priority", "reason"],
-            )?,
+            admission_refusals,
             queue_time,
+            endpoints: EndpointGauges::new(&registry)?,
             forwarded: counter(
                 "tanagerdeal_forwarded_total",
                 "Statements for pooled endpoints by where they ran",
--- a/crates/proxy/src/ledger/pool.rs
+++ b/crates/proxy/src/ledger/pool.rs
@@ -138,9 +138,14 @@
         now < self.pooled_until.get()
     }
 
-    /// The queue of the statements for the endpoint, which has `slots` slots.
-    pub(super) fn gate(&self, slots: u32) -> Rc<EndpointGate> {
-        self.gate.get_or_init(|| EndpointGate::start(slots)).clone()
+    /// The queue of the statements for the endpoint `id`, which has `slots` slots.
+    pub(super) fn gate(&self, id: &str, slots: u32) -> Rc<EndpointGate> {
+        self.gate.get_or_init(|| EndpointGate::start(id, slots)).clone()
+    }
+
+    /// The same, once there was a statement.
+    pub(super) fn known_gate(&self) -> Option<&Rc<EndpointGate>> {
+        self.gate.get()
     }
 
     fn record_closed(&self) {
--- a/crates/proxy/tests/site/logs.rs
+++ b/crates/proxy/tests/site/logs.rs
@@ -1,12 +1,15 @@
 //! What an engineer finds afterwards: log lines and metrics.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use serde_json::Value;
 
-use crate::support::{SiteDeployment, until, until_done};
+use tanagerdeal_standin::StandinClient;
+
+use crate::support::{KEY, SiteDeployment, SiteHost, until, until_done};
 
 fn lines(log: &str) -> Vec<Value> {
     log.lines().map(|line| serde_json::from_str(line).unwrap_or(Value::Null)).collect()
@@ -72,10 +75,12 @@
 /// date.
 #[tokio::test]
 async fn the_page_for_operators_lists_the_metrics_that_are_served() {
-    let site = SiteDeployment::start(2).await;
+    let mut site = SiteDeployment::start(2).await;
     let mut client = site.session(0, "current").await;
     until_done(&mut client, "READ item").await;
     client.query("COMMIT").await;
+    let pooled = pooled_host(&site).await;
+    site.hosts.push(pooled);
     // Some counters are there once something was counted.
     site.group.kill(0);
     until_done(&mut client, "WRITE item one").await;
@@ -93,6 +98,51 @@
     assert_that!(served, eq(&listed));
 }
 
+/// A host that has been the pool host of the primary's endpoint for at least one statement.
+async fn pooled_host(site: &SiteDeployment) -> SiteHost {
+    // Hosts are distributed over the failure domains by their index; the primary is in the first.
+    let host = SiteHost::start_pooled(site.store.address(), 3);
+    assert_ne!(host.forwarding.port(), 0);
+    host.wait_ready().await;
+    until("the host is a pool host", async || {
+        read_once(host.callers).await;
+        host.page("/metrics").await.1.contains("tanagerdeal_endpoint_limit{")
+    })
+    .await;
+    host
+}
+
+async fn read_once(callers: SocketAddr) {
+    let (mut client, _) = StandinClient::open(callers, "current", KEY).await.unwrap();
+    until_done(&mut client, "READ item").await;
+}
+
+/// Guards against a pool host whose load and learned limits cannot be seen, against values that
+/// stay when it is one no more, and against a change that is not logged.
+#[gtest]
+#[tokio::test]
+async fn a_pool_host_shows_the_load_of_its_endpoints() {
+    let site = SiteDeployment::start(1).await;
+    let host = pooled_host(&site).await;
+    let (_, body) = host.page("/metrics").await;
+    for line in [
+        "tanagerdeal_pool_host{endpoint=\"g1-0\",group=\"g1\"} 1",
+        "tanagerdeal_endpoint_running{endpoint=\"g1-0\",group=\"g1\"} 0",
+        "tanagerdeal_endpoint_waiting{endpoint=\"g1-0\",group=\"g1\",priority=\"1\"} 0",
+        "tanagerdeal_endpoint_health{endpoint=\"g1-0\",group=\"g1\",state=\"usable\"} 1",
+        "tanagerdeal_endpoint_health{endpoint=\"g1-0\",group=\"g1\",state=\"probing\"} 0",
+        "tanagerdeal_endpoint_service_seconds{endpoint=\"g1-0\",group=\"g1\"} 0.0",
+    ] {
+        expect_that!(body, contains_substring(line));
+    }
+    expect_that!(host.log(), contains_substring(r#""event":"pool_host_began""#));
+    let is_gone = async || !host.page("/metrics").await.1.contains("tanagerdeal_endpoint_limit{");
+    until("the values are gone", is_gone).await;
+    expect_that!(host.log(), contains_substring(r#""event":"pool_host_ended""#));
+    let (_, body) = site.hosts[0].page("/metrics").await;
+    expect_that!(body, not(contains_substring("tanagerdeal_pool_host{")));
+}
+
 /// Guards against statements that wait for a reader of the log: with a reader that takes nothing,
 /// far more lines than any pipe holds are logged while statements are answered as usual.
 #[tokio::test]
--- a/crates/proxy/tests/site/support.rs
+++ b/crates/proxy/tests/site/support.rs
@@ -23,6 +23,9 @@
 /// A second key of the customer.
 pub const OTHER_KEY: &str = "k3y-MARKED-b";
 
+/// Settings of hosts that pool connections whatever their number.
+const POOLING: &str = "[endpoints]\npooling = on\nscheduling = on\n";
+
 /// A process of a host with its log file; killed when the test ends.
 pub struct SiteHost {
     child: Child,
@@ -33,6 +36,8 @@
     pub admin: SocketAddr,
     /// Address for messages of other hosts.
     pub peers: SocketAddr,
+    /// Address for forwarded statements, if it pools connections.
+    pub forwarding: SocketAddr,
 }
 
 /// A deployment.
@@ -111,6 +116,13 @@
 }
 
 impl SiteHost {
+    /// Starts a host that pools its connections with others and queues their statements.
+    pub fn start_pooled(store: SocketAddr, index: usize) -> Self {
+        let forwarding = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        let listen = format!("forwarding = {forwarding}\n");
+        Self::launch(store, index, forwarding, &listen, POOLING)
+    }
+
     /// Starts a host that reaches the store at an address.
     pub fn start(store: SocketAddr, index: usize) -> Self {
         Self::start_with(store, index, "")
@@ -118,6 +130,17 @@
 
     /// The same, with further lines in its settings.
     pub fn start_with(store: SocketAddr, index: usize, further: &str) -> Self {
+        let unused = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::launch(store, index, unused, "", further)
+    }
+
+    fn launch(
+        store: SocketAddr,
+        index: usize,
+        forwarding: SocketAddr,
+        listen: &str,
+        further: &str,
+    ) -> Self {
         let directory = TempDir::new().unwrap();
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let (callers, admin) = (address(free_port()), address(free_port()));
@@ -126,13 +149,13 @@
         let domain = format!("d{}", index % 3 + 1);
         let text = format!(
             "[host]\nname = h{index}\ndomain = {domain}\ndomains = d1,d2,d3\n\
-             [listen]\ncallers = {callers}\nadmin = {admin}\npeers = {peers}\n\
+             [listen]\ncallers = {callers}\nadmin = {admin}\npeers = {peers}\n{listen}\
              [platform]\nstore = {store}\ncontrol = {store}\n\
              [limits]\nshutdown_s = 6\ndescriptors = 2048\n{further}",
         );
         std::fs::write(&settings, text).unwrap();
         let child = spawn(&settings, &directory.path().join("log"), None);
-        Self { child, directory, callers, admin, peers }
+        Self { child, directory, callers, admin, peers, forwarding }
     }
 
     /// Starts the process again with a log that nobody reads.
