--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -197,10 +197,24 @@
         )
 }
 
+fn endpoints_command() -> Command {
+    Command::new("endpoints")
+        .about("Prints limit, load and health of endpoints as their pool hosts see them")
+        .arg(
+            Arg::new("admin")
+                .long("admin")
+                .value_name("IP:PORT")
+                .required(true)
+                .value_delimiter(',')
+                .help("Admin addresses of hosts, such as all of a failure domain"),
+        )
+}
+
 fn other_commands() -> Vec<Command> {
     vec![
         story_command(),
         check_command(),
+        endpoints_command(),
         Command::new("completions").about("Prints a completion script").arg(
             Arg::new("shell").required(true).value_parser(value_parser!(clap_complete::Shell)),
         ),
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod command;
 pub mod context;
+pub mod endpoints;
 pub mod error;
 pub mod fleet;
 pub mod print;
@@ -43,6 +44,7 @@
     match name {
         "completions" => return write_completions(arguments),
         "story" => return story::tell(arguments),
+        "endpoints" => return endpoints::show(arguments).await,
         "check-config" => return check::check_config(arguments).await,
         "man" => return clap_mangen::Man::new(command()).render(&mut stdout()).map_err(Into::into),
         _ => {}
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -359,3 +359,54 @@
     expect_that!(lines, eq("difference: configuration: version: 8, before: 7\n"));
     expect_that!(store.row("op", "config"), some(eq(&sound_config(7))));
 }
+
+/// Serves a metrics page, and returns its address.
+async fn serve_metrics(text: &'static str) -> String {
+    let router = Router::new().route("/metrics", get(move || async move { text }));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    address
+}
+
+/// Metrics of a pool host whose endpoint fails, and of one whose statements are not queued.
+const POOL_METRICS: &str = "# TYPE tanagerdeal_pool_host gauge\n\
+    tanagerdeal_sessions 4\n\
+    tanagerdeal_pool_host{endpoint=\"e1\",group=\"g1\"} 1\n\
+    tanagerdeal_pool_host{endpoint=\"e2\",group=\"g1\"} 1\n\
+    tanagerdeal_endpoint_limit{endpoint=\"e1\",group=\"g1\"} 3\n\
+    tanagerdeal_endpoint_running{endpoint=\"e1\",group=\"g1\"} 2\n\
+    tanagerdeal_endpoint_waiting{endpoint=\"e1\",group=\"g1\",priority=\"0\"} 1\n\
+    tanagerdeal_endpoint_waiting{endpoint=\"e1\",group=\"g1\",priority=\"2\"} 5\n\
+    tanagerdeal_endpoint_service_seconds{endpoint=\"e1\",group=\"g1\"} 0.0215\n\
+    tanagerdeal_endpoint_health{endpoint=\"e1\",group=\"g1\",state=\"usable\"} 0\n\
+    tanagerdeal_endpoint_health{endpoint=\"e1\",group=\"g1\",state=\"failing\"} 1\n";
+
+/// Guards against a load or a health that is shown for the wrong endpoint, and against one host
+/// that does not answer hiding the endpoints of the others.
+#[gtest]
+#[tokio::test]
+async fn endpoints_are_shown_as_their_pool_hosts_see_them() {
+    let address = serve_metrics(POOL_METRICS).await;
+    let run = async |arguments: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tanagerctl"));
+        command.args(arguments);
+        tokio::task::spawn_blocking(move || command.output().unwrap()).await.unwrap()
+    };
+    let output = run(&["--json", "endpoints", "--admin", &address]).await;
+    let report: Value = serde_json::from_slice(&output.stdout).unwrap();
+    let expected = json!([
+        { "endpoint": "e1", "group": "g1", "pool_host": address, "limit": 3, "running": 2,
+          "waiting": { "0": 1, "2": 5 }, "service_us": 21500, "health": "failing" },
+        { "endpoint": "e2", "group": "g1", "pool_host": address, "limit": null, "running": null,
+          "waiting": {}, "service_us": null, "health": null },
+    ]);
+    expect_that!(report["endpoints"], eq(&expected));
+    let both = format!("{address},127.0.0.1:1");
+    let output = run(&["endpoints", "--admin", &both]).await;
+    let text = String::from_utf8(output.stdout).unwrap();
+    expect_that!(output.status.code(), some(eq(3)));
+    expect_that!(String::from_utf8(output.stderr).unwrap(), contains_substring("127.0.0.1:1"));
+    expect_that!(text, contains_substring("0:1 2:5"));
+    expect_that!(text, contains_substring("21.5 failing"));
+}
