Explore the interleavings of forwarded statements

Cause: what follows from a lost, silent or late call to a pool host is decided within asynchronous code, where it cannot be explored.

Change: core/ledger/forwarding has the decision as a function; a model of one attempt, two pool hosts and an endpoint calls it, and explores all interleavings.

Not run: the other tests of the crate, its doc tests.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -16,6 +16,7 @@
 pub mod endpoint;
 pub mod extension;
 pub mod failover;
+pub mod forwarding;
 pub mod freshness;
 pub mod group;
 pub mod isolation;
--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -9,6 +9,7 @@
 mod extension;
 mod failover;
 mod fleet;
+mod forwarding;
 mod isolation;
 mod mirror;
 mod position;
