Take the step after a forwarded call from the explored decision

The proxy had its own copy of the rule that core/ledger/forwarding holds and whose exploration proves it. Behaviour: a read that is lost with its connection runs on this host again, not at the next pool host.

--- a/crates/proxy/src/ledger/forward.rs
+++ b/crates/proxy/src/ledger/forward.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use tanagerdeal_core::ledger::capacity::WorkKind;
+use tanagerdeal_core::ledger::forwarding::{CallEnd, NextStep, StatementKind, next_step};
 use tanagerdeal_core::ledger::position::PrimaryObservation;
 use tanagerdeal_core::ledger::statement::AccessMode;
 
@@ -32,8 +33,6 @@
 pub(super) use server::serve;
 pub(super) use transaction::{BegunTransaction, BoundTransaction, begin};
 
-/// Pool hosts to which a statement is sent before it runs on a connection of this host.
-const MAX_FORWARDS: usize = 2;
 /// Time that a reply needs from the pool host beyond the deadline of the statement, so that its own
 /// verdict arrives.
 const REPLY_MARGIN: Duration = Duration::from_millis(50);
@@ -53,27 +52,36 @@
     request: AccessRequest<'_>,
     timing: StatementTiming,
 ) -> Result<EndpointReply, RunError> {
-    for _ in 0..MAX_FORWARDS {
+    let kind = match request.mode {
+        AccessMode::Read => StatementKind::Read,
+        AccessMode::Write => StatementKind::Write,
+    };
+    for forwards in 1.. {
         let Some(pool_host) = path::connect(ctx.host, target.endpoint).await else { break };
         let call = pool_host.link.new_call();
         let statement = statement_message(ctx, target, request, timing)?;
-        let is_write = request.mode == AccessMode::Write;
+        let waits_if_silent = next_step(kind, CallEnd::LinkSilent, forwards) == NextStep::Wait;
         let deadline = timing.deadline.after(REPLY_MARGIN);
         let sent_at = boot_now();
         let message = Request::Run { call, statement };
-        match pool_host.link.call(call, target.endpoint, message, is_write, deadline).await {
-            Ok(result) => match result.into_result(sent_at) {
-                Err(error) if is_declined(&error) => {
-                    path::note_declined(ctx.host, &pool_host.name, target.endpoint, &error);
-                }
-                result => {
-                    note_result(ctx, target, request, &result);
-                    return result;
+        let called = pool_host.link.call(call, target.endpoint, message, waits_if_silent, deadline);
+        let ended = called.await.map(|result| result.into_result(sent_at));
+        match (next_step(kind, call_end(&ended), forwards), ended) {
+            (step @ (NextStep::TryNextPoolHost | NextStep::RunHere), Ok(Err(error))) => {
+                path::note_declined(ctx.host, &pool_host.name, target.endpoint, &error);
+                if step == NextStep::RunHere {
+                    break;
                 }
-            },
-            // A read has no effect, so it is repeated elsewhere.
-            Err(CallError::Lost | CallError::Silent) if !is_write => count(ctx.host, "repeated"),
-            Err(error) => return Err(RunError::Sent(connection_error(error))),
+            }
+            (NextStep::RunHere, Err(_)) => {
+                count(ctx.host, "repeated");
+                break;
+            }
+            (_, Ok(result)) => {
+                note_result(ctx, target, request, &result);
+                return result;
+            }
+            (_, Err(error)) => return Err(RunError::Sent(connection_error(error))),
         }
     }
     match target.permit {
@@ -82,6 +90,18 @@
     }
 }
 
+/// How a forwarded call ended.
+fn call_end(ended: &Result<Result<EndpointReply, RunError>, CallError>) -> CallEnd {
+    match ended {
+        Ok(Ok(_)) => CallEnd::Replied,
+        Ok(Err(RunError::Sent(_))) => CallEnd::Sent,
+        Ok(Err(error)) => CallEnd::NotSent { is_declined: is_declined(error) },
+        Err(CallError::Lost) => CallEnd::LinkLost,
+        Err(CallError::Silent) => CallEnd::LinkSilent,
+        Err(CallError::TimedOut) => CallEnd::TimedOut,
+    }
+}
+
 fn connection_error(error: CallError) -> ConnectionError {
     match error {
         CallError::TimedOut => ConnectionError::TimedOut,
--- a/crates/proxy/src/ledger/forward/link.rs
+++ b/crates/proxy/src/ledger/forward/link.rs
@@ -333,7 +333,7 @@
         call
     }
 
-    /// Sends a request for an endpoint and waits for its result. Unless `waits_silently`, a pool host that does not
+    /// Sends a request for an endpoint and waits for its result. Unless `waits_if_silent`, a pool host that does not
     /// reply ends the wait.
     ///
     /// # Errors
@@ -344,7 +344,7 @@
         call: u64,
         endpoint: EndpointKey,
         request: Request,
-        waits_silently: bool,
+        waits_if_silent: bool,
         deadline: BootInstant,
     ) -> Result<StatementResult, CallError> {
         let now = boot_now();
@@ -356,7 +356,7 @@
         let ended = async {
             let ends = |condition: &LinkCondition| match condition {
                 LinkCondition::Working => false,
-                LinkCondition::Silent => !waits_silently,
+                LinkCondition::Silent => !waits_if_silent,
                 LinkCondition::Lost => true,
             };
             let ended = condition.wait_for(ends).await;
--- a/crates/proxy/src/ledger/forward/transaction.rs
+++ b/crates/proxy/src/ledger/forward/transaction.rs
@@ -2,14 +2,13 @@
 
 use std::rc::Rc;
 
+use tanagerdeal_core::ledger::forwarding::{CallEnd, NextStep, StatementKind, next_step};
 use tanagerdeal_core::ledger::statement::SessionState;
 
 use super::link::HostLink;
 use super::message::{Request, StatementResult};
 use super::path::{self, PoolHost};
-use super::{
-    MAX_FORWARDS, REPLY_MARGIN, connection_error, is_declined, note_result, statement_message,
-};
+use super::{REPLY_MARGIN, connection_error, is_declined, note_result, statement_message};
 use crate::ledger::bound::{self, BoundConnection};
 use crate::ledger::connection::EndpointReply;
 use crate::ledger::context::{HostContext, boot_now};
@@ -52,13 +51,19 @@
     request: AccessRequest<'_>,
     timing: StatementTiming,
 ) -> Result<BegunTransaction, RunError> {
-    for _ in 0..MAX_FORWARDS {
+    for forwards in 1.. {
         let Some(pool_host) = path::connect(ctx.host, target.endpoint).await else { break };
-        match begin_at(&pool_host, ctx, target, is_read_only, request, timing).await {
-            Err(error) if is_declined(&error) => {
+        let begun = begin_at(&pool_host, ctx, target, is_read_only, request, timing).await;
+        let Err(error) = begun else { return begun };
+        let end = CallEnd::NotBegun { is_declined: is_declined(&error) };
+        match next_step(StatementKind::FirstOfTransaction, end, forwards) {
+            step @ (NextStep::TryNextPoolHost | NextStep::RunHere) => {
                 path::note_declined(ctx.host, &pool_host.name, target.endpoint, &error);
+                if step == NextStep::RunHere {
+                    break;
+                }
             }
-            begun => return begun,
+            _ => return Err(error),
         }
     }
     let (bound, result) = bound::begin_with(ctx, target, is_read_only, request, timing).await?;
