Keep one copy of what the forwarding wrote twice

Found on a last read of the change; no decision changes. - The loop that sends queued messages stood in both sides of a connection between hosts, and the choice between a primary and another endpoint, the position that a read needs, the record of a primary's position and the conversion to microseconds stood in two or three places each: one of each now. - A transaction asks the explored decision whether it waits for a silent pool host, as single statements do. - What prevented a statement is one type of its own on the wire, with From; the encoding is the same. - Live hosts are counted without a list, and the priorities of a configuration are kept, not a flag beside them.

--- a/crates/core/src/ledger/catalog.rs
+++ b/crates/core/src/ledger/catalog.rs
@@ -84,7 +84,7 @@
         customers: HashMap<String, Arc<CustomerRecord>>,
         customers_by_key: HashMap<String, Arc<CustomerRecord>>,
         groups: HashMap<String, GroupLimits>,
-        has_priorities: bool,
+        priorities: BTreeSet<u8>,
         /// Longest time that a transaction may stay idle.
         pub transaction_idle: Duration,
         /// Time limit for a client to name its database.
@@ -150,14 +150,11 @@
             .iter()
             .flat_map(|customer| customer.keys.iter().map(|key| (key.clone(), customer.clone())))
             .collect();
-        let has_priorities = routes
-            .iter()
-            .any(|route| Some(route.priority) != routes.first().map(|first| first.priority));
-        let routes =
+        let routes: HashMap<String, Arc<DatabaseRoute>> =
             routes.into_iter().map(|route| (route.database.clone(), Arc::new(route))).collect();
         Self {
             version,
-            has_priorities,
+            priorities: routes.values().map(|route| route.priority).collect(),
             routes,
             customers_by_key,
             customers: customers.into_iter().map(|entry| (entry.name.clone(), entry)).collect(),
@@ -189,12 +186,12 @@
 
     /// Whether the routes differ in priority.
     pub fn has_priorities(&self) -> bool {
-        self.has_priorities
+        self.priorities.len() > 1
     }
 
     /// Priorities of the routes.
-    pub fn priorities(&self) -> BTreeSet<u8> {
-        self.routes.values().map(|route| route.priority).collect()
+    pub fn priorities(&self) -> &BTreeSet<u8> {
+        &self.priorities
     }
 
     /// Names of all groups that a route leads to.
--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -369,7 +369,7 @@
 
     /// Number of live hosts; at least one, as this host counts itself.
     pub fn live_hosts(&self) -> usize {
-        self.share_hosts().len().max(1)
+        live_hosts(&self.hosts, self.hosts_read_at).count().max(1)
     }
 }
 
--- a/crates/proxy/src/ledger/bound.rs
+++ b/crates/proxy/src/ledger/bound.rs
@@ -1,11 +1,9 @@
 //! A transaction on a connection of this host to an endpoint.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use tanagerdeal_adapter::line;
 use tanagerdeal_core::ledger::clock::BootInstant;
-use tanagerdeal_core::ledger::position::PrimaryObservation;
 use tanagerdeal_core::ledger::state::PrimaryPermit;
 use tanagerdeal_core::ledger::statement::SessionState;
 
@@ -16,7 +14,7 @@
 use super::pool::{PooledConnection, acquire};
 use super::statement::{
     AccessRequest, InFlightGuard, RunError, StatementContext, StatementTarget, check_not_leaving,
-    exchange_on_primary, newest_position, note_outcome,
+    exchange_on_primary, note_outcome, observe_position,
 };
 use super::usage::UsageGuard;
 
@@ -141,16 +139,13 @@
     timing: StatementTiming,
     is_queued: bool,
 ) -> Result<PooledConnection, RunError> {
-    let (host, endpoint): (&Rc<HostContext>, _) = (ctx.host, target.endpoint);
+    let (host, endpoint) = (ctx.host, target.endpoint);
     let acquired =
         acquire(host, endpoint, ctx.customer, timing.connection_deadline(is_queued)).await;
     let mut pooled = acquired.map_err(RunError::NoConnection)?;
     check_not_leaving(ctx, endpoint, target.permit)?;
     let connection = pooled.connection().map_err(RunError::NotSent)?;
-    let min_position = match target.permit {
-        Some(_) => newest_position(&host.state.borrow(), ctx.group).max(target.min_position),
-        None => target.min_position,
-    };
+    let min_position = target.read_position(&host.state.borrow(), ctx.group);
     let text = line::begin(is_read_only, min_position);
     let outcome =
         connection.apply_session(ctx.session, request.prepared, Some(&text), timing.deadline).await;
@@ -159,16 +154,14 @@
     });
     note_outcome(host, endpoint, request.id, &outcome);
     let reply = outcome.map_err(RunError::NotSent)?;
-    match (reply.failure, reply.position, target.permit) {
-        (Some(reason), ..) => {
+    if let Some(permit) = target.permit {
+        observe_position(ctx, permit, &reply);
+    }
+    match reply.failure {
+        Some(reason) => {
             pooled.release_if_idle(reply.state);
             Err(RunError::NotSent(ConnectionError::Refused(reason)))
         }
-        (None, Some(position), Some(permit)) => {
-            let observation = PrimaryObservation { sent_at: reply.sent_at, position };
-            host.state.borrow_mut().observe_primary(ctx.group, permit, observation, boot_now());
-            Ok(pooled)
-        }
-        _ => Ok(pooled),
+        None => Ok(pooled),
     }
 }
--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -161,6 +161,11 @@
     BootInstant::from_micros(seconds * 1_000_000 + micros)
 }
 
+/// Whole microseconds of a duration, as sent to other hosts; at most `u32::MAX`.
+pub(super) fn whole_micros(time: Duration) -> u32 {
+    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
+}
+
 /// Sleeps until an instant of the boot clock.
 pub(super) async fn sleep_until(deadline: BootInstant) {
     tokio::time::sleep(deadline.since(boot_now())).await;
--- a/crates/proxy/src/ledger/forward.rs
+++ b/crates/proxy/src/ledger/forward.rs
@@ -14,16 +14,15 @@
 
 use tanagerdeal_core::ledger::capacity::WorkKind;
 use tanagerdeal_core::ledger::forwarding::{CallEnd, NextStep, StatementKind, next_step};
-use tanagerdeal_core::ledger::position::PrimaryObservation;
 use tanagerdeal_core::ledger::statement::AccessMode;
 
 use super::connection::{ConnectionError, EndpointReply};
-use super::context::{HostContext, boot_now};
+use super::context::{HostContext, boot_now, whole_micros};
 use super::operation::StatementTiming;
 use super::pool::AcquireError;
 use super::statement::{
-    AccessRequest, RunError, StatementContext, StatementTarget, newest_position, note_outcome,
-    run_on_primary, run_single,
+    self, AccessRequest, RunError, StatementContext, StatementTarget, note_outcome,
+    observe_position,
 };
 use link::CallError;
 use message::{PreparedMessage, Request, StatementMessage};
@@ -60,11 +59,11 @@
         let Some(pool_host) = path::connect(ctx.host, target.endpoint).await else { break };
         let call = pool_host.link.new_call();
         let statement = statement_message(ctx, target, request, timing)?;
-        let waits_if_silent = next_step(kind, CallEnd::LinkSilent, forwards) == NextStep::Wait;
         let deadline = timing.deadline.after(REPLY_MARGIN);
         let sent_at = boot_now();
         let message = Request::Run { call, statement };
-        let called = pool_host.link.call(call, target.endpoint, message, waits_if_silent, deadline);
+        let called =
+            pool_host.link.call(call, target.endpoint, message, waits_if_silent(kind), deadline);
         let ended = called.await.map(|result| result.into_result(sent_at));
         match (next_step(kind, call_end(&ended), forwards), ended) {
             (step @ (NextStep::TryNextPoolHost | NextStep::RunHere), Ok(Err(error))) => {
@@ -84,10 +83,12 @@
             (_, Err(error)) => return Err(RunError::Sent(connection_error(error))),
         }
     }
-    match target.permit {
-        Some(permit) => run_on_primary(ctx, target, permit, request, timing).await,
-        None => run_single(ctx, target, request, timing).await,
-    }
+    statement::run(ctx, target, request, timing).await
+}
+
+/// Whether a call goes on while its pool host does not reply.
+fn waits_if_silent(kind: StatementKind) -> bool {
+    next_step(kind, CallEnd::LinkSilent, 1) == NextStep::Wait
 }
 
 /// How a forwarded call ended.
@@ -146,21 +147,14 @@
         is_write: request.mode == AccessMode::Write,
         is_commit: request.work.kind == WorkKind::Commit,
         on_primary: target.permit.is_some(),
-        min_position: match target.permit {
-            Some(_) => newest_position(&host_state, ctx.group).max(target.min_position),
-            None => target.min_position,
-        },
+        min_position: target.read_position(&host_state, ctx.group),
         route: request.work.route,
         priority: request.priority,
-        wait_us: micros(timing.queue_deadline.since(boot_now())),
+        wait_us: whole_micros(timing.queue_deadline.since(boot_now())),
         deadline: clock.earliest(timing.deadline),
     }))
 }
 
-fn micros(time: Duration) -> u32 {
-    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
-}
-
 /// Records what the result of a forwarded statement shows of its endpoint.
 fn note_result(
     ctx: StatementContext<'_>,
@@ -174,10 +168,7 @@
         Err(_) => return,
     };
     note_outcome(ctx.host, target.endpoint, request.id, &observed);
-    let Ok(reply) = observed else { return };
-    if let (Some(permit), Some(position), None) = (target.permit, reply.position, reply.failure) {
-        let observation = PrimaryObservation { sent_at: reply.sent_at, position };
-        let mut host_state = ctx.host.state.borrow_mut();
-        host_state.observe_primary(ctx.group, permit, observation, boot_now());
+    if let (Ok(reply), Some(permit)) = (&observed, target.permit) {
+        observe_position(ctx, permit, reply);
     }
 }
--- a/crates/proxy/src/ledger/forward/frames.rs
+++ b/crates/proxy/src/ledger/forward/frames.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -74,18 +75,40 @@
 
 impl FrameSink {
     /// Adds a message to those that the next flush sends.
-    pub(super) async fn feed(&mut self, message: &impl Serialize) -> Result<(), LinkError> {
+    async fn feed(&mut self, message: &impl Serialize) -> Result<(), LinkError> {
         let frame = encode(&self.key, &(self.sequence, message)).ok_or(LinkError::Invalid(0))?;
         self.sequence += 1;
         self.frames.feed(Bytes::from(frame)).await.map_err(closed)
     }
 
     /// Sends all messages.
-    pub(super) async fn flush(&mut self) -> Result<(), LinkError> {
+    async fn flush(&mut self) -> Result<(), LinkError> {
         self.frames.flush().await.map_err(closed)
     }
 }
 
+/// Sends queued messages, several in one write where they have queued up, until the queue or the
+/// connection is closed.
+pub(super) async fn send_queued<T: Serialize>(
+    mut sink: FrameSink,
+    mut queue: mpsc::UnboundedReceiver<T>,
+) -> LinkError {
+    while let Some(message) = queue.recv().await {
+        let mut sent = sink.feed(&message).await;
+        while let (Ok(()), Ok(message)) = (&sent, queue.try_recv()) {
+            sent = sink.feed(&message).await;
+        }
+        let flushed = match sent {
+            Ok(()) => sink.flush().await,
+            error => error,
+        };
+        if let Err(error) = flushed {
+            return error;
+        }
+    }
+    LinkError::Closed("no longer used".to_owned())
+}
+
 impl FrameStream {
     /// The next message.
     pub(super) async fn next<T: DeserializeOwned>(&mut self) -> Result<T, LinkError> {
--- a/crates/proxy/src/ledger/forward/link.rs
+++ b/crates/proxy/src/ledger/forward/link.rs
@@ -30,7 +30,6 @@
 const LEAVING_TERM: Duration = Duration::from_secs(10);
 /// Time without a statement after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// References to a connection that no transaction uses.
 const OWN_REFERENCES: usize = 2;
 
@@ -202,9 +201,8 @@
     host.links.links.borrow_mut().insert(address, link.clone());
     let (host, name, served) = (host.clone(), name.to_owned(), link.clone());
     spawn_local(async move {
-        let writing = send_requests(sink, queue);
         let ended = tokio::select! {
-            error = writing => error,
+            error = frames::send_queued(sink, queue) => error,
             error = receive_responses(&host, &name, &served, stream) => error,
             error = watch_silence(&host, &name, &served) => error,
         };
@@ -223,27 +221,6 @@
     link
 }
 
-/// Sends queued requests, several in one write where they have queued up.
-async fn send_requests(
-    mut sink: FrameSink,
-    mut queue: mpsc::UnboundedReceiver<Request>,
-) -> LinkError {
-    while let Some(request) = queue.recv().await {
-        let mut sent = sink.feed(&request).await;
-        while let (Ok(()), Ok(request)) = (&sent, queue.try_recv()) {
-            sent = sink.feed(&request).await;
-        }
-        let flushed = match sent {
-            Ok(()) => sink.flush().await,
-            error => error,
-        };
-        if let Err(error) = flushed {
-            return error;
-        }
-    }
-    LinkError::Closed("no longer used".to_owned())
-}
-
 async fn receive_responses(
     host: &HostContext,
     name: &str,
@@ -333,8 +310,8 @@
         call
     }
 
-    /// Sends a request for an endpoint and waits for its result. Unless `waits_if_silent`, a pool host that does not
-    /// reply ends the wait.
+    /// Sends a request for an endpoint and waits for its result. Unless `waits_if_silent`, a pool
+    /// host that does not reply ends the wait.
     ///
     /// # Errors
     ///
--- a/crates/proxy/src/ledger/forward/message.rs
+++ b/crates/proxy/src/ledger/forward/message.rs
@@ -119,12 +119,20 @@
     pub(super) enum StatementResult {
         /// The endpoint has replied.
         Reply(ReplyMessage),
-        /// Nothing was sent to the endpoint. `retry_after_ms` is known if it is overloaded.
-        NotSent { reason: NotSentReason, text: String, retry_after_ms: Option<u32> },
+        /// Nothing was sent to the endpoint.
+        NotSent(NotSentMessage),
         /// The statement was sent, but there is no complete reply.
         Sent { is_timed_out: bool, text: String },
         /// The transaction could not begin, and nothing of it was run.
-        NotBegun { reason: NotSentReason, text: String, retry_after_ms: Option<u32> },
+        NotBegun(NotSentMessage),
+    }
+
+    /// What prevented a statement that was not sent.
+    pub(super) struct NotSentMessage {
+        reason: NotSentReason,
+        text: String,
+        /// When the statement can be served, if the endpoint is overloaded.
+        retry_after_ms: Option<u32>,
     }
 
     /// Why nothing was sent.
@@ -203,9 +211,7 @@
         let prepared = self.prepared.as_ref()?;
         Some(PreparedShape::new(access_mode(prepared.is_write), &prepared.shape))
     }
-}
 
-impl StatementMessage {
     /// The statement as it is run. `shape` is its prepared statement.
     pub(super) fn request<'a>(&'a self, shape: Option<&'a PreparedShape>) -> AccessRequest<'a> {
         let kind = match self.is_write {
@@ -260,26 +266,18 @@
 /// Converts the result of a statement at the pool host.
 impl From<Result<EndpointReply, RunError>> for StatementResult {
     fn from(result: Result<EndpointReply, RunError>) -> Self {
-        let error = match result {
-            Ok(reply) => return Self::Reply(reply.into()),
+        match result {
+            Ok(reply) => Self::Reply(reply.into()),
             Err(RunError::Sent(error)) => {
                 let is_timed_out = error == ConnectionError::TimedOut;
-                return Self::Sent { is_timed_out, text: error.to_string() };
+                Self::Sent { is_timed_out, text: error.to_string() }
             }
-            Err(error) => error,
-        };
-        let (reason, retry_after_ms) = not_sent_reason(&error);
-        Self::NotSent { reason, text: error.to_string(), retry_after_ms }
+            Err(error) => Self::NotSent((&error).into()),
+        }
     }
 }
 
 impl StatementResult {
-    /// The result of a transaction that could not begin.
-    pub(super) fn not_begun(error: &RunError) -> Self {
-        let (reason, retry_after_ms) = not_sent_reason(error);
-        Self::NotBegun { reason, text: error.to_string(), retry_after_ms }
-    }
-
     /// The result at the client's host. The reply counts as sent when the request was, at
     /// `sent_at`, so that no position is taken for newer than it is.
     pub(super) fn into_result(self, sent_at: BootInstant) -> Result<EndpointReply, RunError> {
@@ -291,10 +289,7 @@
             }
             Self::Sent { is_timed_out: true, .. } => Err(RunError::Sent(ConnectionError::TimedOut)),
             Self::Sent { text, .. } => Err(RunError::Sent(ConnectionError::Lost(text))),
-            Self::NotSent { reason, text, retry_after_ms }
-            | Self::NotBegun { reason, text, retry_after_ms } => {
-                Err(not_sent_error(reason, text, retry_after_ms))
-            }
+            Self::NotSent(message) | Self::NotBegun(message) => Err(message.into()),
         }
     }
 }
@@ -317,17 +312,29 @@
     }
 }
 
-fn not_sent_error(reason: NotSentReason, text: String, retry_after_ms: Option<u32>) -> RunError {
-    let retry_after = Duration::from_millis(u64::from(retry_after_ms.unwrap_or(0)));
-    match reason {
-        NotSentReason::Exhausted => RunError::NoConnection(AcquireError::Exhausted),
-        NotSentReason::Gone => RunError::NoConnection(AcquireError::Gone),
-        NotSentReason::Unreachable => RunError::NoConnection(AcquireError::Unreachable(text)),
-        NotSentReason::Backlog => RunError::NoConnection(AcquireError::Backlog { retry_after }),
-        NotSentReason::Declined => RunError::NoConnection(AcquireError::Declined(text)),
-        NotSentReason::Revoked => RunError::NotSent(ConnectionError::Revoked),
-        NotSentReason::Refused(code) => RunError::NotSent(ConnectionError::Refused(code.into())),
-        NotSentReason::Lost => RunError::NotSent(ConnectionError::Lost(text)),
+impl From<&RunError> for NotSentMessage {
+    fn from(error: &RunError) -> Self {
+        let (reason, retry_after_ms) = not_sent_reason(error);
+        Self { reason, text: error.to_string(), retry_after_ms }
+    }
+}
+
+impl From<NotSentMessage> for RunError {
+    fn from(message: NotSentMessage) -> Self {
+        let NotSentMessage { reason, text, retry_after_ms } = message;
+        let retry_after = Duration::from_millis(u64::from(retry_after_ms.unwrap_or(0)));
+        match reason {
+            NotSentReason::Exhausted => RunError::NoConnection(AcquireError::Exhausted),
+            NotSentReason::Gone => RunError::NoConnection(AcquireError::Gone),
+            NotSentReason::Unreachable => RunError::NoConnection(AcquireError::Unreachable(text)),
+            NotSentReason::Backlog => RunError::NoConnection(AcquireError::Backlog { retry_after }),
+            NotSentReason::Declined => RunError::NoConnection(AcquireError::Declined(text)),
+            NotSentReason::Revoked => RunError::NotSent(ConnectionError::Revoked),
+            NotSentReason::Refused(code) => {
+                RunError::NotSent(ConnectionError::Refused(code.into()))
+            }
+            NotSentReason::Lost => RunError::NotSent(ConnectionError::Lost(text)),
+        }
     }
 }
 
--- a/crates/proxy/src/ledger/forward/server.rs
+++ b/crates/proxy/src/ledger/forward/server.rs
@@ -15,7 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::frames::{self, FrameSink, FrameStream, LinkError};
+use super::frames::{self, FrameStream, LinkError};
 use super::link::HostLinks;
 use super::message::{LoadMessage, Request, Response, StatementMessage, StatementResult};
 use crate::ledger::bound::{self, BoundConnection};
@@ -25,9 +25,7 @@
 use crate::ledger::journal;
 use crate::ledger::operation::StatementTiming;
 use crate::ledger::pool::AcquireError;
-use crate::ledger::statement::{
-    AccessRequest, RunError, StatementContext, StatementTarget, run_on_primary, run_single,
-};
+use crate::ledger::statement::{self, AccessRequest, RunError, StatementContext, StatementTarget};
 
 /// Time after the start of a shutdown in which statements of hosts that have not heard of it are
 /// still taken.
@@ -67,7 +65,7 @@
     journal::event("forward", "link", json!({ "host": name }));
     let (responses, queue) = mpsc::unbounded_channel();
     tokio::select! {
-        error = send_responses(sink, queue) => error,
+        error = frames::send_queued(sink, queue) => error,
         error = receive_requests(host, stream, responses.clone()) => error,
         error = announce_shutdown(host, responses) => error,
     }
@@ -85,26 +83,6 @@
     std::future::pending().await
 }
 
-async fn send_responses(
-    mut sink: FrameSink,
-    mut queue: mpsc::UnboundedReceiver<Response>,
-) -> LinkError {
-    while let Some(response) = queue.recv().await {
-        let mut sent = sink.feed(&response).await;
-        while let (Ok(()), Ok(response)) = (&sent, queue.try_recv()) {
-            sent = sink.feed(&response).await;
-        }
-        let flushed = match sent {
-            Ok(()) => sink.flush().await,
-            error => error,
-        };
-        if let Err(error) = flushed {
-            return error;
-        }
-    }
-    LinkError::Closed("no longer used".to_owned())
-}
-
 async fn receive_requests(
     host: &Rc<HostContext>,
     mut stream: FrameStream,
@@ -257,12 +235,7 @@
     let statement = ForwardedStatement::new(host, message)?;
     host.pool(statement.target.endpoint).note_forwarded(boot_now());
     let (ctx, request) = (statement.context(host), statement.request());
-    match statement.target.permit {
-        Some(permit) => {
-            run_on_primary(ctx, statement.target, permit, request, statement.timing).await
-        }
-        None => run_single(ctx, statement.target, request, statement.timing).await,
-    }
+    statement::run(ctx, statement.target, request, statement.timing).await
 }
 
 /// Serves a transaction until its host ends it, its connection is lost, or it stays idle for too
@@ -284,7 +257,7 @@
             }
             bound
         }
-        Err(error) => return respond(StatementResult::not_begun(&error)),
+        Err(error) => return respond(StatementResult::NotBegun((&error).into())),
     };
     loop {
         let idle = host.state.borrow().catalog.as_ref().map(|catalog| catalog.transaction_idle);
--- a/crates/proxy/src/ledger/forward/transaction.rs
+++ b/crates/proxy/src/ledger/forward/transaction.rs
@@ -8,7 +8,9 @@
 use super::link::HostLink;
 use super::message::{Request, StatementResult};
 use super::path::{self, PoolHost};
-use super::{REPLY_MARGIN, connection_error, is_declined, note_result, statement_message};
+use super::{
+    REPLY_MARGIN, connection_error, is_declined, note_result, statement_message, waits_if_silent,
+};
 use crate::ledger::bound::{self, BoundConnection};
 use crate::ledger::connection::EndpointReply;
 use crate::ledger::context::{HostContext, boot_now};
@@ -85,8 +87,9 @@
     let sent_at = boot_now();
     let message = Request::Begin { call, is_read_only, statement };
     let deadline = timing.deadline.after(REPLY_MARGIN);
-    let result = match link.call(call, target.endpoint, message, false, deadline).await {
-        Ok(result @ StatementResult::NotBegun { .. }) => {
+    let waits = waits_if_silent(StatementKind::FirstOfTransaction);
+    let result = match link.call(call, target.endpoint, message, waits, deadline).await {
+        Ok(result @ StatementResult::NotBegun(_)) => {
             transaction.is_open = false;
             let result = result.into_result(sent_at);
             note_result(ctx, target, request, &result);
@@ -121,8 +124,9 @@
         let sent_at = boot_now();
         let message = Request::Continue { call: self.call, statement };
         let deadline = timing.deadline.after(REPLY_MARGIN);
-        // The statement is bound to its connection, so it waits for a silent pool host.
-        let result = self.link.call(self.call, self.target.endpoint, message, true, deadline).await;
+        let waits = waits_if_silent(StatementKind::InTransaction);
+        let result =
+            self.link.call(self.call, self.target.endpoint, message, waits, deadline).await;
         // After an error the pool host is still told to end the transaction. A pool host that does
         // not reply says nothing about the endpoint.
         let result = result.map_err(|error| RunError::Sent(connection_error(error)))?;
--- a/crates/proxy/src/ledger/gate.rs
+++ b/crates/proxy/src/ledger/gate.rs
@@ -18,15 +18,18 @@
 use tanagerdeal_core::ledger::statement::FailureReason;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
-use super::connection::EndpointReply;
-use super::context::{HostContext, boot_now, sleep_until_optional};
+use super::connection::{ConnectionError, EndpointReply};
+use super::context::{HostContext, boot_now, sleep_until_optional, whole_micros};
 use super::journal;
 use super::pool::AcquireError;
 use super::statement::{AccessRequest, RunError, StatementContext};
 
 pub(super) use watch::watch;
 
+/// Interval at which the task of a gate without statements checks whether the gate is still used.
+const LIVENESS_INTERVAL: Duration = Duration::from_secs(5);
 /// Work of an unknown class, whose expected duration is that of the endpoint's usual work.
 const USUAL_WORK: WorkClass = WorkClass { route: 0, kind: WorkKind::Read };
 
@@ -92,9 +95,7 @@
                 Some(FailureReason::Failed | FailureReason::TimedOut) => WorkOutcome::Failed,
                 Some(_) => WorkOutcome::Cancelled,
             },
-            Err(RunError::Sent(super::connection::ConnectionError::Revoked)) => {
-                WorkOutcome::Cancelled
-            }
+            Err(RunError::Sent(ConnectionError::Revoked)) => WorkOutcome::Cancelled,
             Err(RunError::Sent(_)) => WorkOutcome::Failed,
             Err(_) => WorkOutcome::Cancelled,
         });
@@ -136,11 +137,10 @@
     pub(super) fn load(&self, now: BootInstant) -> LoadHint {
         let admission = self.admission.borrow();
         let summary = admission.summary(now);
-        let micros = |time: Duration| u32::try_from(time.as_micros()).unwrap_or(u32::MAX);
         let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
         LoadHint {
-            expected_wait_us: micros(summary.expected_wait),
-            service_us: micros(admission.service_time(USUAL_WORK)),
+            expected_wait_us: whole_micros(summary.expected_wait),
+            service_us: whole_micros(admission.service_time(USUAL_WORK)),
             running: count(summary.running),
             limit: summary.limit,
             waiting: count(summary.waiting.values().sum()),
@@ -194,7 +194,7 @@
             () = current.changed.notified() => (),
             () = sleep_until_optional(deadline) => current.decide(),
             // The endpoint may be gone meanwhile.
-            () = tokio::time::sleep(Duration::from_secs(5)), if deadline.is_none() => (),
+            () = sleep(LIVENESS_INTERVAL), if deadline.is_none() => (),
         }
     }
 }
--- a/crates/proxy/src/ledger/gate/watch.rs
+++ b/crates/proxy/src/ledger/gate/watch.rs
@@ -72,7 +72,7 @@
     let host_state = host.state.borrow();
     let catalog = host_state.catalog.as_ref()?;
     is_scheduled(host.settings.scheduling, true, catalog.has_priorities())
-        .then(|| catalog.priorities())
+        .then(|| catalog.priorities().clone())
 }
 
 fn show(
--- a/crates/proxy/src/ledger/operation.rs
+++ b/crates/proxy/src/ledger/operation.rs
@@ -29,7 +29,6 @@
 /// The same for the longest wait in the queue of a pool host, which sees all work of its endpoint
 /// and refuses at once what cannot be served by then.
 const QUEUE_TIME_DIVISOR: u32 = 2;
-
 /// Longest wait for a connection after the queue of a pool host: an idle endpoint accepts one in
 /// 12 ms, and one that was full is asked again after 40 ms.
 const QUEUED_CONNECTION_WAIT: Duration = Duration::from_millis(60);
@@ -90,9 +89,7 @@
             deadline: now.after(route.statement_limit),
         }
     }
-}
 
-impl StatementTiming {
     /// Latest instant up to which the statement waits for a connection. One that was queued before
     /// holds a place among those that run, so it waits only as long as opening one takes.
     pub(super) fn connection_deadline(&self, is_queued: bool) -> BootInstant {
--- a/crates/proxy/src/ledger/statement.rs
+++ b/crates/proxy/src/ledger/statement.rs
@@ -105,6 +105,19 @@
     }
 }
 
+/// Records the position in a primary's reply to a statement that succeeded.
+pub(super) fn observe_position(
+    ctx: StatementContext<'_>,
+    permit: PrimaryPermit,
+    reply: &EndpointReply,
+) {
+    if let (Some(position), None) = (reply.position, reply.failure) {
+        let observation = PrimaryObservation { sent_at: reply.sent_at, position };
+        let mut host_state = ctx.host.state.borrow_mut();
+        host_state.observe_primary(ctx.group, permit, observation, boot_now());
+    }
+}
+
 /// Counts a statement as in flight at an endpoint until the guard is dropped.
 pub(super) struct InFlightGuard<'a> {
     host: &'a HostContext,
@@ -145,12 +158,40 @@
     Ok(pooled)
 }
 
+impl StatementTarget {
+    /// Position that the endpoint's log must have reached for a read: on the primary also the newest
+    /// one that this host knows.
+    pub(super) fn read_position(&self, host_state: &HostState, group: &str) -> Option<LogPosition> {
+        match self.permit {
+            Some(_) => newest_position(host_state, group).max(self.min_position),
+            None => self.min_position,
+        }
+    }
+}
+
+/// Runs a statement outside a transaction on a connection of this host.
+///
+/// # Errors
+///
+/// Fails when there is no complete reply; the error shows whether the statement was sent.
+pub(super) async fn run(
+    ctx: StatementContext<'_>,
+    target: StatementTarget,
+    request: AccessRequest<'_>,
+    timing: StatementTiming,
+) -> Result<EndpointReply, RunError> {
+    match target.permit {
+        Some(permit) => run_on_primary(ctx, target, permit, request, timing).await,
+        None => run_single(ctx, target, request, timing).await,
+    }
+}
+
 /// Runs a statement outside a transaction on one endpoint.
 ///
 /// # Errors
 ///
 /// Fails when there is no complete reply; the error shows whether the statement was sent.
-pub(super) async fn run_single(
+async fn run_single(
     ctx: StatementContext<'_>,
     target: StatementTarget,
     request: AccessRequest<'_>,
@@ -181,7 +222,7 @@
 /// # Errors
 ///
 /// Fails as [`run_single`] does.
-pub(super) async fn run_on_primary(
+async fn run_on_primary(
     ctx: StatementContext<'_>,
     target: StatementTarget,
     permit: PrimaryPermit,
@@ -195,7 +236,7 @@
     let mut pooled = prepared_connection(ctx, permit.endpoint, request, timing, is_queued).await?;
     check_not_leaving(ctx, permit.endpoint, Some(permit))?;
     let min_position = match request.mode {
-        AccessMode::Read => newest_position(&host.state.borrow(), group).max(target.min_position),
+        AccessMode::Read => target.read_position(&host.state.borrow(), group),
         AccessMode::Write => None,
     };
     let text = line::forward(request.id, request.text, min_position);
@@ -235,7 +276,7 @@
 }
 
 /// Returns the newest known log position of a group's primary.
-pub(super) fn newest_position(host_state: &HostState, group: &str) -> Option<LogPosition> {
+fn newest_position(host_state: &HostState, group: &str) -> Option<LogPosition> {
     let newest = host_state.positions.get(group)?.newest()?;
     (newest.position > LogPosition::default()).then_some(newest.position)
 }
@@ -271,9 +312,6 @@
     if !host.state.borrow().has_lease_for(group, boot_now()) {
         return Err(RunError::Sent(ConnectionError::Revoked));
     }
-    if let (Some(position), None) = (reply.position, reply.failure) {
-        let observation = PrimaryObservation { sent_at: reply.sent_at, position };
-        host.state.borrow_mut().observe_primary(group, permit, observation, boot_now());
-    }
+    observe_position(ctx, permit, &reply);
     Ok(reply)
 }
--- a/crates/proxy/tests/site/failures.rs
+++ b/crates/proxy/tests/site/failures.rs
@@ -36,9 +36,7 @@
     let mut client = site.session(0, "current").await;
     until_done(&mut client, "WRITE item one").await;
     site.group.drain(0);
-    until("another primary leads", async || !site.store.promotions().is_empty()).await;
-    let group = || site.store.row("groups", "g1").unwrap_or_default();
-    until("the result is published", async || group()["change"].is_null()).await;
+    site.wait_new_primary().await;
     until_done(&mut client, "WRITE item two").await;
     let runs = site.group.runs();
     assert_that!(runs.last().unwrap().member.as_str(), not(eq("g1-0")));
@@ -52,9 +50,7 @@
     let mut client = site.session(0, "session").await;
     until_done(&mut client, "WRITE item one").await;
     site.store.put("op", "evacuate/d1", &serde_json::json!({}));
-    until("another primary leads", async || !site.store.promotions().is_empty()).await;
-    let group = || site.store.row("groups", "g1").unwrap_or_default();
-    until("the result is published", async || group()["change"].is_null()).await;
+    site.wait_new_primary().await;
     let before = site.group.runs().len();
     for round in 0..5 {
         until_done(&mut client, &format!("WRITE item {round}")).await;
--- a/crates/proxy/tests/site/pooling.rs
+++ b/crates/proxy/tests/site/pooling.rs
@@ -218,6 +218,15 @@
     writers
 }
 
+/// Waits for the clients while a pool host that did not reply has recovered, checks their replies, and
+/// expects that a client is served.
+async fn check_recovered(site: &SiteDeployment, writers: Vec<JoinHandle<Vec<ClientReply>>>) {
+    check_writers(site, writers).await;
+    assert_that!(counted(site, "unresponsive").await, ge(1));
+    let mut client = site.session(CLIENT_HOST, "current").await;
+    until_done(&mut client, "WRITE item two").await;
+}
+
 /// Waits for the clients, and checks each reply with what the endpoint has run. Returns the
 /// failures.
 async fn check_writers(
@@ -251,10 +260,7 @@
     site.hosts[POOL_HOST].signal("STOP");
     sleep(Duration::from_millis(2_500)).await;
     site.hosts[POOL_HOST].signal("CONT");
-    check_writers(&site, writers).await;
-    assert_that!(counted(&site, "unresponsive").await, ge(1));
-    let mut client = site.session(CLIENT_HOST, "current").await;
-    until_done(&mut client, "WRITE item two").await;
+    check_recovered(&site, writers).await;
 }
 
 /// Guards against a shutdown of the pool host that cuts forwarded statements or a transaction, or
@@ -309,9 +315,7 @@
             true => site.store.put("op", "evacuate/d1", &json!({})),
             false => site.group.drain(0),
         }
-        until("another primary leads", async || !site.store.promotions().is_empty()).await;
-        let group = || site.store.row("groups", "g1").unwrap_or_default();
-        until("the result is published", async || group()["change"].is_null()).await;
+        site.wait_new_primary().await;
         let before = site.group.runs().len();
         for round in 0..5 {
             until_done(&mut client, &format!("WRITE item {round}")).await;
--- a/crates/proxy/tests/site/pooling/links.rs
+++ b/crates/proxy/tests/site/pooling/links.rs
@@ -114,10 +114,7 @@
     tap.hold(true);
     sleep(Duration::from_millis(2_500)).await;
     tap.hold(false);
-    check_writers(&site, writers).await;
-    assert_that!(counted(&site, "unresponsive").await, ge(1));
-    let mut client = site.session(CLIENT_HOST, "current").await;
-    until_done(&mut client, "WRITE item two").await;
+    check_recovered(&site, writers).await;
 }
 
 /// Guards against a customer's key in a forwarded message.
--- a/crates/proxy/tests/site/support.rs
+++ b/crates/proxy/tests/site/support.rs
@@ -68,6 +68,13 @@
         deployment
     }
 
+    /// Waits until another primary leads and its row says so.
+    pub async fn wait_new_primary(&self) {
+        until("another primary leads", async || !self.store.promotions().is_empty()).await;
+        let group = || self.store.row("groups", "g1").unwrap_or_default();
+        until("the result is published", async || group()["change"].is_null()).await;
+    }
+
     /// Opens a session at a host and expects it to be taken.
     pub async fn session(&self, host: usize, database: &str) -> StandinClient {
         let opened = StandinClient::open(self.hosts[host].callers, database, KEY).await;
