--- a/crates/proxy/src/ledger/freshness.rs
+++ b/crates/proxy/src/ledger/freshness.rs
@@ -36,8 +36,11 @@
         host.metrics.catalog_fresh.set(0);
         report(&host, "unconfirmed", deadline);
         while !host.state.borrow().is_catalog_fresh(boot_now()) {
+            let began_at = boot_now();
             if !mirror::update_from_store(&host, CATALOG_READ).await {
+                let failed_at = boot_now();
                 host.wait_for_store().await;
+                report_failure(began_at, failed_at);
             }
         }
         report(&host, "confirmed", deadline);
@@ -52,3 +55,10 @@
         "renewal_ms": stage_ms, "store": host.is_store_reachable() });
     journal::event("catalog", event, fields);
 }
+
+/// Logs a failed read and the pause after it, which ends now.
+fn report_failure(began_at: BootInstant, failed_at: BootInstant) {
+    let took_ms = failed_at.since(began_at).as_millis() as u64;
+    let paused_ms = boot_now().since(failed_at).as_millis() as u64;
+    journal::event("catalog", "unread", json!({ "took_ms": took_ms, "paused_ms": paused_ms }));
+}
