Read the configuration apart from other waits and before the limit

What callers saw: statements were run by a configuration that had been replaced more than 3 s before ("handled by version 58 or older; version 64 was acked more than 3000 ms before").

Cause: each wait had a limit of its own and nothing limited their sum. A host whose connections to the store have gone silent loses its renewal (0.6 s at the relay, 1.5 s at the store). The read that does not rely on renewals began only when the configuration had to be in force already; it lost a call too and then took the pause of an outage, up to 2.5 s, although the store answered others.

A confirmation that proves nothing is ruled out: the host knew that it was unconfirmed.

It waits for no lock and no pause of another task.

--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -10,6 +10,7 @@
 mod failover;
 mod fleet;
 mod forwarding;
+mod freshness;
 mod isolation;
 mod mirror;
 mod pooling;
--- a/crates/proxy/src/ledger/mirror.rs
+++ b/crates/proxy/src/ledger/mirror.rs
@@ -33,6 +33,8 @@
 use super::journal;
 use super::peers::{decode, encode, peer_address};
 
+/// Timeout of a read of the changes of a table, beside its wait.
+const CHANGES_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest frame; the configuration of a site has up to 256 KB.
 const MAX_FRAME_BYTES: usize = 4 * 1_024 * 1_024;
 /// Response timeout of a read that does not wait for changes. It covers a store call that is slower
@@ -85,12 +87,15 @@
     pub(super) store_wait: Duration,
     /// How long a request to the relay waits for a change.
     pub(super) relay_wait: Duration,
+    /// Timeout of a store call, beside its wait; `None` for the usual ones.
+    pub(super) store_limit: Option<Duration>,
 }
 
 impl MirrorRead {
     /// A read that does not wait for changes.
     pub(super) const fn now(table: &'static str, call: &'static str, max_age: Duration) -> Self {
-        Self { table, call, max_age, store_wait: Duration::ZERO, relay_wait: Duration::ZERO }
+        let no_wait = Duration::ZERO;
+        Self { table, call, max_age, store_wait: no_wait, relay_wait: no_wait, store_limit: None }
     }
 }
 
@@ -241,6 +246,15 @@
     is_updated
 }
 
+/// Applies the changes of a table, read by a store call of its own: it neither waits for a call under
+/// way nor relies on one. Returns whether the store replied.
+pub(super) async fn update_alone(host: &HostContext, read: MirrorRead) -> bool {
+    match host.mirrors.copies.get(read.table) {
+        Some(copy) => read_from_store(host, copy, read).await,
+        None => false,
+    }
+}
+
 /// Reads the changes of a table, or the whole table if it was never read or the store no longer has
 /// the history. Returns whether the store replied.
 async fn read_from_store(host: &HostContext, copy: &TableCopy, read: MirrorRead) -> bool {
@@ -250,7 +264,8 @@
         (mirror.is_loaded(), mirror.version())
     };
     if is_loaded {
-        let result = host.store.follow(read.table, after, read.store_wait).await;
+        let limit = read.store_limit.unwrap_or(CHANGES_TIMEOUT);
+        let result = host.store.follow(read.table, after, read.store_wait, limit).await;
         host.record_store_call(read.call, &result);
         match result {
             Ok(page) => {
@@ -266,7 +281,8 @@
         }
     }
     let asked_at = boot_now();
-    let result = host.store.read(read.table, READ_TIMEOUT).await;
+    let limit = read.store_limit.unwrap_or(READ_TIMEOUT);
+    let result = host.store.read(read.table, limit).await;
     host.record_store_call(read.call, &result);
     let Ok(page) = result else { return false };
     apply_store_page(host, read.table, &to_mirror_page(page, true), asked_at);
--- a/crates/proxy/tests/site/freshness.rs
+++ b/crates/proxy/tests/site/freshness.rs
@@ -108,6 +108,35 @@
     }
 }
 
+/// Guards against time-outs and pauses that add up: the renewal, the read of the configuration and
+/// the feed each lose a call to a connection that went silent while it was idle, as a firewall may
+/// do it, and each waits a while after that (pcfc-tanager, silent-store-frozen-hosts, seed 3). The
+/// configuration is written right after a renewal, which leaves the most time to the next one.
+#[tokio::test]
+async fn connections_that_die_while_idle_delay_no_configuration() {
+    let relayed = RelayedSite::start(1).await;
+    let site = &relayed.site;
+    let break_idle = async {
+        loop {
+            relayed.break_open(&Lane::to_store(0), "silence").await;
+            sleep(Duration::from_millis(300)).await;
+        }
+    };
+    let write = async {
+        for number in 2..8 {
+            let row = site.store.row("hosts", "h0");
+            until("a renewal", async || site.store.row("hosts", "h0") != row).await;
+            put_config(site, number);
+            let time = time_to_version(site, 0, number).await;
+            assert_that!(time, le(APPLY_LIMIT), "version {number}");
+        }
+    };
+    tokio::select! {
+        () = break_idle => (),
+        () = write => (),
+    }
+}
+
 /// Guards against one time-out for each idle connection, when all of them have gone silent: after
 /// the first one, further calls use new connections.
 #[tokio::test]
