Take a lost call on a used connection for no outage of the store

Cause: any call without a reply marked the store as unreachable, after which all tasks pause for up to 2.5 s. A call on a connection that was in use before may have been lost to that connection, and a long poll may have been sent long before others were answered.

Before: lost_connections_are_no_outage finds "store lost" lines after resets.

--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -277,7 +277,7 @@
     }
 
     /// Records the outcome of a call to the store. It says nothing about the store if no call was
-    /// made.
+    /// made, or if the connection may have been dead before.
     pub(super) fn record_store_call<T>(&self, call: &str, result: &Result<T, StoreError>) {
         let (is_answered, outcome) = match result {
             Ok(_) => (true, "answered"),
@@ -285,6 +285,7 @@
             Err(StoreError::EarlierEra { .. }) => return,
             Err(StoreError::Refused(_)) => (false, "refused"),
             Err(StoreError::Unknown(_)) => (false, "unanswered"),
+            Err(StoreError::Disconnected(_)) => return self.metrics.count_call(call, "unanswered"),
         };
         self.metrics.count_call(call, outcome);
         if is_answered {
--- a/crates/proxy/tests/site/freshness.rs
+++ b/crates/proxy/tests/site/freshness.rs
@@ -159,6 +159,22 @@
     }
 }
 
+/// Guards against the pause of an outage after connections were lost: the long polls on them fail,
+/// although the store answers.
+#[tokio::test]
+async fn lost_connections_are_no_outage() {
+    let relayed = RelayedSite::start(1).await;
+    for _ in 0..3 {
+        // Until a renewal was answered on the connections of now.
+        sleep(APPLY_LIMIT).await;
+        relayed.break_open(&Lane::to_store(0), "reset").await;
+    }
+    sleep(APPLY_LIMIT).await;
+    let log = relayed.site.hosts[0].log();
+    let is_outage = |line: &&str| line.contains("\"store\"") && line.contains("\"lost\"");
+    assert_that!(log.lines().filter(is_outage).collect::<Vec<_>>(), is_empty());
+}
+
 /// Guards against a final refusal by a host that cannot know: without the store, a database or a key
 /// may have been added since. A client that is told to come back asks again.
 #[tokio::test]
