--- a/crates/proxy/src/ledger/context.rs
+++ b/crates/proxy/src/ledger/context.rs
@@ -32,8 +32,8 @@
 
 /// Pause after a failed call to the store.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Longest additional pause while the store does not answer. With it, a task that watches a table
-/// resumes within the 3 s in which a configuration has to take effect on the small sites.
+/// Longest additional pause while the store does not answer. The configuration is read without it
+/// (`freshness.rs`).
 const OUTAGE_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Lifecycle phase of the process.
@@ -285,7 +285,11 @@
             Err(StoreError::EarlierEra { .. }) => return,
             Err(StoreError::Refused(_)) => (false, "refused"),
             Err(StoreError::Unknown(_)) => (false, "unanswered"),
-            Err(StoreError::Disconnected(_)) => return self.metrics.count_call(call, "unanswered"),
+            Err(StoreError::Disconnected(reason)) => {
+                self.metrics.count_call(call, "unanswered");
+                let fields = json!({ "call": call, "reason": reason });
+                return journal::event("store", "disconnected", fields);
+            }
         };
         self.metrics.count_call(call, outcome);
         if is_answered {
