Silence connections at set moments in the test of late configurations

The test silenced all connections every 300 ms, also while a read was under way on a new one. It now silences them right after a renewal and again before the next one, which leaves no call to chance.

The limit is the same.

--- a/crates/proxy/tests/site/freshness.rs
+++ b/crates/proxy/tests/site/freshness.rs
@@ -116,24 +116,18 @@
 async fn connections_that_die_while_idle_delay_no_configuration() {
     let relayed = RelayedSite::start(1).await;
     let site = &relayed.site;
-    let break_idle = async {
-        loop {
-            relayed.break_open(&Lane::to_store(0), "silence").await;
-            sleep(Duration::from_millis(300)).await;
-        }
-    };
-    let write = async {
-        for number in 2..8 {
-            let row = site.store.row("hosts", "h0");
-            until("a renewal", async || site.store.row("hosts", "h0") != row).await;
-            put_config(site, number);
-            let time = time_to_version(site, 0, number).await;
-            assert_that!(time, le(APPLY_LIMIT), "version {number}");
-        }
-    };
-    tokio::select! {
-        () = break_idle => (),
-        () = write => (),
+    let break_idle = async || relayed.break_open(&Lane::to_store(0), "silence").await;
+    for number in 2..8 {
+        let row = site.store.row("hosts", "h0");
+        until("a renewal", async || site.store.row("hosts", "h0") != row).await;
+        // Both before the next renewal, after 2.1 s.
+        break_idle().await;
+        put_config(site, number);
+        let begin = Instant::now();
+        sleep(Duration::from_millis(1_500)).await;
+        break_idle().await;
+        time_to_version(site, 0, number).await;
+        assert_that!(begin.elapsed(), le(APPLY_LIMIT), "version {number}");
     }
 }
 
