--- a/review/lib/member_standin.py
+++ b/review/lib/member_standin.py
@@ -128,9 +128,9 @@
                 return "READONLY", ""
             self.transaction, self.reads_only = [], rest == "READ"
         elif word == "ROLLBACK":
-            self.transaction, self.failed = None, False
+            self.transaction, self.reads_only, self.failed = None, False, False
         elif word == "COMMIT":
-            writes, self.transaction = self.transaction or [], None
+            writes, self.transaction, self.reads_only = self.transaction or [], None, False
             if writes and member.role != "primary":
                 return "READONLY", ""
             self.group.note_run(member, self.tenant, ident, text)
