--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,50 +1,40 @@
-"""A member's answer is cut off within its last line, and the session reads again."""
+"""A route is removed while a transaction on it is open whose first statement is still to come."""
 
 import asyncio
 
 import deployment
-from deployment import Client
+from deployment import Client, configuration
 
-ROUNDS = 12
-CUT_BYTES = 3          # of the last line: the line end and one digit of the position
-READ_LIMIT_S = 1.0
+APPLIED_S = 4.0     # configApplyMs is 3,000
+PAUSE_S = 1.5       # transactionIdleMs is 3,000
 
 
 async def scenario(run):
-    group = run.group
-    to_cut = set()
-
-    def cut_reply(member, ident, text, reply):
-        if ident in to_cut:
-            run.record(f"{member.id} cuts its answer to {ident}: {reply!r} "
-                       f"becomes {reply[:-CUT_BYTES]!r}")
-            return reply[:-CUT_BYTES], True
-        return reply, False
-
-    group.cut_reply = cut_reply
-    # Host 1 has a replica in its own zone.
-    host = run.hosts[1]
-    client = await Client.open(run, host, "dispatch")
-    # The proxy learns positions of the primary, as it does under load.
-    for _ in range(20):
-        await client.query("READ warm")
-        await client.query("WRITE warm x")
-        await asyncio.sleep(0.15)
-    found = []
-    for number in range(ROUNDS):
-        item, data = f"slip{number}", f"amended{number}"
-        ident = run.next_id()
+    await asyncio.sleep(1)
+    service, found = run.group.name, []
+    for version, host in zip(range(8, 11), run.hosts):
+        client = await Client.open(run, host, "orders")
+        await client.query("BEGIN")
+        changed = configuration(version * 2, service)
         if deployment.is_troubled():
-            to_cut.add(ident)
-        _, signature, failure, _ = await client.query(f"WRITE {item} {data}", ident)
-        if failure or not signature:
-            continue
-        rows, signature, failure, _ = await client.query(f"READ {item}")
-        if failure is None and signature and rows != [data]:
-            found.append(f"STALE: the session's commit {ident} of {item}={data} was acknowledged, "
-                         f"and its next read got {rows} ({signature})")
-        await asyncio.sleep(0.2)
+            changed["routes"] = [route for route in changed["routes"] if route["host"] != "orders"]
+        await run.store.put("op", "config", changed)
+        run.record(f"version {version * 2} has routes {[r['host'] for r in changed['routes']]}")
+        await asyncio.sleep(PAUSE_S)
+        try:
+            await client.query(f"WRITE order{version} placed")
+            await client.query("COMMIT")
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            run.record(f"the session has ended: {error!r}")
+        await run.store.put("op", "config", configuration(version * 2 + 1, service))
+        await asyncio.sleep(APPLIED_S)
+        client.close()
+    tenant = configuration(1, service)["tenants"][0]["name"]
+    for member, seen, ident, text in run.group.runs:
+        if seen != tenant:
+            found.append(f"UNASKED: {member} ran {ident} {text!r} for tenant {seen!r}; the "
+                         f"client's key belongs to {tenant!r}")
     return found
 
 
-deployment.main(".", scenario, lag_s=0.02, first_number=1200)
+deployment.main(".", scenario)
