--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -54,8 +54,8 @@
                           "syncReplicas": 0}],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000, "transactionIdleMs": 3000},
-            "tenants": [{"name": "nypu920", "apiKeys": [KEY], "priority": 1, "ratePerS": 400,
-                         "burstSize": 400}]}
+            "tenants": [{"name": "nypu920", "apiKeys": [KEY], "priority": 1, "ratePerS": 2000,
+                         "burstSize": 2000}]}
 
 
 class Host:
--- a/review/lib/member_standin.py
+++ b/review/lib/member_standin.py
@@ -8,6 +8,9 @@
 import time
 
 HEARTBEAT_S = 0.4
+HANDSHAKE_S = 0.012     # time of a slot for a new connection
+QUEUE = 40              # statements that wait for a slot
+CONNECTION_LIMIT = 32   # of one member, from all callers
 
 
 class Member:
@@ -16,6 +19,9 @@
         self.role, self.term = "replica", group.term
         self.log = []          # (term, number, item, data, time received)
         self.is_dark = False   # silent: nothing gets in or out
+        self.is_deaf = False   # its links to the other members are cut
+        self.slots = asyncio.Semaphore(group.slots) if group.slots else None
+        self.waiting, self.connections = 0, 0
         self.awake = asyncio.Event()
         self.awake.set()
         self.port = 0
@@ -46,6 +52,7 @@
 
     async def _serve(self, reader, writer):
         session = Session(self)
+        self.connections += 1
         try:
             while True:
                 line = (await reader.readuntil(b"\r\n"))[:-2].decode()
@@ -59,6 +66,7 @@
         except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
             pass
         finally:
+            self.connections -= 1
             writer.close()
 
 
@@ -80,13 +88,16 @@
             self.tenant, _, ident = rest.partition(" ")
             if service != self.group.name or (ident and ident != self.member.id):
                 return b"ERROR MISROUTED another member\r\n", True
+            if self.member.slots and self.member.connections > CONNECTION_LIMIT:
+                return b"ERROR TOOMANY connections\r\n", True
+            if not await self._occupy(HANDSHAKE_S):
+                return b"ERROR BUSY\r\n", True
             self.is_open = True
             return self._ready().encode(), False
         if word != "QUERY" or not self.is_open:
             return b"", True
         ident, _, text = rest.partition(" ")
-        await asyncio.sleep(self.group.work_s)
-        code, rows = self._run(ident, text)
+        code, rows = await self._run_in_slot(ident, text)
         if code:
             self.failed = self.failed or self.transaction is not None
             body = f"ERROR {code} {self.member.id}\r\n"
@@ -98,6 +109,25 @@
             return self.group.cut_reply(self.member, ident, text, reply)
         return reply, False
 
+    async def _run_in_slot(self, ident, text):
+        """Runs a statement in a slot. What finds too many waiting gets BUSY."""
+        if not await self._occupy(self.group.work_s):
+            return "BUSY", ""
+        return self._run(ident, text)
+
+    async def _occupy(self, seconds):
+        member = self.member
+        if member.slots is None:
+            await asyncio.sleep(seconds)
+            return True
+        if member.waiting >= QUEUE:
+            return False
+        member.waiting += 1
+        async with member.slots:
+            member.waiting -= 1
+            await asyncio.sleep(seconds)
+        return True
+
     def _run(self, ident, text):
         if text.startswith("AFTER "):
             _, position, text = text.split(" ", 2)
@@ -150,6 +180,7 @@
         return None, ""
 
     def _read(self, ident, text, item):
+        self.group.reads[ident] = (self.member.id, {entry[:2] for entry in self.member.applied()})
         self.group.note_run(self.member, self.tenant, ident, text)
         own = [data for name, data in self.transaction or [] if name == item]
         return None, f"DATAROW {own[-1] if own else self.member.read(item)}\r\n"
@@ -170,13 +201,14 @@
     """A service. Its first member begins as the primary."""
 
     def __init__(self, store, name, zones, record, lag_s=0.02, promote_s=0.6, work_s=0.004,
-                 first_number=0):
+                 first_number=0, slots=0):
         self.store, self.name, self.record = store, name, record
+        self.slots = slots
         self.lag_s, self.promote_s, self.work_s = lag_s, promote_s, work_s
         self.first_term = self.term = 3
         self.number = first_number
         self.cut_reply = None
-        self.runs, self.commits, self.promotions = [], [], []
+        self.runs, self.commits, self.promotions, self.reads = [], [], [], {}
         self.members = [Member(self, f"i-{name}-{index}", zone) for index, zone in enumerate(zones)]
         self.members[0].role = "primary"
         store.groups[name] = self
@@ -227,7 +259,8 @@
         for item, data in writes:
             member.log.append((member.term, self.number, item, data, now))
             for other in self.members:
-                reachable = not other.is_dark and not member.is_dark
+                reachable = not (other.is_dark or member.is_dark or other.is_deaf
+                                 or member.is_deaf)
                 if other is not member and other.role == "replica" and reachable:
                     other.log.append((member.term, self.number, item, data, now))
         self.commits.append((now, member.id, member.term, self.number, ident))
