Replace a primary that reports itself a replica

Cause: a wrong row was found out by a missing answer or registration only, never by what the endpoints say of themselves.

Change: a primary that is registered as a replica for a second is asked for its status, and when it says so too, the primary is replaced as a lost one is: the endpoint that leads a later term is published, or the best one is promoted, the former primary included. A new primary is published before its registration arrives, hence the question. A suspicion goes first, so that a new primary that dies before its registration arrives is found as before.

--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -17,7 +17,7 @@
 use tanagerdeal_adapter::reply::decode_status;
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::duty::DUTY_LEASE_MARGIN;
-use tanagerdeal_core::ledger::endpoint::EndpointKey;
+use tanagerdeal_core::ledger::endpoint::{EndpointKey, EndpointRole, EndpointState};
 use tanagerdeal_core::ledger::failover::{CandidateStatus, HostConfirmation};
 use tanagerdeal_core::ledger::group::GroupEntry;
 use tanagerdeal_core::ledger::suspicion;
@@ -38,6 +38,9 @@
 const RANK_DELAY: Duration = Duration::from_millis(100);
 /// Timeout of a status request to an endpoint.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which a primary that is registered as a replica is asked for its role. A new primary
+/// is published before its registration arrives.
+const ROLE_REPORT_GRACE: Duration = Duration::from_millis(1_000);
 /// Interval between status requests to an endpoint.
 const STATUS_INTERVAL: Duration = Duration::from_millis(60);
 /// Pause before a failed change of a group is retried.
@@ -52,6 +55,8 @@
     Lost,
     /// It is being drained, or its failure domain is being evacuated.
     Leaving,
+    /// It reports that it is a replica.
+    Replaced,
 }
 
 /// Replaces primaries as needed, until the process ends.
@@ -66,7 +71,11 @@
         for (entry, reason) in due {
             let group = entry.record.group.clone();
             let since = *due_since.entry(group.clone()).or_insert(now);
-            let start_at = since.after(RANK_DELAY * rank(&host, &group));
+            let grace = match reason {
+                ChangeReason::Replaced => ROLE_REPORT_GRACE,
+                ChangeReason::Lost | ChangeReason::Leaving => Duration::ZERO,
+            };
+            let start_at = since.after(grace + RANK_DELAY * rank(&host, &group));
             if now < start_at || host.is_stopping() || !active.borrow_mut().insert(group.clone()) {
                 continue;
             }
@@ -113,6 +122,10 @@
         return Vec::new();
     }
     let store_now = clock.latest(now);
+    let is_lost = |primary: &str, state: &EndpointState| {
+        suspicion::is_suspect(state, now)
+            && suspicion::is_quorum_suspected(primary, &host_state.hosts, store_now)
+    };
     let reason = |entry: &GroupEntry| {
         let record = &entry.record;
         let key = host_state.endpoints.find(&record.primary);
@@ -129,9 +142,10 @@
             (Some(_), _) => None,
             (None, None) => Some(ChangeReason::Lost),
             (None, Some(state)) if host_state.is_leaving(state) => Some(ChangeReason::Leaving),
-            (None, Some(state)) => (suspicion::is_suspect(state, now)
-                && suspicion::is_quorum_suspected(&record.primary, &host_state.hosts, store_now))
-            .then_some(ChangeReason::Lost),
+            (None, Some(state)) if is_lost(&record.primary, state) => Some(ChangeReason::Lost),
+            (None, Some(state)) => {
+                (state.record.role == EndpointRole::Replica).then_some(ChangeReason::Replaced)
+            }
         }
     };
     host_state
@@ -142,6 +156,9 @@
 }
 
 async fn run_change(host: Rc<HostContext>, entry: GroupEntry, reason: ChangeReason) {
+    if reason == ChangeReason::Replaced && !is_replica(&host, &entry.record.primary).await {
+        return sleep(FAILED_CHANGE_PAUSE).await;
+    }
     let group = entry.record.group.clone();
     let began_at = boot_now();
     journal::event(
@@ -172,6 +189,14 @@
     }
 }
 
+/// Whether an endpoint itself reports that it is a replica; its registration may be out of date.
+async fn is_replica(host: &HostContext, endpoint: &str) -> bool {
+    let key = host.state.borrow().endpoints.find(endpoint);
+    let Some(key) = key else { return false };
+    let status = endpoint_status(host, key).await;
+    status.is_some_and(|status| status.role == EndpointRole::Replica)
+}
+
 /// Records that a host has stopped using a primary that this host is replacing.
 pub(super) fn record_confirmation(
     host: &HostContext,
--- a/crates/proxy/tests/site/promotions.rs
+++ b/crates/proxy/tests/site/promotions.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use serde_json::json;
 use tanagerdeal_standin::StandinClient;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use crate::lanes::{Lane, RelayedSite};
-use crate::support::{KEY, until, until_done};
+use crate::support::{KEY, SiteDeployment, until, until_done};
 
 /// Time between a promotion call and its effect.
 const PROMOTION_DELAY: Duration = Duration::from_millis(1_000);
@@ -118,3 +119,18 @@
     cut_endpoint(&relayed, promoted, false).await;
     expect_kept(&relayed, writers).await;
 }
+
+/// Guards against a row that names an endpoint which is no primary: it answers, so nothing suspects
+/// it, and no write of the group ever succeeds again.
+#[tokio::test]
+async fn a_row_that_names_a_replica_is_corrected() {
+    let site = SiteDeployment::start(3).await;
+    let mut client = site.session(0, "current").await;
+    until_done(&mut client, "WRITE item one").await;
+    let row = json!({ "group": "g1", "term": 1, "primary": "g1-1", "change": null });
+    site.store.put("groups", "g1", &row);
+    let is_known = async || site.hosts[0].log().contains("\"primary\":\"g1-1\"");
+    until("the row is known", is_known).await;
+    until_done(&mut client, "WRITE item three").await;
+    assert_that!(site.group.commits("item", "three"), eq(1));
+}
