Take only whole lines for messages

Cause: lines were cut out of the stream by a library's codec that hands out the unfinished rest when the stream ends, and ends a line at LF alone. The protocol ends lines with CR LF. The position "3.1221" of a reply that was cut off became "3.122", which is a valid one.

Change: LineCodec in platform/ decodes both sides. What is unfinished at the end of a stream is an error: on an endpoint's side the statement may have run, so a write is in doubt and a read goes to another endpoint; on a client's side nothing is run. A CR or LF within a line is refused with MALFORMED, and the session ends. The end of a reply must have a state and a position, and a reply must have its rows, one verdict and the end in this order; before, a READY without a verdict counted as success.

Related paths, read: frames between hosts (LengthDelimitedCodec fails on a rest), datagrams (the code covers the length), replies of the store and registrations (JSON objects, whose end is their last byte), the PostgreSQL side (counted frames): none takes the end of a connection for the end of a message.

--- a/crates/proxy/src/ledger/connection.rs
+++ b/crates/proxy/src/ledger/connection.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures::StreamExt as _;
+use tanagerdeal_adapter::framing::LineCodec;
 use tanagerdeal_adapter::line::{self, MAX_MESSAGE_BYTES};
 use tanagerdeal_adapter::reply::{ReplyLine, decode_reply};
 use tanagerdeal_core::ledger::clock::BootInstant;
@@ -14,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
-use tokio_util::codec::{FramedRead, LinesCodec};
+use tokio_util::codec::FramedRead;
 
 use super::context::boot_now;
 
@@ -70,7 +71,7 @@
 
 /// An open connection to an endpoint, with the session values and prepared statements set on it.
 pub(super) struct EndpointConnection {
-    reader: FramedRead<OwnedReadHalf, LinesCodec>,
+    reader: FramedRead<OwnedReadHalf, LineCodec>,
     writer: OwnedWriteHalf,
     pub(super) customer: String,
     pub(super) setup: ConnectionSetup,
@@ -97,9 +98,8 @@
         stream.set_nodelay(true).map_err(failed)?;
         limit_unacknowledged(&stream).map_err(failed)?;
         let (reader, writer) = stream.into_split();
-        let codec = LinesCodec::new_with_max_length(MAX_MESSAGE_BYTES);
         let mut connection = Self {
-            reader: FramedRead::new(reader, codec),
+            reader: FramedRead::new(reader, LineCodec::new(MAX_MESSAGE_BYTES)),
             writer,
             customer: target.customer.to_owned(),
             setup: ConnectionSetup::default(),
@@ -148,12 +148,15 @@
         Ok(sent_at)
     }
 
+    /// Reads a reply: rows, then success or failure, then the state of the session.
     async fn read_reply(&mut self, sent_at: BootInstant) -> Result<EndpointReply, ConnectionError> {
-        let (mut text, mut first_row, mut failure) = (String::new(), None, None);
+        let (mut text, mut first_row) = (String::new(), None);
+        let mut verdict: Option<Option<FailureReason>> = None;
         loop {
             let line = self.next_line().await?;
-            match decode_reply(&line) {
-                Ok(ReplyLine::Ready { state, position }) => {
+            let decoded = decode_reply(&line);
+            match (decoded.map_err(|error| ConnectionError::Lost(error.to_string()))?, verdict) {
+                (ReplyLine::Ready { state, position }, Some(failure)) => {
                     return Ok(EndpointReply {
                         text,
                         first_row,
@@ -163,10 +166,12 @@
                         sent_at,
                     });
                 }
-                Ok(ReplyLine::Row(row)) if first_row.is_none() => first_row = Some(row.to_owned()),
-                Ok(ReplyLine::Failed(reason, _)) => failure = Some(reason),
-                Ok(_) => (),
-                Err(error) => return Err(ConnectionError::Lost(error.to_string())),
+                (ReplyLine::Row(row), None) => {
+                    first_row.get_or_insert_with(|| row.to_owned());
+                }
+                (ReplyLine::Completed, None) => verdict = Some(None),
+                (ReplyLine::Failed(reason, _), None) => verdict = Some(Some(reason)),
+                _ => return Err(ConnectionError::Lost(format!("{line:?} is out of order"))),
             }
             text.push_str(&line);
             text.push_str("\r\n");
--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -8,6 +8,7 @@
 
 use futures::StreamExt as _;
 use serde_json::json;
+use tanagerdeal_adapter::framing::{FramingError, LineCodec};
 use tanagerdeal_adapter::line::{self, ClientMessage, MAX_MESSAGE_BYTES};
 use tanagerdeal_core::ledger::catalog::{AccessError, CallerIdentity, DatabaseRoute};
 use tanagerdeal_core::ledger::clock::BootInstant;
@@ -19,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
-use tokio_util::codec::{FramedRead, LinesCodec};
+use tokio_util::codec::FramedRead;
 
 use super::context::{HostContext, HostPhase, boot_now, sleep_until_optional};
 use super::journal;
@@ -38,7 +39,7 @@
 /// A client session.
 struct ClientSession {
     host: Rc<HostContext>,
-    reader: FramedRead<OwnedReadHalf, LinesCodec>,
+    reader: FramedRead<OwnedReadHalf, LineCodec>,
     writer: OwnedWriteHalf,
     database: String,
     key: String,
@@ -56,22 +57,25 @@
         return;
     }
     let (reader, mut writer) = stream.into_split();
-    let codec = LinesCodec::new_with_max_length(MAX_MESSAGE_BYTES);
-    let mut reader = FramedRead::new(reader, codec);
+    let mut reader = FramedRead::new(reader, LineCodec::new(MAX_MESSAGE_BYTES));
     let limit = host.state.borrow().catalog.as_ref().map(|catalog| catalog.startup_limit);
-    let Ok(Some(Ok(first))) = timeout(limit.unwrap_or(IDLE_LIMIT), reader.next()).await else {
+    let Ok(Some(first)) = timeout(limit.unwrap_or(IDLE_LIMIT), reader.next()).await else {
         return;
     };
-    let (database, key) = match line::decode_client(&first) {
-        Ok(ClientMessage::Startup { database, key }) => (database.to_owned(), key.to_owned()),
-        _ => {
-            let text =
-                line::failure(FailureReason::Malformed, "a session begins with its database");
-            // The session ends even if the client has already disconnected.
-            let _ = writer.write_all(text.as_bytes()).await;
-            return;
-        }
+    let first = first.inspect_err(log_framing_error);
+    let message = match first.as_deref().map(line::decode_client) {
+        Ok(message) => message.ok(),
+        Err(error) if error.is_malformed() => None,
+        // The client has left.
+        Err(_) => return,
+    };
+    let Some(ClientMessage::Startup { database, key }) = message else {
+        let text = line::failure(FailureReason::Malformed, "a session begins with its database");
+        // The session ends even if the client has already disconnected.
+        let _ = writer.write_all(text.as_bytes()).await;
+        return;
     };
+    let (database, key) = (database.to_owned(), key.to_owned());
     if let Err(error) = authenticate(&host, &database, &key) {
         let failure = access_failure(&host, error);
         let text = line::failure(failure.reason, &failure.message());
@@ -103,6 +107,10 @@
     session.host.metrics.sessions.dec();
 }
 
+fn log_framing_error(error: &FramingError) {
+    journal::request("unreadable", || json!({ "reason": error.to_string() }));
+}
+
 fn catalog_version(host: &HostContext) -> Option<u64> {
     host.state.borrow().catalog.as_ref().map(|catalog| catalog.version)
 }
@@ -142,21 +150,23 @@
         }
         while let Some(line) = self.next_line().await {
             self.last_request_at = boot_now();
-            match line::decode_client(&line) {
-                Ok(ClientMessage::Query { id, text }) => {
+            let problem = match line.as_deref().map(line::decode_client) {
+                Ok(Ok(ClientMessage::Query { id, text })) => {
                     let (answer, must_close) = self.handle_query(id, text).await;
                     if self.send(&answer).await.is_err() || must_close {
                         return;
                     }
+                    continue;
                 }
-                Ok(ClientMessage::Terminate) => return,
-                Ok(ClientMessage::Startup { .. }) | Err(_) => {
-                    let text = line::failure(FailureReason::Malformed, "unknown message");
-                    // The session ends even if the message cannot be sent.
-                    let _ = self.send(&text).await;
-                    return;
-                }
-            }
+                Ok(Ok(ClientMessage::Terminate)) => return,
+                Ok(Ok(ClientMessage::Startup { .. }) | Err(_)) => "unknown message".to_owned(),
+                Err(error) if error.is_malformed() => error.to_string(),
+                // The client has left, maybe within a message, which is not run.
+                Err(_) => return,
+            };
+            // The session ends even if the message cannot be sent.
+            let _ = self.send(&line::failure(FailureReason::Malformed, &problem)).await;
+            return;
         }
     }
 
@@ -199,16 +209,18 @@
         is_partitioned.then(|| since.after(LOAD_BALANCER_DETECTION_TIME))
     }
 
-    /// Reads the next line; `None` when the client has disconnected or the host ends the session.
-    async fn next_line(&mut self) -> Option<String> {
+    /// Reads the next line; `None` when the client has closed the session between two lines, or the
+    /// host ends it.
+    async fn next_line(&mut self) -> Option<Result<String, FramingError>> {
         let mut phase = self.host.phase.subscribe();
         let mut isolated = self.host.isolated_since.subscribe();
         loop {
             let deadline = self.close_deadline();
             tokio::select! {
                 biased;
-                // A line that is invalid or too long ends the session like a lost connection.
-                line = self.reader.next() => return line?.ok(),
+                line = self.reader.next() => {
+                    return Some(line?.inspect_err(log_framing_error));
+                }
                 () = sleep_until_optional(deadline) => return None,
                 // The phase changes only once, at the start of a shutdown.
                 _ = phase.changed() => (),
--- a/crates/proxy/tests/site/main.rs
+++ b/crates/proxy/tests/site/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod failures;
+mod framing;
 mod freshness;
 mod lanes;
 mod logs;
