Read on the primary after a write without a position

A reply of a write that shows no position left the session's minimum position as it was, and its next read ran on a replica without the write (STALE).

Cause: a missing position was taken for "no requirement".

Change: until a later write shows its position, the session's reads go to the primary. The answer of the write is delivered as it is.

--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -47,6 +47,9 @@
     state: SessionState,
     transaction: Option<OpenTransaction>,
     last_write: Option<LogPosition>,
+    /// Whether the last write's reply showed no position, so that only the primary is known to have
+    /// the write.
+    has_unplaced_write: bool,
     opened_at: BootInstant,
     last_request_at: BootInstant,
 }
@@ -98,6 +101,7 @@
         state: SessionState::Idle,
         transaction: None,
         last_write: None,
+        has_unplaced_write: false,
         opened_at: boot_now(),
         last_request_at: boot_now(),
     };
--- a/crates/proxy/src/ledger/session/query.rs
+++ b/crates/proxy/src/ledger/session/query.rs
@@ -56,6 +56,7 @@
                 return (self.refuse(id, &failure), true);
             }
         };
+        let route = self.session_route(route);
         let began_at = boot_now();
         let answer = self.execute(id, text, statement, &identity, &route).await;
         let (outcome, text) = match answer {
@@ -271,6 +272,19 @@
 
     fn record_write(&mut self, reply: &EndpointReply) {
         self.last_write = self.last_write.max(reply.position);
+        self.has_unplaced_write = reply.position.is_none();
+    }
+
+    /// The route as it applies to this session: while the position of its last write is unknown,
+    /// only the primary serves its reads.
+    fn session_route(&self, route: Arc<DatabaseRoute>) -> Arc<DatabaseRoute> {
+        match route.consistency {
+            ReadConsistency::Session(_) if self.has_unplaced_write => {
+                let consistency = ReadConsistency::Current;
+                Arc::new(DatabaseRoute { consistency, ..DatabaseRoute::clone(&route) })
+            }
+            _ => route,
+        }
     }
 
     /// Forwards a reply within a transaction. If the endpoint's session is no longer in a
--- a/crates/proxy/tests/site/framing.rs
+++ b/crates/proxy/tests/site/framing.rs
@@ -71,3 +71,13 @@
     assert_that!(is_kept, eq(true), "{reply:?}, then {rows:?}");
     assert_that!(reply.failure, some(eq("INDOUBT")));
 }
+
+/// Guards against the same when the reply of a write shows no position at all.
+#[tokio::test]
+async fn a_write_without_a_position_is_read_on_the_primary() {
+    let site = SiteDeployment::start(2).await;
+    let mut client = writer_beside_held_replica(&site).await;
+    site.group.set_reply_fault(Some(ReplyFault::NoPosition { item: "slip".to_owned() }));
+    until_done(&mut client, "WRITE slip two").await;
+    assert_that!(until_done(&mut client, "READ slip").await.rows, elements_are![eq("two")]);
+}
