Keep the customer of a transaction for all of it

Cause: the identity of the client was looked up for each statement by the configuration of that moment. Without a route there was none to find, and "anonymous" took its place.

Change: a transaction keeps the identity and the route with which it began. Each statement of it checks the key alone: a withdrawn key ends it with NOAUTH, as before, now also when its route is gone or open to all; a key that has moved to another customer ends it with ABORTED, and what it has written is rolled back. Before, such a transaction went on at the connection of the first customer, or began there for the second.

Looked for elsewhere: rates and usage are counted for the customer that is passed along, so "-" had no counts of its own but in this case; statements that wait or are forwarded carry the customer with which they were admitted, and were sent before the change; connections in the pool are kept by customer; session values are the client's own.

--- a/crates/core/src/ledger/catalog.rs
+++ b/crates/core/src/ledger/catalog.rs
@@ -101,7 +101,7 @@
     Anonymous,
 }
 
-/// Why a client is rejected at the start of a session.
+/// Why a client is rejected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum AccessError {
     /// No route has the name.
@@ -110,6 +110,9 @@
     /// The key belongs to no customer.
     #[error("unknown key")]
     UnknownKey,
+    /// The key belongs to another customer than when the transaction began.
+    #[error("the key belongs to another customer since the transaction began")]
+    IdentityChanged,
 }
 
 impl From<CatalogRecords> for SiteCatalog {
@@ -222,6 +225,31 @@
             None => Err(AccessError::UnknownKey),
         }
     }
+
+    /// Checks that a client whose transaction began under `identity` may continue it with its key.
+    /// The route does not matter: a change of it applies from the next transaction on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key has been withdrawn or belongs to another customer.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use tanagerdeal_core::ledger::catalog::{CallerIdentity, SiteCatalog};
+    ///
+    /// let limit = Duration::from_secs(3);
+    /// let catalog = SiteCatalog::new(7, Vec::new(), Vec::new(), Vec::new(), limit, limit);
+    /// assert!(catalog.check_identity(&CallerIdentity::Anonymous, "").is_ok());
+    /// ```
+    pub fn check_identity(&self, identity: &CallerIdentity, key: &str) -> Result<(), AccessError> {
+        let holder = self.customers_by_key.get(key).map(|customer| customer.name.as_str());
+        match (identity.customer(), holder) {
+            (known, holder) if known == holder => Ok(()),
+            (Some(_), None) => Err(AccessError::UnknownKey),
+            _ => Err(AccessError::IdentityChanged),
+        }
+    }
 }
 
 impl CallerIdentity {
--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -137,6 +137,10 @@
     let reason = match error {
         AccessError::UnknownDatabase => FailureReason::UnknownDatabase,
         AccessError::UnknownKey => FailureReason::InvalidKey,
+        // The transaction is rolled back, and the client may retry as the other customer.
+        AccessError::IdentityChanged => {
+            return OperationFailure::new(FailureReason::Aborted, &error.to_string());
+        }
     };
     match host.state.borrow().is_catalog_fresh(boot_now()) {
         true => OperationFailure::new(reason, &error.to_string()),
--- a/crates/proxy/src/ledger/session/query.rs
+++ b/crates/proxy/src/ledger/session/query.rs
@@ -39,24 +39,16 @@
         let Ok(statement) = line::decode_statement(text) else {
             return (self.refuse(id, &malformed("unknown statement")), false);
         };
-        let access = authenticate(&self.host, &self.database, &self.key);
-        let (identity, route) = match access {
+        let (identity, route) = match self.access() {
             Ok(access) => access,
-            // A transaction that is open when its route is removed may still finish.
-            Err(AccessError::UnknownDatabase) if self.transaction.is_some() => {
-                let Some(route) = self.transaction.as_ref().map(|open| open.route.clone()) else {
-                    return (self.refuse(id, &malformed("no transaction")), true);
-                };
-                (CallerIdentity::Anonymous, route)
-            }
             Err(error) => {
+                // Dropping a transaction closes its connection, which rolls it back.
                 self.transaction = None;
                 self.state = SessionState::Idle;
                 let failure = access_failure(&self.host, error);
                 return (self.refuse(id, &failure), true);
             }
         };
-        let route = self.session_route(route);
         let began_at = boot_now();
         let answer = self.execute(id, text, statement, &identity, &route).await;
         let (outcome, text) = match answer {
@@ -68,6 +60,18 @@
         (text, false)
     }
 
+    /// Identity and route for the next statement. A transaction keeps those with which it began.
+    fn access(&self) -> Result<(CallerIdentity, Arc<DatabaseRoute>), AccessError> {
+        let Some(open) = self.transaction.as_ref() else {
+            let (identity, route) = authenticate(&self.host, &self.database, &self.key)?;
+            return Ok((identity, self.session_route(route)));
+        };
+        let host_state = self.host.state.borrow();
+        let catalog = host_state.catalog.as_ref().ok_or(AccessError::UnknownDatabase)?;
+        catalog.check_identity(&open.identity, &self.key)?;
+        Ok((open.identity.clone(), open.route.clone()))
+    }
+
     fn refuse(&mut self, id: &str, failure: &OperationFailure) -> String {
         let reason = format!("{:?}", failure.reason);
         self.host.metrics.refusals.with_label_values(&[&reason]).inc();
@@ -119,7 +123,8 @@
             (SessionState::Idle, ClientStatement::Begin { is_read_only }) => {
                 self.check_available(route, is_read_only).await?;
                 self.admit(identity, route).await?;
-                self.transaction = Some(OpenTransaction::new(route.clone(), is_read_only));
+                let (identity, route) = (identity.clone(), route.clone());
+                self.transaction = Some(OpenTransaction::new(identity, route, is_read_only));
                 self.state = SessionState::Open;
                 Ok(line::completed(self.state))
             }
--- a/crates/proxy/src/ledger/transaction.rs
+++ b/crates/proxy/src/ledger/transaction.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tanagerdeal_core::ledger::catalog::{DatabaseRoute, ReadConsistency};
+use tanagerdeal_core::ledger::catalog::{CallerIdentity, DatabaseRoute, ReadConsistency};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::{EndpointKey, LogPosition};
 use tanagerdeal_core::ledger::statement::{AccessMode, FailureReason};
@@ -23,6 +23,8 @@
 
 /// An open transaction of a client.
 pub(super) struct OpenTransaction {
+    /// Identity of the client when the transaction began.
+    pub(super) identity: CallerIdentity,
     /// Route in effect when the transaction began.
     pub(super) route: Arc<DatabaseRoute>,
     /// Whether the client declared the transaction as read-only.
@@ -36,9 +38,13 @@
 
 impl OpenTransaction {
     /// Creates a transaction that is not bound to a connection yet.
-    pub(super) fn new(route: Arc<DatabaseRoute>, is_read_only: bool) -> Self {
+    pub(super) fn new(
+        identity: CallerIdentity,
+        route: Arc<DatabaseRoute>,
+        is_read_only: bool,
+    ) -> Self {
         let began_at = boot_now();
-        Self { route, is_read_only, began_at, has_written: false, bound: None }
+        Self { identity, route, is_read_only, began_at, has_written: false, bound: None }
     }
 
     /// Runs a statement of the transaction.
--- a/crates/proxy/tests/site/access.rs
+++ b/crates/proxy/tests/site/access.rs
@@ -53,6 +53,71 @@
     assert_that!(is_known(KEY).await, eq(false));
 }
 
+/// Writes a version without the route of the database `current`, and waits until it is in effect.
+async fn remove_route(site: &SiteDeployment, version: u64, customers: &[(&str, &[&str], u32)]) {
+    let mut changed = configuration(version, "g1", customers);
+    changed["routes"].as_array_mut().unwrap().retain(|route| route["host"] != "current");
+    put_configuration(site, version, &changed).await;
+}
+
+async fn put_configuration(site: &SiteDeployment, version: u64, changed: &serde_json::Value) {
+    site.store.put("op", "config", changed);
+    let line = format!("catalog_version {version}");
+    let is_known = async || site.hosts[0].page("/metrics").await.1.contains(&line);
+    until("the version is in effect", is_known).await;
+}
+
+/// Guards against a transaction that runs for no customer: its route was removed before its first
+/// statement, and the client was identified anew by a configuration without the route.
+#[tokio::test]
+async fn a_transaction_whose_route_is_removed_keeps_its_customer() {
+    let site = SiteDeployment::start(1).await;
+    let mut client = site.session(0, "current").await;
+    until_done(&mut client, "READ item").await;
+    assert_that!(client.query("BEGIN").await.state, eq("T"));
+    remove_route(&site, 2, &[("acme", &[KEY], 500)]).await;
+    assert_that!(client.query("WRITE item one").await.failure, none());
+    assert_that!(client.query("COMMIT").await.failure, none());
+    assert_that!(site.group.commits("item", "one"), eq(1));
+    for run in site.group.runs() {
+        assert_that!(run.customer.as_str(), eq("acme"));
+    }
+    assert_that!(client.query("READ item").await.failure, some(eq("NODB")));
+}
+
+/// Guards against a withdrawn key that goes on working in a transaction whose route is gone.
+#[tokio::test]
+async fn a_key_that_is_withdrawn_with_its_route_ends_the_transaction() {
+    let site = SiteDeployment::start(1).await;
+    let mut client = site.session(0, "current").await;
+    until_done(&mut client, "READ item").await;
+    client.query("BEGIN").await;
+    remove_route(&site, 2, &[("acme", &[OTHER_KEY], 500)]).await;
+    assert_that!(client.query("WRITE item one").await.failure, some(eq("NOAUTH")));
+    assert_that!(client.is_closed().await, eq(true));
+    assert_that!(site.group.runs(), len(eq(1)));
+}
+
+/// Guards against a transaction that runs for a customer who no longer holds the client's key, or
+/// for two customers in turn. What it has written is rolled back.
+#[tokio::test]
+async fn a_key_that_moves_to_another_customer_ends_the_transaction() {
+    let site = SiteDeployment::start(1).await;
+    let mut client = site.session(0, "current").await;
+    until_done(&mut client, "READ item").await;
+    client.query("BEGIN").await;
+    assert_that!(client.query("WRITE item one").await.failure, none());
+    let customers: [(&str, &[&str], u32); 2] = [("acme", &[OTHER_KEY], 500), ("beta", &[KEY], 500)];
+    put_configuration(&site, 2, &configuration(2, "g1", &customers)).await;
+    let ran = site.group.runs().len();
+    assert_that!(client.query("COMMIT").await.failure, some(eq("ABORTED")));
+    assert_that!(client.is_closed().await, eq(true));
+    assert_that!(site.group.runs(), len(eq(ran)));
+    assert_that!(site.group.commits("item", "one"), eq(0));
+    until_done(&mut site.session(0, "current").await, "WRITE item two").await;
+    assert_that!(site.group.runs().last().unwrap().customer.as_str(), eq("beta"));
+}
+
 /// Guards against endpoints that see a key.
 #[tokio::test]
 async fn endpoints_see_the_customer_and_no_key() {
