Keep a session's last write for each group

When the route of a database led to another group, the reads of an open session were refused as busy for as long as the session lasted, if it had written before: they required the position of its last write in the former group's log.

Cause: the position was kept without the group whose log it belongs to.

Change: positions are kept by group, so that a write still counts when the route leads back.

Evidence: a_session_whose_route_leads_to_another_group_is_served failed on (reads refused) and passes now.

--- a/crates/proxy/src/ledger/session.rs
+++ b/crates/proxy/src/ledger/session.rs
@@ -2,6 +2,7 @@
 
 mod query;
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,10 +47,9 @@
     setup: SessionSetup,
     state: SessionState,
     transaction: Option<OpenTransaction>,
-    last_write: Option<LogPosition>,
-    /// Whether the last write's reply showed no position, so that only the primary is known to have
-    /// the write.
-    has_unplaced_write: bool,
+    /// Position of the last write in the log of each group that the session has written to. `None`
+    /// if its reply showed none, so that only the primary is known to have the write.
+    last_writes: HashMap<String, Option<LogPosition>>,
     opened_at: BootInstant,
     last_request_at: BootInstant,
 }
@@ -100,8 +100,7 @@
         setup: SessionSetup::default(),
         state: SessionState::Idle,
         transaction: None,
-        last_write: None,
-        has_unplaced_write: false,
+        last_writes: HashMap::new(),
         opened_at: boot_now(),
         last_request_at: boot_now(),
     };
--- a/crates/proxy/src/ledger/session/query.rs
+++ b/crates/proxy/src/ledger/session/query.rs
@@ -11,6 +11,7 @@
     AccessError, CallerIdentity, DatabaseRoute, ReadConsistency,
 };
 use tanagerdeal_core::ledger::clock::BootInstant;
+use tanagerdeal_core::ledger::endpoint::LogPosition;
 use tanagerdeal_core::ledger::session::PreparedShape;
 use tanagerdeal_core::ledger::statement::{
     AccessMode, ClientStatement, FailureReason, SessionState,
@@ -200,16 +201,14 @@
         route: &DatabaseRoute,
         is_read: bool,
     ) -> Result<(), OperationFailure> {
-        let now = boot_now();
+        let (now, last_write) = (boot_now(), self.last_write(&route.group));
         let availability =
-            self.host.state.borrow().check_available(route, is_read, self.last_write, now);
+            self.host.state.borrow().check_available(route, is_read, last_write, now);
         let Err(refusal) = availability else { return Ok(()) };
         // A replica can serve the read if another host of the failure domain has reported a recent
         // position of the primary.
         if is_read
-            && observations::min_read_position(&self.host, route, self.last_write, now)
-                .await
-                .is_some()
+            && observations::min_read_position(&self.host, route, last_write, now).await.is_some()
         {
             return Ok(());
         }
@@ -238,12 +237,13 @@
         request: AccessRequest<'_>,
     ) -> Result<String, OperationFailure> {
         let customer = identity.customer().unwrap_or(ANONYMOUS_CUSTOMER);
+        let last_write = self.last_write(&route.group);
         match self.transaction.as_mut() {
             Some(open) => {
                 let group = open.route.group.clone();
                 let (host, session) = (&self.host, &self.setup);
                 let ctx = StatementContext { host, group: &group, customer, session };
-                match open.run(ctx, self.last_write, request).await {
+                match open.run(ctx, last_write, request).await {
                     Ok(reply) => Ok(self.forward_in_transaction(&reply)),
                     Err(failure) => {
                         self.refund(identity, &failure);
@@ -262,29 +262,35 @@
                 let ctx = StatementContext { host, group: &route.group, customer, session };
                 let result = match request.mode {
                     AccessMode::Read => {
-                        operation::run_read(ctx, route, self.last_write, request, timing).await
+                        operation::run_read(ctx, route, last_write, request, timing).await
                     }
                     AccessMode::Write => operation::run_primary(ctx, request, timing).await,
                 };
                 let reply = result.inspect_err(|failure| self.refund(identity, failure))?;
                 if request.mode == AccessMode::Write && reply.failure.is_none() {
-                    self.record_write(&reply);
+                    self.record_write(&route.group, &reply);
                 }
                 Ok(format!("{}{}", reply.text, line::ready(self.state)))
             }
         }
     }
 
-    fn record_write(&mut self, reply: &EndpointReply) {
-        self.last_write = self.last_write.max(reply.position);
-        self.has_unplaced_write = reply.position.is_none();
+    /// Position of the session's last write in the log of a group, if it is known.
+    fn last_write(&self, group: &str) -> Option<LogPosition> {
+        self.last_writes.get(group).copied().flatten()
+    }
+
+    fn record_write(&mut self, group: &str, reply: &EndpointReply) {
+        let known = self.last_writes.get(group).copied().flatten();
+        let position = reply.position.map(|position| known.unwrap_or_default().max(position));
+        self.last_writes.insert(group.to_owned(), position);
     }
 
     /// The route as it applies to this session: while the position of its last write is unknown,
     /// only the primary serves its reads.
     fn session_route(&self, route: Arc<DatabaseRoute>) -> Arc<DatabaseRoute> {
         match route.consistency {
-            ReadConsistency::Session(_) if self.has_unplaced_write => {
+            ReadConsistency::Session(_) if self.last_writes.get(&route.group) == Some(&None) => {
                 let consistency = ReadConsistency::Current;
                 Arc::new(DatabaseRoute { consistency, ..DatabaseRoute::clone(&route) })
             }
@@ -314,9 +320,9 @@
         let ctx =
             StatementContext { host: &self.host, group: &group, customer, session: &self.setup };
         let has_written = open.has_written;
-        let reply = open.commit(ctx, self.last_write, request).await?;
+        let reply = open.commit(ctx, self.last_write(&group), request).await?;
         if has_written && reply.failure.is_none() {
-            self.record_write(&reply);
+            self.record_write(&group, &reply);
         }
         Ok(format!("{}{}", reply.text, line::ready(self.state)))
     }
--- a/crates/proxy/tests/site/access.rs
+++ b/crates/proxy/tests/site/access.rs
@@ -1,7 +1,7 @@
 //! Keys, routes and rates.
 
 use googletest::prelude::*;
-use tanagerdeal_standin::{StandinClient, configuration};
+use tanagerdeal_standin::{StandinClient, StandinGroup, configuration};
 
 use crate::support::{KEY, OTHER_KEY, SiteDeployment, until, until_done};
 
@@ -118,6 +118,29 @@
     assert_that!(site.group.runs().last().unwrap().customer.as_str(), eq("beta"));
 }
 
+/// Guards against a session whose database moves to another group, and whose reads are refused
+/// until it ends: they required a position of the former group's log.
+#[tokio::test]
+async fn a_session_whose_route_leads_to_another_group_is_served() {
+    let site = SiteDeployment::start(1).await;
+    let _other = StandinGroup::start(&site.store, "g2", &["d1", "d2", "d3"]).await.unwrap();
+    let mut client = site.session(0, "session").await;
+    for number in 0..5 {
+        until_done(&mut client, &format!("WRITE item {number}")).await;
+    }
+    let mut changed = configuration(2, "g2", &[("acme", &[KEY], 500)]);
+    put_configuration(&site, 2, &changed).await;
+    until_done(&mut site.session(0, "session").await, "WRITE other one").await;
+    for _ in 0..10 {
+        assert_that!(client.query("READ item").await.rows, elements_are![eq("none")]);
+    }
+    // The write that the session has made before still counts when its database is back.
+    site.group.hold(1, true);
+    changed = configuration(3, "g1", &[("acme", &[KEY], 500)]);
+    put_configuration(&site, 3, &changed).await;
+    assert_that!(until_done(&mut client, "READ item").await.rows, elements_are![eq("4")]);
+}
+
 /// Guards against endpoints that see a key.
 #[tokio::test]
 async fn endpoints_see_the_customer_and_no_key() {
