--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -166,7 +166,8 @@
         "began",
         json!({ "group": group, "reason": format!("{reason:?}"), "primary": entry.record.primary,
                 "term": entry.record.term, "row_version": entry.version,
-                "is_continued": entry.record.change.is_some() }),
+                "is_continued": entry.record.change.is_some(),
+                "promotion": entry.record.promotion().map(|promotion| &promotion.endpoint) }),
     );
     let result = PrimaryChange::begin(host.clone(), entry, reason).await;
     let result = match result {
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -257,6 +257,7 @@
     let fields = json!({ "group": record.group, "term": record.term, "primary": record.primary,
         "changing": record.change.is_some(), "token": record.change.as_ref().map(|mark| mark.token),
         "holder": record.change.as_ref().map(|mark| mark.holder.clone()),
+        "promotion": record.promotion().map(|promotion| promotion.endpoint.clone()),
         "row_version": entry.version });
     let is_newer = host.state.borrow_mut().apply_group(entry);
     if is_newer {
--- a/crates/proxy/tests/site/soak.rs
+++ b/crates/proxy/tests/site/soak.rs
@@ -4,7 +4,7 @@
 //!
 //!     SOAK_SEEDS=100..150 SOAK_SECONDS=20 cargo test -p tanagerdeal --test site soak -- --nocapture
 //!
-//! Seeds from 1000 on run with pooled connections.
+//! Seeds from 500 on delay promotions; seeds from 1000 on run with pooled connections.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -23,9 +23,11 @@
 const HOSTS: usize = 4;
 /// Clients of a run.
 const CLIENTS: usize = 12;
-/// Seed of the run that belongs to the tests.
+/// Seed of a run that belongs to the tests.
 const FIXED_SEED: u64 = 7;
-/// Length of that run.
+/// The same with promotions that take effect a second after their call.
+const FIXED_DELAYED_SEED: u64 = 505;
+/// Length of these runs.
 const FIXED_SECONDS: u64 = 8;
 /// Seeds that failed once, with the cause. 101: a stand-in that was held as a replica stayed held
 /// as a primary, and answered reads without the commits that it took itself. 102: a hangup that
@@ -33,6 +35,12 @@
 /// starts a process that has ended again.
 const REGRESSION_SEEDS: [u64; 2] = [101, 102];
 
+/// Seeds from this one on let promotions take effect up to a second after their call, and former
+/// primaries go on for a second after that.
+const FIRST_DELAYED_SEED: u64 = 500;
+/// Steps of that delay.
+const DELAY_STEP: Duration = Duration::from_millis(100);
+const DELAY_STEPS: u64 = 11;
 /// Seeds from this one on run hosts that pool connections and queue statements by priority.
 const FIRST_POOLED_SEED: u64 = 1_000;
 
@@ -269,6 +277,10 @@
         FIRST_POOLED_SEED.. => RelayedSite::start_pooled(HOSTS).await,
         _ => RelayedSite::start(HOSTS).await,
     };
+    if seed >= FIRST_DELAYED_SEED {
+        let steps = u32::try_from(seed % DELAY_STEPS).unwrap();
+        relayed.site.group.delay_promotions(DELAY_STEP * steps);
+    }
     relayed.site.store.put("op", "config", &configuration(1_000, "g1", &[("acme", &[KEY], 5_000)]));
     let hosts = relayed.callers.clone();
     let (is_over, done) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
@@ -314,7 +326,7 @@
     let parsed = bounds.and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
     match parsed {
         Some(range) => range.collect(),
-        None => REGRESSION_SEEDS.into_iter().chain([FIXED_SEED]).collect(),
+        None => REGRESSION_SEEDS.into_iter().chain([FIXED_SEED, FIXED_DELAYED_SEED]).collect(),
     }
 }
 
