Hold the ports of test hosts against other test processes

Tests of the site target failed twice beside other work as a host was not ready in 30 s after its start: an_older_configuration_changes_nothing once of 8 runs (its log was not kept; the run had taken 30.03 s, so the host was never ready) and a_session_whose_route_leads_to_another_group_is_served in run 35 of 38, beside a soak. The log of the second: "Address already in use". A port was free when it was chosen, and another test process took it before the host did. Two test processes choose from one range by the number of their process. Now a chosen port is held at another loopback address as long as its test process lives. Another program may still take it; review/ chooses from the same range.

--- a/crates/proxy/tests/site/support.rs
+++ b/crates/proxy/tests/site/support.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,8 @@
 const FIRST_PORT: u16 = 20_000;
 const PORTS: u16 = 12_000;
 const PORT_STRIDE: u32 = 397;
+/// Address at which a test process holds the ports that it has chosen.
+const PORT_HOLDER: &str = "127.0.0.2";
 /// Key of the only customer at the start; marked, so that it is found wherever it leaks to.
 pub const KEY: &str = "k3y-MARKED-a";
 /// A second key of the customer.
@@ -107,16 +110,20 @@
 }
 
 /// A port that nothing is bound to, out of a range that the kernel does not give to outgoing
-/// connections: one of those may take a port before the process that it was chosen for.
+/// connections: one of those may take a port before the process that it was chosen for. Another
+/// address of the loopback interface holds it against other test processes.
 fn free_port() -> u16 {
     static NEXT: AtomicU32 = AtomicU32::new(0);
+    static HELD: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
     let first = std::process::id().wrapping_mul(PORT_STRIDE);
     loop {
         let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
         let port = FIRST_PORT + (number % u32::from(PORTS)) as u16;
+        let Ok(holder) = TcpListener::bind((PORT_HOLDER, port)) else { continue };
         let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok()
             && UdpSocket::bind(("127.0.0.1", port)).is_ok();
         if is_free {
+            HELD.lock().unwrap().push(holder);
             return port;
         }
     }
