Start hosts of relayed site tests once the relays are announced

Cause: a stand-in endpoint registers its own address first and that of the relay before it with its next heartbeat. Hosts that started in between used the direct address until their next read of the registrations, up to 2.6 s later, so that a cut of the lane had no effect: a replica behind a cut answered its status 1 s after the cut (log of a test that was being written: "registered" with the new address 2.6 s after the first one).

Ruled out: the relay, which holds back what passes a cut lane.

Change: the relayed deployment waits until the store has the addresses of the relays before it starts hosts.

--- a/crates/proxy/tests/site/lanes.rs
+++ b/crates/proxy/tests/site/lanes.rs
@@ -6,7 +6,7 @@
 use tanagerdeal_standin::{StandinGroup, StandinStore, configuration};
 use tanagerdeal_testbed::relay;
 
-use crate::support::{KEY, OTHER_KEY, SiteDeployment, SiteHost};
+use crate::support::{KEY, OTHER_KEY, SiteDeployment, SiteHost, until};
 
 /// Name under which the relay knows the store, all hosts as callers of endpoints, and the clients.
 const STORE: &str = "store";
@@ -79,6 +79,10 @@
             let target = relayed.site.group.members[index].address;
             let address = relayed.open(target, &Lane::to_endpoint(index)).await;
             relayed.site.group.announce(index, address);
+            let id = &relayed.site.group.members[index].id;
+            let row = || relayed.site.store.row("servers", id).unwrap_or_default();
+            let is_announced = async || row()["address"] == address.to_string();
+            until("the relay is announced", is_announced).await;
         }
         for index in 0..hosts {
             let store = relayed.open(relayed.site.store.address(), &Lane::to_store(index)).await;
