Wait for endpoints that may have more commits before a promotion

Callers saw: reads that missed acknowledged writes.

Cause: the coordinator of a failover asked each endpoint once for its status. One that refused for lack of a slot or connection, or did not answer within 400 ms, had no status and was no candidate, as if it had stopped. The choice was not held against the positions that are known to be acknowledged.

Ruled out: a status that is wrong (the promoted replica told its position truly); a replica that was not registered (it was, and served reads).

Change: a request for a status tells refused from silent endpoints, and asks those that refuse again each 20 ms. core/ledger/failover/choice.rs decides for whom the choice waits, for 4 s at most: endpoints that run, and silent ones if the others are known to lack commits. The same holds for an old primary that answers BUSY, for the last commits of one that leaves, for a row that names a replica, and for the wait after a call.

--- a/crates/core/src/ledger/failover.rs
+++ b/crates/core/src/ledger/failover.rs
@@ -5,6 +5,7 @@
 //! promotes the endpoint that has received most of the log, and publishes the result. The promotion
 //! is recorded in the row before it is called for, and `step` decides what follows from it.
 
+pub mod choice;
 pub mod step;
 
 use std::collections::HashMap;
@@ -34,6 +35,14 @@
         /// Whether it may be promoted: it is not draining, and its failure domain is not evacuated.
         pub is_eligible: bool,
     }
+
+    /// An endpoint that has not told its status.
+    pub struct UnansweredCandidate {
+        /// What is known without its answer: it has received at least this much of the log.
+        pub status: CandidateStatus,
+        /// Whether it runs: it refuses requests only because it has no slot or connection free.
+        pub is_running: bool,
+    }
 }
 
 /// Direct confirmations by hosts that they no longer use the primary of a marked group. The
--- /dev/null
+++ b/crates/core/src/ledger/failover/choice.rs
@@ -0,0 +1,65 @@
+//! The choice of the endpoint to promote, and the wait for endpoints that may be better.
+//!
+//! An endpoint that has not told its status may have received more of the log than those that have.
+//! It is waited for if it runs, or if the others are known to lack commits.
+
+use std::time::Duration;
+
+use super::step::{ChangeStep, ChangeView, is_old_primary};
+use super::{CandidateStatus, UnansweredCandidate, best_candidate};
+use crate::ledger::endpoint::LogPosition;
+
+/// Longest wait for the status of endpoints that may have received more of the log than the others.
+/// The registration of an endpoint that has stopped is gone by then.
+pub const STATUS_WAIT_LIMIT: Duration = Duration::from_millis(4_000);
+/// How long the replicas of a primary that is being drained may take to receive its last commits.
+pub const CATCH_UP_LIMIT: Duration = Duration::from_millis(600);
+
+/// Promotes the best candidate, or waits while another endpoint may be better.
+pub(super) fn promote_best<'s>(
+    candidates: impl Iterator<Item = &'s CandidateStatus> + Clone,
+    view: ChangeView<'s, '_>,
+) -> ChangeStep<'s> {
+    let best = best_candidate(candidates.clone(), view.primaries);
+    if is_catching_up(best, view) || is_status_awaited(best, view) {
+        return ChangeStep::Wait;
+    }
+    // Those that run and never answered have received at least what is known of them.
+    let running = view.unanswered.iter().filter(|candidate| candidate.is_running);
+    let running = running.map(|candidate| &candidate.status);
+    let others = running.filter(|status| status.id != view.record.primary);
+    best_candidate(candidates.chain(others), view.primaries)
+        .map_or(ChangeStep::NoCandidate, ChangeStep::Promote)
+}
+
+/// Newest position of the old primary, if it shows one. It takes no more commits.
+fn last_position(view: ChangeView<'_, '_>) -> Option<LogPosition> {
+    let running = view.unanswered.iter().filter(|candidate| candidate.is_running);
+    let known = view.statuses.iter().chain(running.map(|candidate| &candidate.status));
+    known.filter(|status| is_old_primary(view.record, status)).map(|old| old.received).max()
+}
+
+/// Whether the replicas are still receiving the last commits of a primary that leaves.
+fn is_catching_up(best: Option<&CandidateStatus>, view: ChangeView<'_, '_>) -> bool {
+    let received = best.map(|status| status.received);
+    view.is_leaving && !view.is_catch_up_over && last_position(view) > received
+}
+
+/// Whether an endpoint is still waited for that may be kept, or may have received more of the log
+/// than the best of those that have answered.
+fn is_status_awaited(best: Option<&CandidateStatus>, view: ChangeView<'_, '_>) -> bool {
+    let is_complete =
+        best.zip(last_position(view)).is_some_and(|(best, last)| best.received >= last);
+    let may_have_more = |status: &CandidateStatus| {
+        best.is_some_and(|best| best.received < view.acknowledged.max(status.received))
+    };
+    let is_awaited = |candidate: &UnansweredCandidate| {
+        let UnansweredCandidate { status, is_running } = candidate;
+        let is_old = status.id == view.record.primary;
+        match is_old {
+            true => *is_running && !view.is_leaving,
+            false => status.is_eligible && !is_complete && (*is_running || may_have_more(status)),
+        }
+    };
+    !view.is_status_wait_over && view.unanswered.iter().any(is_awaited)
+}
--- a/crates/core/src/ledger/failover/step.rs
+++ b/crates/core/src/ledger/failover/step.rs
@@ -7,9 +7,10 @@
 
 use std::time::Duration;
 
-use super::{CandidateStatus, best_candidate, newest_term, successor};
+use super::choice::promote_best;
+use super::{CandidateStatus, UnansweredCandidate, newest_term, successor};
 use crate::ledger::clock::StoreInstant;
-use crate::ledger::endpoint::EndpointRole;
+use crate::ledger::endpoint::{EndpointRole, LogPosition};
 use crate::ledger::group::{GroupRecord, PromotionRecord};
 
 /// Timeout of a promotion call.
@@ -30,6 +31,14 @@
     pub record: &'v GroupRecord,
     /// Status of the endpoints that answered.
     pub statuses: &'s [CandidateStatus],
+    /// The other registered endpoints.
+    pub unanswered: &'s [UnansweredCandidate],
+    /// Newest position of the old primary of which this host knows that it was acknowledged.
+    pub acknowledged: LogPosition,
+    /// Whether [`STATUS_WAIT_LIMIT`](super::choice::STATUS_WAIT_LIMIT) has passed.
+    pub is_status_wait_over: bool,
+    /// Whether [`CATCH_UP_LIMIT`](super::choice::CATCH_UP_LIMIT) has passed.
+    pub is_catch_up_over: bool,
     /// Whether the old primary has to be replaced even if it answers.
     pub is_leaving: bool,
     /// Whether the platform has accepted a call of this process for the recorded promotion.
@@ -49,7 +58,8 @@
     Keep(&'a CandidateStatus),
     /// Record and call for the promotion of this endpoint.
     Promote(&'a CandidateStatus),
-    /// Ask the endpoints again: a promotion may still take effect.
+    /// Ask the endpoints again: a promotion may still take effect, or an endpoint that has not
+    /// answered, or not caught up, may be the better choice.
     Wait,
     /// No endpoint may be promoted.
     NoCandidate,
@@ -63,6 +73,7 @@
     /// use std::time::Duration;
     ///
     /// use tanagerdeal_core::ledger::clock::StoreInstant;
+    /// use tanagerdeal_core::ledger::endpoint::LogPosition;
     /// use tanagerdeal_core::ledger::failover::step::ChangeView;
     /// use tanagerdeal_core::ledger::group::{GroupRecord, PromotionRecord};
     ///
@@ -71,6 +82,10 @@
     /// let view = ChangeView {
     ///     record: &record,
     ///     statuses: &[],
+    ///     unanswered: &[],
+    ///     acknowledged: LogPosition::default(),
+    ///     is_status_wait_over: false,
+    ///     is_catch_up_over: false,
     ///     is_leaving: false,
     ///     is_accepted: false,
     ///     is_call_over: true,
@@ -131,6 +146,7 @@
 /// accepts a call for the present primary and changes nothing.
 ///
 /// ```
+/// use tanagerdeal_core::ledger::endpoint::LogPosition;
 /// use tanagerdeal_core::ledger::failover::step::{ChangeStep, ChangeView, next_step};
 /// use tanagerdeal_core::ledger::group::GroupRecord;
 ///
@@ -139,6 +155,10 @@
 /// let view = ChangeView {
 ///     record: &record,
 ///     statuses: &[],
+///     unanswered: &[],
+///     acknowledged: LogPosition::default(),
+///     is_status_wait_over: false,
+///     is_catch_up_over: false,
 ///     is_leaving: false,
 ///     is_accepted: false,
 ///     is_call_over: true,
@@ -201,13 +221,6 @@
     status.role == EndpointRole::Primary && status.term == newest_term(view.statuses)
 }
 
-fn promote_best<'s>(
-    candidates: impl Iterator<Item = &'s CandidateStatus>,
-    view: ChangeView<'s, '_>,
-) -> ChangeStep<'s> {
-    best_candidate(candidates, view.primaries).map_or(ChangeStep::NoCandidate, ChangeStep::Promote)
-}
-
 /// Term before the failover; a primary with a later term is the successor.
 fn known_term(view: ChangeView<'_, '_>) -> u64 {
     let ChangeView { record, statuses, .. } = view;
@@ -220,6 +233,7 @@
     }
 }
 
-fn is_old_primary(record: &GroupRecord, status: &CandidateStatus) -> bool {
+/// Whether an endpoint is the one that the row names, and still sees itself as primary.
+pub(super) fn is_old_primary(record: &GroupRecord, status: &CandidateStatus) -> bool {
     status.id == record.primary && status.role == EndpointRole::Primary
 }
--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -5,7 +5,7 @@
 mod confirmations;
 mod promotion;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,22 +14,24 @@
 use change::PrimaryChange;
 use serde_json::json;
 use tanagerdeal_adapter::line;
-use tanagerdeal_adapter::reply::decode_status;
+use tanagerdeal_adapter::reply::{StatusRow, decode_status};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::duty::DUTY_LEASE_MARGIN;
 use tanagerdeal_core::ledger::endpoint::{EndpointKey, EndpointRole, EndpointState};
-use tanagerdeal_core::ledger::failover::{CandidateStatus, HostConfirmation};
+use tanagerdeal_core::ledger::failover::{CandidateStatus, HostConfirmation, UnansweredCandidate};
 use tanagerdeal_core::ledger::group::GroupEntry;
+use tanagerdeal_core::ledger::statement::FailureReason;
 use tanagerdeal_core::ledger::suspicion;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use super::connection::EndpointReply;
 use super::context::{HostContext, boot_now};
 use super::follow::apply_group_entry;
 use super::forward;
 use super::journal;
 use super::lease::drain_timeout;
 use super::peers::{ConfirmationPayload, PeerMessage};
-use super::pool::acquire;
+use super::pool::{AcquireError, acquire};
 use super::statement::note_outcome;
 
 /// Interval between checks for primaries that must be replaced.
@@ -43,11 +45,34 @@
 const ROLE_REPORT_GRACE: Duration = Duration::from_millis(1_000);
 /// Interval between status requests to an endpoint.
 const STATUS_INTERVAL: Duration = Duration::from_millis(60);
+/// Time by which a timer may fire late, after a deadline within the timeout.
+const TIMER_MARGIN: Duration = Duration::from_millis(20);
+/// Pause before an endpoint that has no slot free is asked for its status again.
+const BUSY_STATUS_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause before a failed change of a group is retried.
 const FAILED_CHANGE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Customer name for the proxy's own connections to endpoints.
 const PROXY_NAME: &str = "-";
 
+/// What came of a request for the status of an endpoint.
+#[derive(Clone, Debug)]
+pub(super) enum StatusAnswer {
+    /// The endpoint has told it.
+    Told(CandidateStatus),
+    /// The endpoint has not told it; what is known of it.
+    Untold(UnansweredCandidate),
+}
+
+impl StatusAnswer {
+    /// Whether the endpoint runs, as far as this request shows.
+    pub(super) fn is_running(&self) -> bool {
+        match self {
+            Self::Told(_) => true,
+            Self::Untold(candidate) => candidate.is_running,
+        }
+    }
+}
+
 /// Why a primary is replaced.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ChangeReason {
@@ -194,8 +219,10 @@
 async fn is_replica(host: &HostContext, endpoint: &str) -> bool {
     let key = host.state.borrow().endpoints.find(endpoint);
     let Some(key) = key else { return false };
-    let status = endpoint_status(host, key).await;
-    status.is_some_and(|status| status.role == EndpointRole::Replica)
+    match endpoint_status(host, key).await {
+        Some(StatusAnswer::Told(status)) => status.role == EndpointRole::Replica,
+        Some(StatusAnswer::Untold(_)) | None => false,
+    }
 }
 
 /// Records that a host has stopped using a primary that this host is replacing.
@@ -231,39 +258,67 @@
     });
 }
 
-/// Requests the status of an endpoint. `None` if it does not reply in time or is no longer
-/// registered.
-pub(super) async fn endpoint_status(
-    host: &HostContext,
-    key: EndpointKey,
-) -> Option<CandidateStatus> {
+/// Requests the status of an endpoint, and again while it has no slot free, until the timeout.
+/// `None` if it is no longer registered.
+pub(super) async fn endpoint_status(host: &HostContext, key: EndpointKey) -> Option<StatusAnswer> {
     let deadline = boot_now().after(STATUS_TIMEOUT);
-    let exchange = async {
-        let mut borrowed = acquire(host, key, PROXY_NAME, deadline).await.ok()?;
-        let outcome = borrowed.connection().ok()?.exchange(&line::status(), deadline).await;
-        note_outcome(host, key, PROXY_NAME, &outcome);
-        let reply = outcome.ok()?;
-        let state = reply.state;
-        let row = decode_status(reply.first_row.as_deref()?);
-        // Where connections are pooled, that of a probe is closed: together, the hosts would take all
-        // that the endpoint accepts.
-        if !forward::is_in_effect(host, key) {
-            borrowed.release_if_idle(state);
-        }
-        row
-    };
-    let row = tokio::time::timeout(STATUS_TIMEOUT, exchange).await.ok()??;
+    let is_refused = Cell::new(false);
+    let request = request_status(host, key, &is_refused, deadline);
+    let row = timeout(STATUS_TIMEOUT + TIMER_MARGIN, request).await.ok().flatten();
     let host_state = host.state.borrow();
     let state = host_state.endpoints.get(key)?;
     let record = &state.record;
-    Some(CandidateStatus {
+    let status = CandidateStatus {
         id: record.id.clone(),
         domain: record.domain.clone(),
-        role: row.role,
-        term: row.term,
-        received: row.received,
+        role: row.map_or(record.role, |row| row.role),
+        term: row.map_or(0, |row| row.term),
+        received: row.map_or(state.position, |row| row.received),
         is_eligible: !record.is_draining
             && state.missing_since.is_none()
             && !host_state.evacuated.contains_key(&record.domain),
+    };
+    Some(match row {
+        Some(_) => StatusAnswer::Told(status),
+        None => StatusAnswer::Untold(UnansweredCandidate { status, is_running: is_refused.get() }),
     })
 }
+
+/// Requests the status of an endpoint until it is told. `None` if the endpoint cannot be asked.
+/// Sets `is_refused` when no slot or connection is free.
+async fn request_status(
+    host: &HostContext,
+    key: EndpointKey,
+    is_refused: &Cell<bool>,
+    deadline: BootInstant,
+) -> Option<StatusRow> {
+    loop {
+        let mut borrowed = match acquire(host, key, PROXY_NAME, deadline).await {
+            Ok(borrowed) => borrowed,
+            Err(AcquireError::Exhausted) if !is_failing(host, key) => {
+                is_refused.set(true);
+                return None;
+            }
+            Err(_) => return None,
+        };
+        let outcome = borrowed.connection().ok()?.exchange(&line::status(), deadline).await;
+        note_outcome(host, key, PROXY_NAME, &outcome);
+        let EndpointReply { state, failure, first_row, .. } = outcome.ok()?;
+        // Where connections are pooled, that of a probe is closed: together, the hosts would take all
+        // that the endpoint accepts.
+        if !forward::is_in_effect(host, key) {
+            borrowed.release_if_idle(state);
+        }
+        match failure {
+            Some(FailureReason::Busy) => is_refused.set(true),
+            _ => return decode_status(first_row.as_deref()?),
+        }
+        sleep(BUSY_STATUS_INTERVAL).await;
+    }
+}
+
+/// Whether the last connection attempt or statement at an endpoint failed without a reply.
+fn is_failing(host: &HostContext, key: EndpointKey) -> bool {
+    let host_state = host.state.borrow();
+    host_state.endpoints.get(key).is_none_or(|state| state.failing_since.is_some())
+}
--- a/crates/proxy/src/ledger/failover/change.rs
+++ b/crates/proxy/src/ledger/failover/change.rs
@@ -55,6 +55,12 @@
     pub(super) token: u64,
     /// What came of the calls for the recorded promotion.
     pub(super) calls: CallProgress,
+    /// End of the wait for endpoints that may have received more of the log than the others.
+    pub(super) status_wait_until: BootInstant,
+    /// End of the wait for the last commits of a primary that leaves.
+    pub(super) catch_up_until: BootInstant,
+    /// Endpoints whose missing status was logged last.
+    pub(super) logged_unanswered: Vec<String>,
     /// End of the failover lease by this host's clock.
     pub(super) failover_lease_until: BootInstant,
 }
@@ -87,6 +93,9 @@
             change_started_version: entry.version,
             token: 0,
             calls: CallProgress::of_predecessor(promotion.is_some()),
+            status_wait_until: boot_now(),
+            catch_up_until: boot_now(),
+            logged_unanswered: Vec::new(),
             failover_lease_until: boot_now(),
         };
         change.write_mark(promotion).await?;
--- a/crates/proxy/src/ledger/failover/promotion.rs
+++ b/crates/proxy/src/ledger/failover/promotion.rs
@@ -6,17 +6,22 @@
 use tanagerdeal_adapter::control::{CallOutcome, DutyCredential, PromotionCall};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::{EndpointKey, EndpointRole};
+use tanagerdeal_core::ledger::failover::choice::{CATCH_UP_LIMIT, STATUS_WAIT_LIMIT};
 use tanagerdeal_core::ledger::failover::step::{
     ChangeStep, ChangeView, PROMOTION_CALL_TIMEOUT, PROMOTION_EFFECT_LIMIT, next_step,
 };
-use tanagerdeal_core::ledger::failover::{CandidateStatus, PromotionTimeout, newest_term};
+use tanagerdeal_core::ledger::failover::{
+    CandidateStatus, PromotionTimeout, UnansweredCandidate, newest_term,
+};
 use tanagerdeal_core::ledger::group::PromotionRecord;
+use tanagerdeal_core::ledger::position::PositionHistory;
 use tokio::time::sleep;
 
 use super::change::{ChangeError, PrimaryChange, QUESTION_LEASE_TIME};
-use super::{ChangeReason, STATUS_INTERVAL, endpoint_status};
+use super::{ChangeReason, STATUS_INTERVAL, StatusAnswer, endpoint_status};
 use crate::ledger::context::boot_now;
 use crate::ledger::journal;
+use crate::ledger::observations;
 
 /// Time for which the failover lease must still run when a promotion call begins.
 const CALL_LEASE_TIME: Duration = PROMOTION_CALL_TIMEOUT.saturating_add(Duration::from_millis(200));
@@ -26,8 +31,22 @@
 const MAX_CALLS: usize = 4;
 /// Most promotions in one attempt to replace a primary.
 const MAX_PROMOTIONS: usize = 2;
-/// How long the replicas of a primary that is being drained may take to receive its last commits.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Answers of the endpoints of a group to requests for their status.
+#[derive(Default)]
+pub(super) struct GroupStatuses {
+    /// Status of the endpoints that have told it.
+    pub(super) answered: Vec<CandidateStatus>,
+    /// The other endpoints.
+    pub(super) unanswered: Vec<UnansweredCandidate>,
+}
+
+impl GroupStatuses {
+    /// Identities of the endpoints that have not told their status.
+    fn unanswered_ids(&self) -> Vec<String> {
+        self.unanswered.iter().map(|candidate| candidate.status.id.clone()).collect()
+    }
+}
 
 /// What came of the calls for a recorded promotion.
 #[derive(Clone, Copy, Debug, Default)]
@@ -55,10 +74,15 @@
     /// Takes steps until an endpoint leads a later term. Returns the endpoint and its term.
     pub(super) async fn await_new_primary(&mut self) -> Result<(String, u64), ChangeError> {
         let mut promotions = 0;
+        self.status_wait_until = boot_now().after(STATUS_WAIT_LIMIT);
+        self.catch_up_until = boot_now().after(CATCH_UP_LIMIT);
         loop {
             self.ensure_failover_lease(QUESTION_LEASE_TIME).await?;
             self.check_era()?;
-            let statuses = self.await_catch_up(self.statuses().await).await;
+            let statuses = self.statuses().await;
+            if !statuses.unanswered.is_empty() {
+                observations::refresh(&self.host, &self.record.group).await;
+            }
             match self.decide(&statuses, next_step) {
                 ChangeStep::Publish(found) => return Ok((found.id.clone(), found.term)),
                 ChangeStep::Keep(_) => return Err(ChangeError::Recovered),
@@ -73,21 +97,39 @@
                         return Ok((chosen.id.clone(), term));
                     }
                 }
-                ChangeStep::Wait => sleep(STATUS_INTERVAL).await,
+                ChangeStep::Wait => {
+                    self.log_unanswered(&statuses);
+                    sleep(STATUS_INTERVAL).await;
+                }
             }
         }
     }
 
+    /// Logs the endpoints that are waited for, once for each set of them.
+    fn log_unanswered(&mut self, statuses: &GroupStatuses) {
+        let endpoints = statuses.unanswered_ids();
+        if !endpoints.is_empty() && endpoints != self.logged_unanswered {
+            let fields = json!({ "group": self.record.group, "endpoints": endpoints });
+            journal::event("takeover", "unanswered", fields);
+        }
+        self.logged_unanswered = endpoints;
+    }
+
     /// What this host knows, to be passed to a decision.
     fn decide<'s, T>(
         &self,
-        statuses: &'s [CandidateStatus],
+        statuses: &'s GroupStatuses,
         decision: impl FnOnce(ChangeView<'s, '_>) -> T,
     ) -> T {
-        let state = self.host.state.borrow();
+        let (state, now) = (self.host.state.borrow(), boot_now());
+        let newest = state.positions.get(&self.record.group).and_then(PositionHistory::newest);
         decision(ChangeView {
             record: &self.record,
-            statuses,
+            statuses: &statuses.answered,
+            unanswered: &statuses.unanswered,
+            acknowledged: newest.map(|newest| newest.position).unwrap_or_default(),
+            is_status_wait_over: now >= self.status_wait_until,
+            is_catch_up_over: now >= self.catch_up_until,
             is_leaving: self.reason == ChangeReason::Leaving,
             is_accepted: self.calls.accepted_at.is_some(),
             is_call_over: self.is_call_over(),
@@ -103,50 +145,36 @@
             || clock.is_some_and(|clock| clock.earliest(now) > promotion.effective_until)
     }
 
-    /// Status of the endpoints of the group that reply.
-    pub(super) async fn statuses(&self) -> Vec<CandidateStatus> {
+    /// Asks all endpoints of the group for their status.
+    pub(super) async fn statuses(&self) -> GroupStatuses {
         let keys: Vec<EndpointKey> = {
             let state = self.host.state.borrow();
             state.endpoints.of_group(&self.record.group).map(|(key, _)| key).collect()
         };
         let asked = keys.into_iter().map(|key| endpoint_status(&self.host, key));
-        futures::future::join_all(asked).await.into_iter().flatten().collect()
-    }
-
-    /// Waits until an eligible replica has received all log records of a primary that leaves, or
-    /// until the timeout. Returns the latest statuses.
-    async fn await_catch_up(&self, statuses: Vec<CandidateStatus>) -> Vec<CandidateStatus> {
-        if self.reason != ChangeReason::Leaving || self.record.promotion().is_some() {
-            return statuses;
-        }
-        let deadline = boot_now().after(CATCH_UP_TIMEOUT);
-        let mut statuses = statuses;
-        loop {
-            let old = statuses.iter().find(|status| status.id == self.record.primary);
-            let Some(last) = old.map(|status| status.received) else { return statuses };
-            let is_caught_up = statuses.iter().any(|status| {
-                status.is_eligible && status.id != self.record.primary && status.received >= last
-            });
-            if is_caught_up || boot_now() >= deadline {
-                return statuses;
+        let mut statuses = GroupStatuses::default();
+        for answer in futures::future::join_all(asked).await.into_iter().flatten() {
+            match answer {
+                StatusAnswer::Told(status) => statuses.answered.push(status),
+                StatusAnswer::Untold(candidate) => statuses.unanswered.push(candidate),
             }
-            sleep(STATUS_INTERVAL).await;
-            statuses = self.statuses().await;
         }
+        statuses
     }
 
     /// Records the promotion of an endpoint and calls for it until the platform accepts it.
     async fn promote(
         &mut self,
         chosen: &CandidateStatus,
-        statuses: &[CandidateStatus],
+        statuses: &GroupStatuses,
     ) -> Result<(), ChangeError> {
-        let candidates = statuses.iter().map(|status| {
+        let candidates = statuses.answered.iter().map(|status| {
             json!({ "endpoint": status.id, "received": status.received.to_string(),
                     "eligible": status.is_eligible })
         });
         let fields = json!({ "group": self.record.group, "endpoint": chosen.id,
-            "token": self.token, "candidates": candidates.collect::<Vec<_>>() });
+            "token": self.token, "candidates": candidates.collect::<Vec<_>>(),
+            "unanswered": statuses.unanswered_ids() });
         journal::event("takeover", "chosen", fields);
         let is_chosen = |former: &PromotionRecord| former.endpoint == chosen.id;
         if !self.record.promotion().is_some_and(is_chosen) || self.is_call_over() {
@@ -177,7 +205,7 @@
     async fn record_promotion(
         &mut self,
         endpoint: &str,
-        statuses: &[CandidateStatus],
+        statuses: &GroupStatuses,
     ) -> Result<(), ChangeError> {
         for _ in 0..MAX_MARK_WRITES {
             let now = boot_now();
@@ -219,24 +247,24 @@
     async fn await_promotion(
         &self,
         chosen: &CandidateStatus,
-        statuses: &[CandidateStatus],
+        statuses: &GroupStatuses,
     ) -> Option<u64> {
-        let known_term = newest_term(statuses);
+        let known_term = newest_term(&statuses.answered);
         let mut watch = PromotionTimeout::new(boot_now());
         while !watch.is_over(boot_now()) && !self.is_call_over() {
             let key = self.host.state.borrow().endpoints.find(&chosen.id);
-            let status = match key {
+            let answer = match key {
                 Some(key) => endpoint_status(&self.host, key).await,
                 None => None,
             };
-            match status {
-                Some(status)
+            match answer {
+                Some(StatusAnswer::Told(status))
                     if status.role == EndpointRole::Primary && status.term > known_term =>
                 {
                     return Some(status.term);
                 }
-                Some(_) => watch.note_answer(boot_now()),
-                None => (),
+                Some(answer) if answer.is_running() => watch.note_answer(boot_now()),
+                Some(_) | None => (),
             }
             sleep(STATUS_INTERVAL).await;
         }
--- a/crates/proxy/src/ledger/observations.rs
+++ b/crates/proxy/src/ledger/observations.rs
@@ -11,7 +11,7 @@
 use tanagerdeal_core::ledger::catalog::{DatabaseRoute, ReadConsistency};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::LogPosition;
-use tanagerdeal_core::ledger::position::SharedObservation;
+use tanagerdeal_core::ledger::position::{HISTORY_REACH, SharedObservation};
 use tokio::time::sleep;
 
 use super::context::{HostContext, boot_now};
@@ -62,6 +62,12 @@
     host.state.borrow().min_read_position(route, written, began_at)
 }
 
+/// Requests the relay's observations of a group's primary from as long ago as they reach.
+pub(super) async fn refresh(host: &HostContext, group: &str) {
+    // Without any, the observations of this host remain.
+    let _ = request_observations(host, group, HISTORY_REACH).await;
+}
+
 /// Requests the relay's observations. Returns whether it had any.
 async fn request_observations(host: &HostContext, group: &str, staleness: Duration) -> bool {
     let now = boot_now();
--- a/crates/proxy/src/ledger/suspicion.rs
+++ b/crates/proxy/src/ledger/suspicion.rs
@@ -40,9 +40,10 @@
     if let Some(key) = key.filter(|key| host.probes.borrow_mut().insert(*key)) {
         let host = host.clone();
         tokio::task::spawn_local(async move {
-            let status = failover::endpoint_status(&host, key).await;
+            let answer = failover::endpoint_status(&host, key).await;
+            let is_running = answer.is_some_and(|answer| answer.is_running());
             // Each probe opens a connection where the endpoint's connections are pooled.
-            if status.is_some() && forward::is_in_effect(&host, key) {
+            if is_running && forward::is_in_effect(&host, key) {
                 sleep(POOLED_PROBE_PAUSE).await;
             }
             host.probes.borrow_mut().remove(&key);
--- /dev/null
+++ b/crates/proxy/tests/site/candidates.rs
@@ -0,0 +1,112 @@
+//! Failovers in which the endpoint with the most commits cannot tell its status at once.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use tanagerdeal_standin::{EndpointRefusal, StandinClient};
+use tokio::time::sleep;
+
+use crate::lanes::{Lane, RelayedSite};
+use crate::support::{SiteDeployment, until, until_done};
+
+/// Hosts of a deployment.
+const HOSTS: usize = 3;
+/// Time from before the loss of the primary until the complete replica tells its status. A failover
+/// waits longer for it.
+const UNANSWERED_TIME: Duration = Duration::from_millis(3_000);
+/// Pause between two reads of a client.
+const READ_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Writes through each host, as each may replace the primary, after the first replica has stopped to
+/// receive commits. The second one is complete. Returns the sessions.
+async fn leave_replica_behind(site: &SiteDeployment) -> Vec<StandinClient> {
+    let mut clients = Vec::new();
+    for host in 0..HOSTS {
+        clients.push(site.session(host, "current").await);
+    }
+    until_done(&mut clients[0], "WRITE item early").await;
+    site.group.deafen(1);
+    for client in &mut clients {
+        until_done(client, "WRITE item late").await;
+    }
+    clients
+}
+
+/// Reads through all hosts until another primary leads, as only those that use a primary notice its
+/// loss. After a while, `answer` lets the complete replica tell its status.
+async fn read_until_promoted(
+    site: &SiteDeployment,
+    clients: &mut [StandinClient],
+    answer: impl AsyncFnOnce(),
+) {
+    let answer_at = Instant::now() + UNANSWERED_TIME;
+    while Instant::now() < answer_at {
+        futures::future::join_all(clients.iter_mut().map(|client| client.query("READ item"))).await;
+        sleep(READ_INTERVAL).await;
+    }
+    answer().await;
+    until("another primary leads", async || !site.store.promotions().is_empty()).await;
+}
+
+/// Expects that the complete replica is promoted and that the last write is kept.
+async fn expect_complete(site: &SiteDeployment, clients: &mut [StandinClient]) {
+    assert_that!(site.store.promotions()[0].0, eq("g1-2"));
+    for client in clients {
+        assert_that!(until_done(client, "READ item").await.rows, elements_are![eq("late")]);
+    }
+}
+
+/// The complete replica refuses requests for a while when the primary is lost.
+async fn lose_primary_while(refusal: EndpointRefusal) {
+    let site = SiteDeployment::start(HOSTS).await;
+    let mut clients = leave_replica_behind(&site).await;
+    site.group.refuse(2, refusal);
+    site.group.kill(0);
+    let answer = async || site.group.refuse(2, EndpointRefusal::None);
+    read_until_promoted(&site, &mut clients, answer).await;
+    expect_complete(&site, &mut clients).await;
+}
+
+/// Guards against a replica that is left out of a failover because its slots are taken: one that had
+/// received nothing for seconds was promoted, and reads missed acknowledged commits.
+#[tokio::test]
+async fn a_busy_replica_is_not_left_out() {
+    lose_primary_while(EndpointRefusal::Statements).await;
+}
+
+/// Guards against the same with a replica that has as many connections as it accepts.
+#[tokio::test]
+async fn a_replica_without_a_free_connection_is_not_left_out() {
+    lose_primary_while(EndpointRefusal::Connections).await;
+}
+
+/// Guards against the same with a replica that cannot be reached for a while. It is waited for as
+/// the other one is known to lack commits.
+#[tokio::test]
+async fn a_silent_replica_is_waited_for_when_the_other_one_lacks_commits() {
+    let relayed = RelayedSite::start(HOSTS).await;
+    let mut clients = leave_replica_behind(&relayed.site).await;
+    let lane = Lane::to_endpoint(2);
+    relayed.cut(&lane, true).await;
+    relayed.site.group.kill(0);
+    let answer = async || relayed.cut(&lane, false).await;
+    read_until_promoted(&relayed.site, &mut clients, answer).await;
+    expect_complete(&relayed.site, &mut clients).await;
+}
+
+/// Guards against a group that stays without primary because a replica never answers.
+#[tokio::test]
+async fn a_replica_that_never_answers_ends_the_wait() {
+    for refusal in [EndpointRefusal::None, EndpointRefusal::Statements] {
+        let site = SiteDeployment::start(HOSTS).await;
+        let mut clients = leave_replica_behind(&site).await;
+        match refusal {
+            EndpointRefusal::None => site.group.kill(2),
+            refusal => site.group.refuse(2, refusal),
+        }
+        site.group.kill(0);
+        read_until_promoted(&site, &mut clients, async || ()).await;
+        site.group.refuse(2, EndpointRefusal::None);
+        until_done(&mut clients[0], "WRITE item again").await;
+    }
+}
--- a/crates/proxy/tests/site/main.rs
+++ b/crates/proxy/tests/site/main.rs
@@ -1,6 +1,7 @@
 //! Hosts as real processes on the users' platform, with stand-ins of its store and endpoints.
 
 mod access;
+mod candidates;
 mod failures;
 mod framing;
 mod freshness;
