Wait for lost commits before a replica that lacks them is promoted

Callers saw: as before, reads that missed acknowledged writes; and writes that were acknowledged and gone, although an endpoint that had them came back a second later.

The choice was not held against the positions known to be acknowledged unless a registered endpoint was silent.

Ruled out: busy replicas (all candidates had told their status).

Change: while the best candidate lacks an acknowledged position, the choice waits for any other endpoint, 5 s at most, so that a primary is replaced within 9 s. Any refusal of a status counts as a sign of life.

Test: promotion::an_endpoint_that_lacks_commits_is_promoted_only_after_the_wait fails on the commit before (promotes at once).

--- a/crates/core/src/ledger/failover/choice.rs
+++ b/crates/core/src/ledger/failover/choice.rs
@@ -1,7 +1,9 @@
 //! The choice of the endpoint to promote, and the wait for endpoints that may be better.
 //!
 //! An endpoint that has not told its status may have received more of the log than those that have.
-//! It is waited for if it runs, or if the others are known to lack commits.
+//! It is waited for if it runs, or if the others are known to lack commits: a promotion of one of
+//! them would give up commits that were acknowledged, and they would come back if an endpoint that
+//! has them were promoted later.
 
 use std::time::Duration;
 
@@ -9,9 +11,9 @@
 use super::{CandidateStatus, UnansweredCandidate, best_candidate};
 use crate::ledger::endpoint::LogPosition;
 
-/// Longest wait for the status of endpoints that may have received more of the log than the others.
-/// The registration of an endpoint that has stopped is gone by then.
-pub const STATUS_WAIT_LIMIT: Duration = Duration::from_millis(4_000);
+/// Longest wait for an endpoint that may have received more of the log than the others. A primary is
+/// replaced within 9 s, of which the suspicion, the confirmations and the promotion take up to 4 s.
+pub const STATUS_WAIT_LIMIT: Duration = Duration::from_millis(5_000);
 /// How long the replicas of a primary that is being drained may take to receive its last commits.
 pub const CATCH_UP_LIMIT: Duration = Duration::from_millis(600);
 
@@ -45,21 +47,20 @@
     view.is_leaving && !view.is_catch_up_over && last_position(view) > received
 }
 
-/// Whether an endpoint is still waited for that may be kept, or may have received more of the log
-/// than the best of those that have answered.
+/// Whether the choice still waits: for an endpoint that may be kept, or may have received more of
+/// the log than the best of those that have answered, or for any other one if the best is known to
+/// lack commits.
 fn is_status_awaited(best: Option<&CandidateStatus>, view: ChangeView<'_, '_>) -> bool {
-    let is_complete =
-        best.zip(last_position(view)).is_some_and(|(best, last)| best.received >= last);
-    let may_have_more = |status: &CandidateStatus| {
-        best.is_some_and(|best| best.received < view.acknowledged.max(status.received))
-    };
+    let lacks = |position: LogPosition| best.is_some_and(|best| best.received < position);
+    let is_complete = last_position(view).is_some_and(|last| best.is_some() && !lacks(last));
     let is_awaited = |candidate: &UnansweredCandidate| {
         let UnansweredCandidate { status, is_running } = candidate;
         let is_old = status.id == view.record.primary;
         match is_old {
             true => *is_running && !view.is_leaving,
-            false => status.is_eligible && !is_complete && (*is_running || may_have_more(status)),
+            false => status.is_eligible && !is_complete && (*is_running || lacks(status.received)),
         }
     };
-    !view.is_status_wait_over && view.unanswered.iter().any(is_awaited)
+    let is_any_awaited = view.unanswered.iter().any(is_awaited);
+    !view.is_status_wait_over && (lacks(view.acknowledged) || is_any_awaited)
 }
--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -5,7 +5,7 @@
 mod confirmations;
 mod promotion;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,7 +20,6 @@
 use tanagerdeal_core::ledger::endpoint::{EndpointKey, EndpointRole, EndpointState};
 use tanagerdeal_core::ledger::failover::{CandidateStatus, HostConfirmation, UnansweredCandidate};
 use tanagerdeal_core::ledger::group::GroupEntry;
-use tanagerdeal_core::ledger::statement::FailureReason;
 use tanagerdeal_core::ledger::suspicion;
 use tokio::time::{sleep, timeout};
 
@@ -47,32 +46,33 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(60);
 /// Time by which a timer may fire late, after a deadline within the timeout.
 const TIMER_MARGIN: Duration = Duration::from_millis(20);
-/// Pause before an endpoint that has no slot free is asked for its status again.
-const BUSY_STATUS_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause before an endpoint that refused a request for its status is asked again.
+const REFUSED_STATUS_PAUSE: Duration = Duration::from_millis(20);
 /// Pause before a failed change of a group is retried.
 const FAILED_CHANGE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Customer name for the proxy's own connections to endpoints.
 const PROXY_NAME: &str = "-";
 
-/// What came of a request for the status of an endpoint.
+/// Reply to one request for the status of an endpoint.
+#[derive(Clone, Copy, Debug)]
+enum StatusReply {
+    /// The status.
+    Told(StatusRow),
+    /// The endpoint runs, but has no slot or connection free.
+    Refused,
+    /// No reply in time.
+    Silent,
+}
+
+/// What is known of an endpoint after it was asked for its status.
 #[derive(Clone, Debug)]
 pub(super) enum StatusAnswer {
-    /// The endpoint has told it.
+    /// It has told its status.
     Told(CandidateStatus),
-    /// The endpoint has not told it; what is known of it.
+    /// It has not.
     Untold(UnansweredCandidate),
 }
 
-impl StatusAnswer {
-    /// Whether the endpoint runs, as far as this request shows.
-    pub(super) fn is_running(&self) -> bool {
-        match self {
-            Self::Told(_) => true,
-            Self::Untold(candidate) => candidate.is_running,
-        }
-    }
-}
-
 /// Why a primary is replaced.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ChangeReason {
@@ -258,13 +258,22 @@
     });
 }
 
-/// Requests the status of an endpoint, and again while it has no slot free, until the timeout.
-/// `None` if it is no longer registered.
+/// Requests the status of an endpoint, and again while it refuses, until the timeout. `None` if it
+/// is no longer registered.
 pub(super) async fn endpoint_status(host: &HostContext, key: EndpointKey) -> Option<StatusAnswer> {
     let deadline = boot_now().after(STATUS_TIMEOUT);
-    let is_refused = Cell::new(false);
-    let request = request_status(host, key, &is_refused, deadline);
-    let row = timeout(STATUS_TIMEOUT + TIMER_MARGIN, request).await.ok().flatten();
+    let mut is_running = false;
+    let row = loop {
+        match request_status(host, key, deadline).await {
+            StatusReply::Told(row) => break Some(row),
+            StatusReply::Refused => is_running = true,
+            StatusReply::Silent => break None,
+        }
+        if boot_now().after(REFUSED_STATUS_PAUSE) >= deadline {
+            break None;
+        }
+        sleep(REFUSED_STATUS_PAUSE).await;
+    };
     let host_state = host.state.borrow();
     let state = host_state.endpoints.get(key)?;
     let record = &state.record;
@@ -280,24 +289,27 @@
     };
     Some(match row {
         Some(_) => StatusAnswer::Told(status),
-        None => StatusAnswer::Untold(UnansweredCandidate { status, is_running: is_refused.get() }),
+        None => StatusAnswer::Untold(UnansweredCandidate { status, is_running }),
     })
 }
 
-/// Requests the status of an endpoint until it is told. `None` if the endpoint cannot be asked.
-/// Sets `is_refused` when no slot or connection is free.
+/// Whether an endpoint answers a request for its status, be it by a refusal.
+pub(super) async fn is_answering(host: &HostContext, key: EndpointKey) -> bool {
+    let deadline = boot_now().after(STATUS_TIMEOUT);
+    !matches!(request_status(host, key, deadline).await, StatusReply::Silent)
+}
+
+/// Requests the status of an endpoint once.
 async fn request_status(
     host: &HostContext,
     key: EndpointKey,
-    is_refused: &Cell<bool>,
     deadline: BootInstant,
-) -> Option<StatusRow> {
-    loop {
+) -> StatusReply {
+    let exchange = async {
         let mut borrowed = match acquire(host, key, PROXY_NAME, deadline).await {
             Ok(borrowed) => borrowed,
             Err(AcquireError::Exhausted) if !is_failing(host, key) => {
-                is_refused.set(true);
-                return None;
+                return Some(StatusReply::Refused);
             }
             Err(_) => return None,
         };
@@ -310,11 +322,12 @@
             borrowed.release_if_idle(state);
         }
         match failure {
-            Some(FailureReason::Busy) => is_refused.set(true),
-            _ => return decode_status(first_row.as_deref()?),
+            Some(_) => Some(StatusReply::Refused),
+            None => decode_status(first_row.as_deref()?).map(StatusReply::Told),
         }
-        sleep(BUSY_STATUS_INTERVAL).await;
-    }
+    };
+    let left = deadline.since(boot_now()) + TIMER_MARGIN;
+    timeout(left, exchange).await.ok().flatten().unwrap_or(StatusReply::Silent)
 }
 
 /// Whether the last connection attempt or statement at an endpoint failed without a reply.
--- a/crates/proxy/src/ledger/failover/promotion.rs
+++ b/crates/proxy/src/ledger/failover/promotion.rs
@@ -263,8 +263,9 @@
                 {
                     return Some(status.term);
                 }
-                Some(answer) if answer.is_running() => watch.note_answer(boot_now()),
-                Some(_) | None => (),
+                Some(StatusAnswer::Untold(candidate)) if !candidate.is_running => (),
+                Some(_) => watch.note_answer(boot_now()),
+                None => (),
             }
             sleep(STATUS_INTERVAL).await;
         }
--- a/crates/proxy/src/ledger/suspicion.rs
+++ b/crates/proxy/src/ledger/suspicion.rs
@@ -40,10 +40,9 @@
     if let Some(key) = key.filter(|key| host.probes.borrow_mut().insert(*key)) {
         let host = host.clone();
         tokio::task::spawn_local(async move {
-            let answer = failover::endpoint_status(&host, key).await;
-            let is_running = answer.is_some_and(|answer| answer.is_running());
+            let is_answering = failover::is_answering(&host, key).await;
             // Each probe opens a connection where the endpoint's connections are pooled.
-            if is_running && forward::is_in_effect(&host, key) {
+            if is_answering && forward::is_in_effect(&host, key) {
                 sleep(POOLED_PROBE_PAUSE).await;
             }
             host.probes.borrow_mut().remove(&key);
