Keep commits that a promotion gave up from coming back with the next one

Cause: positions of a former term were compared with those of other logs as if the terms in between had not begun below them.

Ruled out: the wait of the last change (it was over, or not needed, as all endpoints had answered).

Change: the row of a group keeps the position with which the primary's term began, as the new primary shows it before it takes commits. A log of a former term that goes beyond it is promoted only if there is no other one after the wait. Rows and messages of earlier builds lack the field and are read as before; earlier builds drop it.

Tests: promotion::commits_that_were_given_up_do_not_come_back; the part on the row in an_endpoint_that_lacks_commits_is_promoted_only_after_the_wait.

--- a/crates/core/src/ledger/failover.rs
+++ b/crates/core/src/ledger/failover.rs
@@ -111,6 +111,25 @@
     pub now: BootInstant,
 }
 
+impl CandidateStatus {
+    /// Position with which the term of a new primary began, as it shows before it takes commits.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::endpoint::{EndpointRole, LogPosition};
+    /// use tanagerdeal_core::ledger::failover::CandidateStatus;
+    ///
+    /// let (id, domain) = ("e1".to_owned(), "d1".to_owned());
+    /// let received = LogPosition { term: 3, number: 40 };
+    /// let role = EndpointRole::Primary;
+    /// let status = CandidateStatus { id, domain, role, term: 4, received, is_eligible: true };
+    /// assert_eq!(status.term_start(), Some(received));
+    /// assert_eq!(CandidateStatus { term: 3, ..status }.term_start(), None);
+    /// ```
+    pub fn term_start(&self) -> Option<LogPosition> {
+        (self.received.term < self.term).then_some(self.received)
+    }
+}
+
 impl ConfirmationTable {
     /// Starts collecting confirmations for a group whose change began with version
     /// `change_started_version` of its row.
--- a/crates/core/src/ledger/failover/choice.rs
+++ b/crates/core/src/ledger/failover/choice.rs
@@ -22,7 +22,7 @@
     candidates: impl Iterator<Item = &'s CandidateStatus> + Clone,
     view: ChangeView<'s, '_>,
 ) -> ChangeStep<'s> {
-    let best = best_candidate(candidates.clone(), view.primaries);
+    let best = best_of(candidates.clone(), view);
     if is_catching_up(best, view) || is_status_awaited(best, view) {
         return ChangeStep::Wait;
     }
@@ -30,8 +30,18 @@
     let running = view.unanswered.iter().filter(|candidate| candidate.is_running);
     let running = running.map(|candidate| &candidate.status);
     let others = running.filter(|status| status.id != view.record.primary);
-    best_candidate(candidates.chain(others), view.primaries)
-        .map_or(ChangeStep::NoCandidate, ChangeStep::Promote)
+    best_of(candidates.chain(others), view).map_or(ChangeStep::NoCandidate, ChangeStep::Promote)
+}
+
+/// The candidate that has received most. Those with commits that were given up come last: a
+/// promotion would bring these back after reads that missed them.
+fn best_of<'s>(
+    candidates: impl Iterator<Item = &'s CandidateStatus> + Clone,
+    view: ChangeView<'s, '_>,
+) -> Option<&'s CandidateStatus> {
+    let is_diverged = |status: &&CandidateStatus| view.record.is_diverged(status.received);
+    let others = candidates.clone().filter(|status| !is_diverged(status));
+    best_candidate(others, view.primaries).or_else(|| best_candidate(candidates, view.primaries))
 }
 
 /// Newest position of the old primary, if it shows one. It takes no more commits.
@@ -49,18 +59,23 @@
 
 /// Whether the choice still waits: for an endpoint that may be kept, or may have received more of
 /// the log than the best of those that have answered, or for any other one if the best is known to
-/// lack commits.
+/// lack commits or has some that were given up.
 fn is_status_awaited(best: Option<&CandidateStatus>, view: ChangeView<'_, '_>) -> bool {
+    let is_diverged = |status: &CandidateStatus| view.record.is_diverged(status.received);
     let lacks = |position: LogPosition| best.is_some_and(|best| best.received < position);
+    let may_have_more = |status: &CandidateStatus| lacks(status.received) && !is_diverged(status);
     let is_complete = last_position(view).is_some_and(|last| best.is_some() && !lacks(last));
     let is_awaited = |candidate: &UnansweredCandidate| {
         let UnansweredCandidate { status, is_running } = candidate;
         let is_old = status.id == view.record.primary;
         match is_old {
             true => *is_running && !view.is_leaving,
-            false => status.is_eligible && !is_complete && (*is_running || lacks(status.received)),
+            false => status.is_eligible && !is_complete && (*is_running || may_have_more(status)),
         }
     };
     let is_any_awaited = view.unanswered.iter().any(is_awaited);
-    !view.is_status_wait_over && (lacks(view.acknowledged) || is_any_awaited)
+    // The term began with what its primary had received.
+    let acknowledged = view.acknowledged.max(view.record.term_start.unwrap_or_default());
+    let is_poor = lacks(acknowledged) || best.is_some_and(is_diverged);
+    !view.is_status_wait_over && (is_poor || is_any_awaited)
 }
--- a/crates/core/src/ledger/failover/step.rs
+++ b/crates/core/src/ledger/failover/step.rs
@@ -78,7 +78,7 @@
     /// use tanagerdeal_core::ledger::group::{GroupRecord, PromotionRecord};
     ///
     /// let (group, primary) = ("g1".to_owned(), "e1".to_owned());
-    /// let record = GroupRecord { group, term: 4, primary, change: None };
+    /// let record = GroupRecord { group, term: 4, primary, change: None, term_start: None };
     /// let view = ChangeView {
     ///     record: &record,
     ///     statuses: &[],
@@ -151,7 +151,7 @@
 /// use tanagerdeal_core::ledger::group::GroupRecord;
 ///
 /// let (group, primary) = ("g1".to_owned(), "e1".to_owned());
-/// let record = GroupRecord { group, term: 1, primary, change: None };
+/// let record = GroupRecord { group, term: 1, primary, change: None, term_start: None };
 /// let view = ChangeView {
 ///     record: &record,
 ///     statuses: &[],
--- a/crates/core/src/ledger/group.rs
+++ b/crates/core/src/ledger/group.rs
@@ -5,6 +5,7 @@
 use tanagerdeal_wire::wire_type;
 
 use super::clock::StoreInstant;
+use super::endpoint::LogPosition;
 use super::lease::HostRecord;
 use super::version::era_of;
 
@@ -23,6 +24,10 @@
         pub primary: String,
         /// A failover in progress. No host uses the primary meanwhile.
         pub change: Option<PendingChange>,
+        /// Position with which the primary's term began, if it is known. What former terms have
+        /// beyond it was given up. Rows of earlier builds lack it.
+        #[serde(default)]
+        pub term_start: Option<LogPosition>,
     }
 
     /// Mark in a group's row that its failover is in progress.
@@ -61,12 +66,30 @@
     /// use tanagerdeal_core::ledger::group::GroupRecord;
     ///
     /// let (group, primary) = ("g1".to_owned(), "e1".to_owned());
-    /// let record = GroupRecord { group, term: 1, primary, change: None };
+    /// let record = GroupRecord { group, term: 1, primary, change: None, term_start: None };
     /// assert!(record.promotion().is_none());
     /// ```
     pub fn promotion(&self) -> Option<&PromotionRecord> {
         self.change.as_ref()?.promotion.as_ref()
     }
+
+    /// Whether a log that reaches up to a position has commits that were given up when the
+    /// primary's term began.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::endpoint::LogPosition;
+    /// use tanagerdeal_core::ledger::group::GroupRecord;
+    ///
+    /// let at = |term, number| LogPosition { term, number };
+    /// let (group, primary) = ("g1".to_owned(), "e1".to_owned());
+    /// let term_start = Some(at(3, 40));
+    /// let record = GroupRecord { group, term: 4, primary, change: None, term_start };
+    /// assert!(record.is_diverged(at(3, 41)));
+    /// assert!(!record.is_diverged(at(3, 40)) && !record.is_diverged(at(4, 41)));
+    /// ```
+    pub fn is_diverged(&self, received: LogPosition) -> bool {
+        received.term < self.term && self.term_start.is_some_and(|start| received > start)
+    }
 }
 
 /// A row of a group with its version.
--- a/crates/core/tests/ledger/epoch.rs
+++ b/crates/core/tests/ledger/epoch.rs
@@ -60,6 +60,7 @@
         term: 1,
         primary: "p".to_owned(),
         change: None,
+        term_start: None,
     };
     GroupEntry { version, record }
 }
--- a/crates/core/tests/ledger/isolation.rs
+++ b/crates/core/tests/ledger/isolation.rs
@@ -19,7 +19,7 @@
         let mut record = endpoint(&id, domain, EndpointRole::Primary);
         record.group.clone_from(&group);
         state.endpoints.register(record, at(0));
-        let record = GroupRecord { group, term: 1, primary: id, change: None };
+        let record = GroupRecord { group, term: 1, primary: id, change: None, term_start: None };
         state.apply_group(GroupEntry { version: 1, record });
     }
     for (name, domain) in [("h1", "d1"), ("h2", "d1"), ("h3", "d2"), ("h4", "d2"), ("h5", "d3")] {
--- a/crates/core/tests/ledger/promotion.rs
+++ b/crates/core/tests/ledger/promotion.rs
@@ -38,8 +38,13 @@
 fn row(promoted: Option<&str>) -> GroupRecord {
     let (holder, until) = ("h1".to_owned(), store_at(3_000));
     let change = Some(PendingChange { holder, token: 1, until, promotion: None });
-    let mut record =
-        GroupRecord { group: "g".to_owned(), term: 3, primary: "p".to_owned(), change };
+    let mut record = GroupRecord {
+        group: "g".to_owned(),
+        term: 3,
+        primary: "p".to_owned(),
+        change,
+        term_start: None,
+    };
     let promotion = promoted.map(|id| PromotionRecord::new(id, view(&record, &[]), 1, store_at(0)));
     record.change.as_mut().unwrap().promotion = promotion;
     record
@@ -132,6 +137,28 @@
     expect_that!(next_step(is_back), eq(ChangeStep::Promote(&back[1])));
     let is_over = ChangeView { is_status_wait_over: true, ..lacks_commits };
     expect_that!(next_step(is_over), eq(ChangeStep::Promote(&statuses[0])));
+    // The row tells what the term began with to a host that has not used its primary (seed 212).
+    let mut record = row(None);
+    (record.term, record.term_start) = (4, Some(position(3, 8)));
+    expect_that!(next_step(view(&record, &statuses)), eq(ChangeStep::Wait));
+}
+
+/// Guards against commits that were given up by a promotion and come back with the next one, as
+/// their position is higher: reads in between missed them (day of review/2, seed 109).
+#[gtest]
+fn commits_that_were_given_up_do_not_come_back() {
+    let mut record = row(None);
+    (record.term, record.term_start) = (4, Some(position(3, 7)));
+    let statuses = [status("r1", EndpointRole::Replica, 3, 9), replica("r2", 3)];
+    let view = view(&record, &statuses);
+    expect_that!(next_step(view), eq(ChangeStep::Promote(&statuses[1])));
+    let later = [replica("r2", 3), status("r3", EndpointRole::Replica, 4, 8)];
+    let has_later = ChangeView { statuses: &later, ..view };
+    expect_that!(next_step(has_later), eq(ChangeStep::Promote(&later[1])));
+    let alone = ChangeView { statuses: &statuses[..1], ..view };
+    expect_that!(next_step(alone), eq(ChangeStep::Wait));
+    let is_over = ChangeView { is_status_wait_over: true, ..alone };
+    expect_that!(next_step(is_over), eq(ChangeStep::Promote(&statuses[0])));
 }
 
 /// Guards against an old primary that is replaced because its slots are taken when it can be reached
--- a/crates/core/tests/ledger/support.rs
+++ b/crates/core/tests/ledger/support.rs
@@ -39,8 +39,13 @@
 }
 
 pub fn group(version: u64, primary: &str, change: Option<PendingChange>) -> GroupEntry {
-    let record =
-        GroupRecord { group: "g".to_owned(), term: 1, primary: primary.to_owned(), change };
+    let record = GroupRecord {
+        group: "g".to_owned(),
+        term: 1,
+        primary: primary.to_owned(),
+        change,
+        term_start: None,
+    };
     GroupEntry { version, record }
 }
 
--- a/crates/proxy/src/ledger/failover/change.rs
+++ b/crates/proxy/src/ledger/failover/change.rs
@@ -8,6 +8,7 @@
 use tanagerdeal_adapter::store::{RowName, RowTransaction, TransactionOutcome};
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::duty::DutyLease;
+use tanagerdeal_core::ledger::failover::CandidateStatus;
 use tanagerdeal_core::ledger::group::{GroupEntry, GroupRecord, PendingChange, PromotionRecord};
 use tanagerdeal_core::ledger::version::era_of;
 use tokio::time::sleep;
@@ -167,24 +168,30 @@
     /// Replaces the primary and publishes the result. Returns the new primary.
     pub(super) async fn execute(&mut self) -> Result<String, ChangeError> {
         let result = self.replace().await;
-        match result {
+        match &result {
             // The old primary stays in place; removing the mark lets hosts use it again.
-            Err(ChangeError::Recovered) => {
-                self.publish(self.record.primary.clone(), self.record.term).await
-            }
+            Err(ChangeError::Recovered) => self.publish(self.record.clone()).await,
             // While a promotion may take effect, the mark stays for the next attempt.
             Err(ChangeError::NoCandidate | ChangeError::Unconfirmed)
                 if self.record.promotion().is_none() =>
             {
-                self.publish(self.record.primary.clone(), self.record.term).await
+                self.publish(self.record.clone()).await
+            }
+            Err(error) => return Err(*error),
+            Ok(status) => {
+                let record = GroupRecord {
+                    primary: status.id.clone(),
+                    term: status.term,
+                    term_start: status.term_start(),
+                    ..self.record.clone()
+                };
+                self.publish(record).await
             }
-            Err(error) => return Err(error),
-            Ok((ref primary, term)) => self.publish(primary.clone(), term).await,
         }?;
-        result.map(|(primary, _)| primary)
+        result.map(|status| status.id)
     }
 
-    async fn replace(&mut self) -> Result<(String, u64), ChangeError> {
+    async fn replace(&mut self) -> Result<CandidateStatus, ChangeError> {
         if !self.has_left_primary() {
             self.await_confirmations().await?;
         }
@@ -208,11 +215,11 @@
         }
     }
 
-    /// Writes the result and clears the mark. Retries until the write is applied or the row has
+    /// Writes the result without the mark. Retries until the write is applied or the row has
     /// changed.
-    async fn publish(&mut self, primary: String, term: u64) -> Result<(), ChangeError> {
+    async fn publish(&mut self, result: GroupRecord) -> Result<(), ChangeError> {
         let old = self.record.primary.clone();
-        let record = GroupRecord { primary, term, change: None, ..self.record.clone() };
+        let record = GroupRecord { change: None, ..result };
         let value = encode(&record).ok_or(ChangeError::Store)?;
         loop {
             let name = RowName { table: GROUP_TABLE, key: &record.group };
@@ -236,7 +243,7 @@
             }
         }
         if old != record.primary {
-            self.demote(&old, term).await;
+            self.demote(&old, record.term).await;
         }
         Ok(())
     }
--- a/crates/proxy/src/ledger/failover/promotion.rs
+++ b/crates/proxy/src/ledger/failover/promotion.rs
@@ -71,8 +71,8 @@
 }
 
 impl PrimaryChange {
-    /// Takes steps until an endpoint leads a later term. Returns the endpoint and its term.
-    pub(super) async fn await_new_primary(&mut self) -> Result<(String, u64), ChangeError> {
+    /// Takes steps until an endpoint leads a later term. Returns its status.
+    pub(super) async fn await_new_primary(&mut self) -> Result<CandidateStatus, ChangeError> {
         let mut promotions = 0;
         self.status_wait_until = boot_now().after(STATUS_WAIT_LIMIT);
         self.catch_up_until = boot_now().after(CATCH_UP_LIMIT);
@@ -84,7 +84,7 @@
                 observations::refresh(&self.host, &self.record.group).await;
             }
             match self.decide(&statuses, next_step) {
-                ChangeStep::Publish(found) => return Ok((found.id.clone(), found.term)),
+                ChangeStep::Publish(found) => return Ok(found.clone()),
                 ChangeStep::Keep(_) => return Err(ChangeError::Recovered),
                 ChangeStep::NoCandidate => return Err(ChangeError::NoCandidate),
                 ChangeStep::Promote(_) if promotions == MAX_PROMOTIONS => {
@@ -93,8 +93,8 @@
                 ChangeStep::Promote(chosen) => {
                     promotions += 1;
                     self.promote(chosen, &statuses).await?;
-                    if let Some(term) = self.await_promotion(chosen, &statuses).await {
-                        return Ok((chosen.id.clone(), term));
+                    if let Some(status) = self.await_promotion(chosen, &statuses).await {
+                        return Ok(status);
                     }
                 }
                 ChangeStep::Wait => {
@@ -242,13 +242,13 @@
         outcome
     }
 
-    /// Waits until the endpoint leads a later term than those known, and returns that term. `None`
+    /// Waits until the endpoint leads a later term than those known, and returns its status. `None`
     /// if it does not in time, or does not answer.
     async fn await_promotion(
         &self,
         chosen: &CandidateStatus,
         statuses: &GroupStatuses,
-    ) -> Option<u64> {
+    ) -> Option<CandidateStatus> {
         let known_term = newest_term(&statuses.answered);
         let mut watch = PromotionTimeout::new(boot_now());
         while !watch.is_over(boot_now()) && !self.is_call_over() {
@@ -261,7 +261,7 @@
                 Some(StatusAnswer::Told(status))
                     if status.role == EndpointRole::Primary && status.term > known_term =>
                 {
-                    return Some(status.term);
+                    return Some(status);
                 }
                 Some(StatusAnswer::Untold(candidate)) if !candidate.is_running => (),
                 Some(_) => watch.note_answer(boot_now()),
--- a/crates/proxy/src/ledger/lease.rs
+++ b/crates/proxy/src/ledger/lease.rs
@@ -341,6 +341,7 @@
                 term: 0,
                 primary,
                 change: None,
+                term_start: None,
             })
         })
         .collect()
--- a/crates/proxy/src/ledger/peers.rs
+++ b/crates/proxy/src/ledger/peers.rs
@@ -220,9 +220,11 @@
     let mut mac = Hmac::<Sha256>::new_from_slice(secret).ok()?;
     mac.update(body);
     mac.verify_truncated_left(received_code).ok()?;
-    // Builds without `PendingChange::promotion`, the last field of its message, end without it.
-    let with_absent_field = || postcard::from_bytes(&[body, &[0]].concat());
-    postcard::from_bytes(body).or_else(|_| with_absent_field()).ok()
+    // Messages of earlier builds end without `GroupRecord::term_start`, or without that and
+    // `PendingChange::promotion`; both are the last fields of theirs.
+    let with_absent = |absent: &[u8]| postcard::from_bytes(&[body, absent].concat());
+    let decoded = postcard::from_bytes(body).or_else(|_| with_absent(&[0]));
+    decoded.or_else(|_| with_absent(&[0, 0])).ok()
 }
 
 /// Receives, answers and sends messages until the process ends.
