Let endpoints of the soak refuse requests while a primary is lost

Change: in runs with seeds from 2000 on, endpoints refuse statements or connections in turn; at some time one replica receives nothing more and the primary is lost while the other one refuses. An acknowledged write must not get lost, as before.

--- a/crates/proxy/tests/site/soak.rs
+++ b/crates/proxy/tests/site/soak.rs
@@ -4,7 +4,8 @@
 //!
 //!     SOAK_SEEDS=100..150 SOAK_SECONDS=20 cargo test -p tanagerdeal --test site soak -- --nocapture
 //!
-//! Seeds from 500 on delay promotions; seeds from 1000 on run with pooled connections.
+//! Seeds from 500 on delay promotions; seeds from 1000 on run with pooled connections; from 2000 on,
+//! without these, endpoints refuse requests and one replica receives nothing more at some time.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -13,7 +14,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
-use tanagerdeal_standin::{ClientReply, StandinClient, StandinGroup, configuration};
+use tanagerdeal_standin::{
+    ClientReply, EndpointRefusal, StandinClient, StandinGroup, configuration,
+};
 use tokio::time::sleep;
 
 use crate::lanes::{Lane, RelayedSite};
@@ -27,6 +30,8 @@
 const FIXED_SEED: u64 = 7;
 /// The same with promotions that take effect a second after their call.
 const FIXED_DELAYED_SEED: u64 = 505;
+/// The same with endpoints that refuse requests.
+const FIXED_REFUSING_SEED: u64 = 2_001;
 /// Length of these runs.
 const FIXED_SECONDS: u64 = 8;
 /// Seeds that failed once, with the cause. 101: a stand-in that was held as a replica stayed held
@@ -44,6 +49,13 @@
 /// Seeds from this one on run hosts that pool connections and queue statements by priority.
 const FIRST_POOLED_SEED: u64 = 1_000;
 
+/// Seeds from this one on let endpoints refuse requests, and one replica fall behind for good.
+const FIRST_REFUSING_SEED: u64 = 2_000;
+/// Longest time for which an endpoint refuses requests, and the same when the primary is lost. A
+/// failover waits longer for it.
+const LONGEST_REFUSAL_MS: u64 = 1_500;
+const LONGEST_LOSS_REFUSAL_MS: u64 = 3_500;
+
 /// What a client knows of its own item; only this client writes it.
 #[derive(Default)]
 struct ItemHistory {
@@ -255,6 +267,37 @@
     }
 }
 
+/// Lets an endpoint refuse requests for a while.
+async fn refuse_for(group: &StandinGroup, index: usize, random: &mut StdRng, longest_ms: u64) {
+    let refusal = match random.random_range(0..2) {
+        0 => EndpointRefusal::Statements,
+        _ => EndpointRefusal::Connections,
+    };
+    group.refuse(index, refusal);
+    sleep(Duration::from_millis(random.random_range(longest_ms / 3..longest_ms))).await;
+    group.refuse(index, EndpointRefusal::None);
+}
+
+/// Lets endpoints refuse requests, one after the other, until the time is over. At some time one
+/// replica receives nothing more, and the primary is lost while the other replica refuses requests.
+async fn disturb_endpoints(group: &StandinGroup, mut random: StdRng, span: Duration) {
+    let end = Instant::now() + span;
+    let lost_at = Instant::now() + span.mul_f64(random.random_range(0.0..0.5));
+    while Instant::now() < lost_at {
+        let index = random.random_range(0..group.members.len());
+        refuse_for(group, index, &mut random, LONGEST_REFUSAL_MS).await;
+    }
+    group.deafen(1);
+    sleep(Duration::from_millis(random.random_range(100..LONGEST_REFUSAL_MS))).await;
+    group.kill(0);
+    refuse_for(group, 2, &mut random, LONGEST_LOSS_REFUSAL_MS).await;
+    while Instant::now() < end {
+        sleep(Duration::from_millis(random.random_range(0..300))).await;
+        let index = random.random_range(0..group.members.len());
+        refuse_for(group, index, &mut random, LONGEST_REFUSAL_MS).await;
+    }
+}
+
 /// Each write takes effect at most once, an acknowledged one exactly once, a refused one never.
 fn check_log(group: &StandinGroup, client: &SoakClient, violations: &mut Vec<String>) {
     let mut counts: HashMap<u64, usize> = HashMap::new();
@@ -274,10 +317,10 @@
 async fn soak(seed: u64, span: Duration) -> Vec<String> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut relayed = match seed {
-        FIRST_POOLED_SEED.. => RelayedSite::start_pooled(HOSTS).await,
+        FIRST_POOLED_SEED..FIRST_REFUSING_SEED => RelayedSite::start_pooled(HOSTS).await,
         _ => RelayedSite::start(HOSTS).await,
     };
-    if seed >= FIRST_DELAYED_SEED {
+    if (FIRST_DELAYED_SEED..FIRST_REFUSING_SEED).contains(&seed) {
         let steps = u32::try_from(seed % DELAY_STEPS).unwrap();
         relayed.site.group.delay_promotions(DELAY_STEP * steps);
     }
@@ -298,7 +341,14 @@
             tokio::spawn(client.run(is_over.clone()))
         })
         .collect();
+    let endpoints = relayed.site.group.clone();
+    let refusing = tokio::spawn(async move {
+        if seed >= FIRST_REFUSING_SEED {
+            disturb_endpoints(&endpoints, StdRng::seed_from_u64(seed + 1), span).await;
+        }
+    });
     disturb(&mut relayed, &mut random, span).await;
+    refusing.await.unwrap();
     let site = &mut relayed.site;
     // Afterwards every host serves again.
     for index in 0..HOSTS {
@@ -326,14 +376,17 @@
     let parsed = bounds.and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
     match parsed {
         Some(range) => range.collect(),
-        None => REGRESSION_SEEDS.into_iter().chain([FIXED_SEED, FIXED_DELAYED_SEED]).collect(),
+        None => REGRESSION_SEEDS
+            .into_iter()
+            .chain([FIXED_SEED, FIXED_DELAYED_SEED, FIXED_REFUSING_SEED])
+            .collect(),
     }
 }
 
 /// Guards against writes that run twice or get lost, refusals that are not true, sessions that miss
 /// their own writes, and hosts that do not serve again, while processes are killed, paused and
 /// restarted, connections are delayed, reset, cut one way and silenced, the store refuses calls,
-/// replicas fall behind and a primary is lost.
+/// replicas fall behind, endpoints refuse requests and a primary is lost.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_random_faults() {
     let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|text| text.parse().ok());
