Wait longer for the status of an endpoint that replies to other requests

Cause: an endpoint may queue a request for its status behind other work. One whose queue took more than 400 ms counted as silent in each attempt, and lost its place in the queue with each. As the other replica lacked commits, the choice waited for 5 s, and then promoted that one.

Ruled out: a wrong choice among known positions (the complete replica had told none).

Change: a request for a status goes on, for 2 s at most, as long as the endpoint replies to other requests of the host. An endpoint that has replied to anything meanwhile counts as running, so it remains a candidate by the newest position that it has shown.

--- a/crates/core/src/ledger/endpoint.rs
+++ b/crates/core/src/ledger/endpoint.rs
@@ -98,6 +98,8 @@
     pub in_flight: u32,
     /// Moving average of the latency, in microseconds.
     pub latency_us: f64,
+    /// Time of the last reply.
+    pub replied_at: Option<BootInstant>,
     /// Time of the first failure since the last reply.
     pub failing_since: Option<BootInstant>,
     /// Failures since the last reply.
@@ -150,6 +152,7 @@
             position: LogPosition::default(),
             in_flight: 0,
             latency_us: 0.0,
+            replied_at: None,
             failing_since: None,
             failures: 0,
             lagging_until: BootInstant::from_micros(0),
@@ -170,7 +173,8 @@
     }
 
     /// Records a reply with the applied position and its latency.
-    pub fn note_reply(&mut self, position: Option<LogPosition>, took: Duration) {
+    pub fn note_reply(&mut self, position: Option<LogPosition>, took: Duration, now: BootInstant) {
+        self.replied_at = Some(now);
         self.failing_since = None;
         self.failures = 0;
         self.position = self.position.max(position.unwrap_or_default());
--- a/crates/core/tests/ledger/choice.rs
+++ b/crates/core/tests/ledger/choice.rs
@@ -59,7 +59,7 @@
     state.endpoints.get_mut(key).unwrap().note_lagging(at(10));
     expect_that!(chosen(&state, true, 20).as_str(), not(eq("r1")));
     let reply = Some(position(1, 5));
-    state.endpoints.get_mut(key).unwrap().note_reply(reply, Duration::from_millis(20));
+    state.endpoints.get_mut(key).unwrap().note_reply(reply, Duration::from_millis(20), at(0));
     expect_that!(chosen(&state, true, 30).as_str(), eq("r1"));
 }
 
@@ -71,7 +71,7 @@
     for id in ["p", "r1"] {
         let key = state.endpoints.find(id).unwrap();
         let endpoint_state = state.endpoints.get_mut(key).unwrap();
-        (0..80).for_each(|_| endpoint_state.note_reply(None, Duration::from_millis(90)));
+        (0..80).for_each(|_| endpoint_state.note_reply(None, Duration::from_millis(90), at(0)));
         endpoint_state.in_flight = 3;
     }
     expect_that!(chosen(&state, true, 10).as_str(), eq("r2"));
@@ -325,7 +325,7 @@
         {
             let key = state.endpoints.find(id).unwrap();
             let endpoint_state = state.endpoints.get_mut(key).unwrap();
-            endpoint_state.note_reply(None, Duration::from_millis(latency));
+            endpoint_state.note_reply(None, Duration::from_millis(latency), at(0));
             endpoint_state.in_flight = in_flight;
             if is_busy {
                 endpoint_state.note_busy(at(now));
--- a/crates/core/tests/ledger/failover.rs
+++ b/crates/core/tests/ledger/failover.rs
@@ -182,7 +182,7 @@
     state.endpoints.get_mut(key).unwrap().note_failure(at(300));
     expect_that!(is_suspect(state.endpoints.get(key).unwrap(), at(300)), eq(false));
     expect_that!(is_suspect(state.endpoints.get(key).unwrap(), at(700)), eq(true));
-    state.endpoints.get_mut(key).unwrap().note_reply(None, Duration::from_millis(1));
+    state.endpoints.get_mut(key).unwrap().note_reply(None, Duration::from_millis(1), at(0));
     expect_that!(is_suspect(state.endpoints.get(key).unwrap(), at(800)), eq(false));
 }
 
--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -23,7 +23,7 @@
 use tanagerdeal_core::ledger::suspicion;
 use tokio::time::{sleep, timeout};
 
-use super::connection::EndpointReply;
+use super::connection::{ConnectionError, EndpointReply};
 use super::context::{HostContext, boot_now};
 use super::follow::apply_group_entry;
 use super::forward;
@@ -37,8 +37,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Delay between the start times of hosts with successive ranks in the order of a group.
 const RANK_DELAY: Duration = Duration::from_millis(100);
-/// Timeout of a status request to an endpoint.
+/// Timeout of a status request to an endpoint that does not reply to anything.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for the status of an endpoint that replies to other requests.
+const QUEUED_STATUS_LIMIT: Duration = Duration::from_millis(2_000);
 /// Time after which a primary that is registered as a replica is asked for its role. A new primary
 /// is published before its registration arrives.
 const ROLE_REPORT_GRACE: Duration = Duration::from_millis(1_000);
@@ -261,21 +263,22 @@
 /// Requests the status of an endpoint, and again while it refuses, until the timeout. `None` if it
 /// is no longer registered.
 pub(super) async fn endpoint_status(host: &HostContext, key: EndpointKey) -> Option<StatusAnswer> {
-    let deadline = boot_now().after(STATUS_TIMEOUT);
-    let mut is_running = false;
+    let asked_at = boot_now();
+    let mut is_refused = false;
     let row = loop {
-        match request_status(host, key, deadline).await {
+        match request_status(host, key).await {
             StatusReply::Told(row) => break Some(row),
-            StatusReply::Refused => is_running = true,
+            StatusReply::Refused => is_refused = true,
             StatusReply::Silent => break None,
         }
-        if boot_now().after(REFUSED_STATUS_PAUSE) >= deadline {
+        if boot_now().after(REFUSED_STATUS_PAUSE) >= asked_at.after(STATUS_TIMEOUT) {
             break None;
         }
         sleep(REFUSED_STATUS_PAUSE).await;
     };
     let host_state = host.state.borrow();
     let state = host_state.endpoints.get(key)?;
+    let is_running = is_refused || state.replied_at >= Some(asked_at);
     let record = &state.record;
     let status = CandidateStatus {
         id: record.id.clone(),
@@ -295,25 +298,27 @@
 
 /// Whether an endpoint answers a request for its status, be it by a refusal.
 pub(super) async fn is_answering(host: &HostContext, key: EndpointKey) -> bool {
-    let deadline = boot_now().after(STATUS_TIMEOUT);
-    !matches!(request_status(host, key, deadline).await, StatusReply::Silent)
+    !matches!(request_status(host, key).await, StatusReply::Silent)
 }
 
 /// Requests the status of an endpoint once.
-async fn request_status(
-    host: &HostContext,
-    key: EndpointKey,
-    deadline: BootInstant,
-) -> StatusReply {
+async fn request_status(host: &HostContext, key: EndpointKey) -> StatusReply {
+    let deadline = boot_now().after(STATUS_TIMEOUT);
+    let acquired =
+        timeout(STATUS_TIMEOUT + TIMER_MARGIN, acquire(host, key, PROXY_NAME, deadline)).await;
     let exchange = async {
-        let mut borrowed = match acquire(host, key, PROXY_NAME, deadline).await {
+        let mut borrowed = match acquired.ok()? {
             Ok(borrowed) => borrowed,
             Err(AcquireError::Exhausted) if !is_failing(host, key) => {
                 return Some(StatusReply::Refused);
             }
             Err(_) => return None,
         };
-        let outcome = borrowed.connection().ok()?.exchange(&line::status(), deadline).await;
+        let limit = boot_now().after(QUEUED_STATUS_LIMIT);
+        let status = line::status();
+        let exchange = borrowed.connection().ok()?.exchange(&status, limit);
+        let outcome = while_replying(host, key, exchange).await;
+        let outcome = outcome.unwrap_or(Err(ConnectionError::TimedOut));
         note_outcome(host, key, PROXY_NAME, &outcome);
         let EndpointReply { state, failure, first_row, .. } = outcome.ok()?;
         // Where connections are pooled, that of a probe is closed: together, the hosts would take all
@@ -326,8 +331,26 @@
             None => decode_status(first_row.as_deref()?).map(StatusReply::Told),
         }
     };
-    let left = deadline.since(boot_now()) + TIMER_MARGIN;
-    timeout(left, exchange).await.ok().flatten().unwrap_or(StatusReply::Silent)
+    exchange.await.unwrap_or(StatusReply::Silent)
+}
+
+/// Waits for a reply as long as the endpoint replies to other requests of this host meanwhile. The
+/// request may be queued there behind others. `None` if it does not.
+async fn while_replying<T>(
+    host: &HostContext,
+    key: EndpointKey,
+    reply: impl Future<Output = T>,
+) -> Option<T> {
+    let mut reply = std::pin::pin!(reply);
+    loop {
+        let checked_at = boot_now();
+        if let Ok(reply) = timeout(STATUS_TIMEOUT, reply.as_mut()).await {
+            return Some(reply);
+        }
+        let host_state = host.state.borrow();
+        let replied_at = host_state.endpoints.get(key)?.replied_at;
+        replied_at.filter(|at| *at >= checked_at)?;
+    }
 }
 
 /// Whether the last connection attempt or statement at an endpoint failed without a reply.
--- a/crates/proxy/src/ledger/statement.rs
+++ b/crates/proxy/src/ledger/statement.rs
@@ -86,7 +86,7 @@
     let Some(state) = host_state.endpoints.get_mut(endpoint) else { return };
     match outcome {
         Ok(reply) => {
-            state.note_reply(reply.position, now.since(reply.sent_at));
+            state.note_reply(reply.position, now.since(reply.sent_at), now);
             match reply.failure {
                 Some(FailureReason::Lagging) => state.note_lagging(now),
                 Some(FailureReason::Busy) => state.note_busy(now),
--- a/crates/proxy/tests/site/candidates.rs
+++ b/crates/proxy/tests/site/candidates.rs
@@ -3,17 +3,23 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use tanagerdeal_standin::{EndpointRefusal, StandinClient};
+use serde_json::json;
+use tanagerdeal_standin::{EndpointRefusal, StandinClient, configuration};
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use crate::lanes::{Lane, RelayedSite};
-use crate::support::{SiteDeployment, until, until_done};
+use crate::support::{KEY, SiteDeployment, SiteHost, until, until_done};
 
 /// Hosts of a deployment.
 const HOSTS: usize = 3;
 /// Time from before the loss of the primary until the complete replica tells its status. A failover
 /// waits longer for it.
 const UNANSWERED_TIME: Duration = Duration::from_millis(3_000);
+/// Time for which requests for a status are queued.
+const QUEUE_TIME: Duration = Duration::from_millis(700);
+/// Staleness that reads accept meanwhile, so that the replica has reads to serve.
+const QUEUE_STALENESS: Duration = Duration::from_millis(5_000);
 /// Pause between two reads of a client.
 const READ_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -94,6 +100,37 @@
     expect_complete(&relayed.site, &mut clients).await;
 }
 
+/// Guards against the same with a replica that takes longer for its status than a silent endpoint is
+/// waited for: requests are queued there behind reads (review/2 beside load).
+#[tokio::test]
+async fn a_replica_that_queues_requests_for_its_status_is_not_left_out() {
+    let site = SiteDeployment::start(HOSTS).await;
+    let mut config = configuration(2, "g1", &[("acme", &[KEY], 500)]);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["maxStalenessMs"] = json!(QUEUE_STALENESS.as_millis() as u64);
+    }
+    site.store.put("op", "config", &config);
+    let is_known = |host: &SiteHost| host.log().contains("\"version\":2");
+    until("the configuration is known", async || site.hosts.iter().all(is_known)).await;
+    let mut clients = leave_replica_behind(&site).await;
+    // A session that has written reads where its write is.
+    let mut readers = Vec::new();
+    for host in 0..HOSTS {
+        let mut reader = site.session(host, "session").await;
+        until_done(&mut reader, "WRITE own late").await;
+        readers.push(tokio::spawn(async move {
+            while !reader.query("READ own").await.state.is_empty() {
+                sleep(READ_INTERVAL).await;
+            }
+        }));
+    }
+    site.group.delay_status(2, QUEUE_TIME);
+    site.group.kill(0);
+    read_until_promoted(&site, &mut clients, async || ()).await;
+    readers.iter().for_each(JoinHandle::abort);
+    expect_complete(&site, &mut clients).await;
+}
+
 /// Guards against a group that stays without primary because a replica never answers.
 #[tokio::test]
 async fn a_replica_that_never_answers_ends_the_wait() {
