Send the last known position with the confirmation of a change of primary

Cause: the coordinator holds the choice against the positions that it knows itself. Log of a failed run: "chosen" 447 ms after "began", a replica with 3.1207 as the only candidate, while other hosts had acknowledged up to 3.1214; the coordinator had run no statement on the primary since.

Ruled out: the wait (it was not begun), a status that was told (none).

Change: a host's confirmation that it has left the old primary carries the newest position that it knows. Messages of earlier builds lack it and are read as before; earlier builds ignore it.

Test: candidates::positions_that_other_hosts_know_count failed in 2 of 2 runs on and passes now.

--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -236,6 +236,14 @@
         self.positions.entry(group.to_owned()).or_default().observe(observation);
     }
 
+    /// Applies the last observation that another host has of a primary that is being replaced.
+    pub fn note_last(&mut self, group: &str, shared: &SharedObservation) {
+        let entry = self.groups.get(group);
+        if entry.is_some_and(|entry| entry.record.change.is_some()) {
+            self.apply_observation(group, shared);
+        }
+    }
+
     /// Observations of primaries since the last call, to be sent to other hosts.
     pub fn take_observed(&mut self) -> Vec<(String, SharedObservation)> {
         let Some(clock) = self.lease.clock() else { return Vec::new() };
--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -20,6 +20,7 @@
 use tanagerdeal_core::ledger::endpoint::{EndpointKey, EndpointRole, EndpointState};
 use tanagerdeal_core::ledger::failover::{CandidateStatus, HostConfirmation, UnansweredCandidate};
 use tanagerdeal_core::ledger::group::GroupEntry;
+use tanagerdeal_core::ledger::position::HISTORY_REACH;
 use tanagerdeal_core::ledger::suspicion;
 use tokio::time::{sleep, timeout};
 
@@ -250,8 +251,12 @@
         host.drain_primary(&record.group, version, limit).await;
         // The row is known from here on, so later lease extensions go only to hosts that know it
         // too. Extensions granted earlier are listed in the confirmation.
-        let granted = host.state.borrow().extensions.granted(boot_now());
-        let payload = ConfirmationPayload::new(host.incarnation, granted);
+        let payload = {
+            let (host_state, now) = (host.state.borrow(), boot_now());
+            let granted = host_state.extensions.granted(now);
+            let newest = host_state.observations(&record.group, HISTORY_REACH, now).pop();
+            ConfirmationPayload::new(host.incarnation, granted, newest)
+        };
         let name = host.settings.host.clone();
         let confirmed =
             PeerMessage::GroupUpdateConfirmed { group: record.group, version, host: name, payload };
--- a/crates/proxy/src/ledger/peers.rs
+++ b/crates/proxy/src/ledger/peers.rs
@@ -56,6 +56,8 @@
         /// Longest remaining time of lease extensions granted by an earlier process of the host, in
         /// milliseconds.
         pub(super) unknown_ms: u32,
+        /// The newest position of the old primary that the process knows. Earlier builds lack it.
+        pub(super) newest: Option<SharedObservation>,
     }
 
     /// A message between hosts. It is encoded with postcard, so the order of the variants is part
@@ -99,11 +101,20 @@
 
 impl ConfirmationPayload {
     /// Encodes the remaining times of the granted lease extensions.
-    pub(super) fn new(incarnation: u64, granted: GrantedExtensions) -> Self {
+    pub(super) fn new(
+        incarnation: u64,
+        granted: GrantedExtensions,
+        newest: Option<SharedObservation>,
+    ) -> Self {
         // Rounded up, so that an extension never appears to end early.
         let millis = |left: Duration| u32::try_from(left.as_millis() + 1).unwrap_or(u32::MAX);
         let extensions = granted.extensions.into_iter().map(|(host, left)| (host, millis(left)));
-        Self { incarnation, extensions: extensions.collect(), unknown_ms: millis(granted.unknown) }
+        Self {
+            incarnation,
+            extensions: extensions.collect(),
+            unknown_ms: millis(granted.unknown),
+            newest,
+        }
     }
 }
 
@@ -220,8 +231,9 @@
     let mut mac = Hmac::<Sha256>::new_from_slice(secret).ok()?;
     mac.update(body);
     mac.verify_truncated_left(received_code).ok()?;
-    // Messages of earlier builds end without `GroupRecord::term_start`, or without that and
-    // `PendingChange::promotion`; both are the last fields of theirs.
+    // Messages of earlier builds end without `ConfirmationPayload::newest`, or without
+    // `GroupRecord::term_start`, or without that and `PendingChange::promotion`; these are the last
+    // fields of theirs.
     let with_absent = |absent: &[u8]| postcard::from_bytes(&[body, absent].concat());
     let decoded = postcard::from_bytes(body).or_else(|_| with_absent(&[0]));
     decoded.or_else(|_| with_absent(&[0, 0])).ok()
@@ -292,6 +304,8 @@
             failover::confirm_group_update(host, from, GroupEntry { version, record });
         }
         Some(PeerMessage::GroupUpdateConfirmed { group, version, host: name, payload }) => {
+            let newest = payload.newest;
+            newest.iter().for_each(|newest| host.state.borrow_mut().note_last(&group, newest));
             let confirmation = HostConfirmation::new(
                 payload.incarnation,
                 GrantedExtensions::from(payload),
--- a/crates/proxy/tests/site/candidates.rs
+++ b/crates/proxy/tests/site/candidates.rs
@@ -23,16 +23,18 @@
 /// Pause between two reads of a client.
 const READ_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Writes through each host, as each may replace the primary, after the first replica has stopped to
-/// receive commits. The second one is complete. Returns the sessions.
-async fn leave_replica_behind(site: &SiteDeployment) -> Vec<StandinClient> {
+/// Writes through the last `writers` hosts after the first replica has stopped to receive commits. The
+/// second one is complete. Returns a session for each host.
+async fn leave_replica_behind(site: &SiteDeployment, writers: usize) -> Vec<StandinClient> {
     let mut clients = Vec::new();
     for host in 0..HOSTS {
         clients.push(site.session(host, "current").await);
     }
-    until_done(&mut clients[0], "WRITE item early").await;
-    site.group.deafen(1);
     for client in &mut clients {
+        until_done(client, "WRITE item early").await;
+    }
+    site.group.deafen(1);
+    for client in &mut clients[HOSTS - writers..] {
         until_done(client, "WRITE item late").await;
     }
     clients
@@ -65,7 +67,7 @@
 /// The complete replica refuses requests for a while when the primary is lost.
 async fn lose_primary_while(refusal: EndpointRefusal) {
     let site = SiteDeployment::start(HOSTS).await;
-    let mut clients = leave_replica_behind(&site).await;
+    let mut clients = leave_replica_behind(&site, HOSTS).await;
     site.group.refuse(2, refusal);
     site.group.kill(0);
     let answer = async || site.group.refuse(2, EndpointRefusal::None);
@@ -86,12 +88,10 @@
     lose_primary_while(EndpointRefusal::Connections).await;
 }
 
-/// Guards against the same with a replica that cannot be reached for a while. It is waited for as
-/// the other one is known to lack commits.
-#[tokio::test]
-async fn a_silent_replica_is_waited_for_when_the_other_one_lacks_commits() {
+/// The complete replica cannot be reached for a while when the primary is lost.
+async fn lose_primary_without_replica(writers: usize) {
     let relayed = RelayedSite::start(HOSTS).await;
-    let mut clients = leave_replica_behind(&relayed.site).await;
+    let mut clients = leave_replica_behind(&relayed.site, writers).await;
     let lane = Lane::to_endpoint(2);
     relayed.cut(&lane, true).await;
     relayed.site.group.kill(0);
@@ -100,6 +100,20 @@
     expect_complete(&relayed.site, &mut clients).await;
 }
 
+/// Guards against the same with a replica that cannot be reached for a while. It is waited for as
+/// the other one is known to lack commits.
+#[tokio::test]
+async fn a_silent_replica_is_waited_for_when_the_other_one_lacks_commits() {
+    lose_primary_without_replica(HOSTS).await;
+}
+
+/// Guards against the same when the host that replaces the primary has not seen the last commits, as
+/// another host has served them (review/2 beside load).
+#[tokio::test]
+async fn positions_that_other_hosts_know_count() {
+    lose_primary_without_replica(1).await;
+}
+
 /// Guards against the same with a replica that takes longer for its status than a silent endpoint is
 /// waited for: requests are queued there behind reads (review/2 beside load).
 #[tokio::test]
@@ -112,7 +126,7 @@
     site.store.put("op", "config", &config);
     let is_known = |host: &SiteHost| host.log().contains("\"version\":2");
     until("the configuration is known", async || site.hosts.iter().all(is_known)).await;
-    let mut clients = leave_replica_behind(&site).await;
+    let mut clients = leave_replica_behind(&site, HOSTS).await;
     // A session that has written reads where its write is.
     let mut readers = Vec::new();
     for host in 0..HOSTS {
@@ -136,7 +150,7 @@
 async fn a_replica_that_never_answers_ends_the_wait() {
     for refusal in [EndpointRefusal::None, EndpointRefusal::Statements] {
         let site = SiteDeployment::start(HOSTS).await;
-        let mut clients = leave_replica_behind(&site).await;
+        let mut clients = leave_replica_behind(&site, HOSTS).await;
         match refusal {
             EndpointRefusal::None => site.group.kill(2),
             refusal => site.group.refuse(2, refusal),
