Name the endpoints that run once in the choice of a candidate

No behaviour changes.

Formatter, linter, the tests of the core, and the site tests of candidates and promotions pass.

--- a/crates/core/src/ledger/failover.rs
+++ b/crates/core/src/ledger/failover.rs
@@ -40,7 +40,7 @@
     pub struct UnansweredCandidate {
         /// What is known without its answer: it has received at least this much of the log.
         pub status: CandidateStatus,
-        /// Whether it runs: it refuses requests only because it has no slot or connection free.
+        /// Whether it runs: it refuses requests for lack of a slot or connection, or replies to others.
         pub is_running: bool,
     }
 }
--- a/crates/core/src/ledger/failover/choice.rs
+++ b/crates/core/src/ledger/failover/choice.rs
@@ -27,9 +27,7 @@
         return ChangeStep::Wait;
     }
     // Those that run and never answered have received at least what is known of them.
-    let running = view.unanswered.iter().filter(|candidate| candidate.is_running);
-    let running = running.map(|candidate| &candidate.status);
-    let others = running.filter(|status| status.id != view.record.primary);
+    let others = running(view).filter(|status| status.id != view.record.primary);
     best_of(candidates.chain(others), view).map_or(ChangeStep::NoCandidate, ChangeStep::Promote)
 }
 
@@ -44,10 +42,15 @@
     best_candidate(others, view.primaries).or_else(|| best_candidate(candidates, view.primaries))
 }
 
+/// What is known of the endpoints that run and have not told their status.
+fn running<'s>(view: ChangeView<'s, '_>) -> impl Iterator<Item = &'s CandidateStatus> + Clone {
+    let running = view.unanswered.iter().filter(|candidate| candidate.is_running);
+    running.map(|candidate| &candidate.status)
+}
+
 /// Newest position of the old primary, if it shows one. It takes no more commits.
 fn last_position(view: ChangeView<'_, '_>) -> Option<LogPosition> {
-    let running = view.unanswered.iter().filter(|candidate| candidate.is_running);
-    let known = view.statuses.iter().chain(running.map(|candidate| &candidate.status));
+    let known = view.statuses.iter().chain(running(view));
     known.filter(|status| is_old_primary(view.record, status)).map(|old| old.received).max()
 }
 
