review: hosts that start after a store drill write to a replaced primary

Cause: a process that starts in the new era takes the copy's row of a group as agreed, until a running host has written the row again. The former primary may not know yet that it was replaced. Change: case 6 with its script; the earlier cases 6 and 7 become 7 and 8, as the gravest comes first.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,7 +6,7 @@
 program="$root/target/release/tanagerdeal"
 [ -x "$scenario" ] && [ -x "$program" ] || { echo "not built" >&2; exit 2; }
 folder=$(mktemp -d) || exit 2
-timeout -k 5 110 "$scenario" share "$program" "$folder" "$case_folder/record.txt" "${TROUBLE:-1}"
+timeout -k 5 110 "$scenario" drill "$program" "$folder" "$case_folder/record.txt" "${TROUBLE:-1}"
 code=$?
 # A run that was cut short leaves processes behind.
 if [ $code -gt 2 ] && [ -f "$folder/pids" ]; then
--- a/review/lib2/drill.rs
+++ b/review/lib2/drill.rs
@@ -10,15 +10,15 @@
 use crate::store::{Door, Store};
 
 /// Hosts whose processes are killed: two of three in two zones.
-const KILLED: [usize; 4] = [0, 1, 3, 4];
+pub const KILLED: [usize; 4] = [0, 1, 3, 4];
 /// The host through which the orders are written.
-const WRITER: usize = 2;
+pub const WRITER: usize = 2;
 const CRASH_TIME: Duration = Duration::from_millis(3_500);
 /// How long the store is away.
 const AWAY: Duration = Duration::from_millis(2_500);
 /// Time between the restarts of two of them, which are not simultaneous.
-const START_PAUSE: Duration = Duration::from_millis(125);
-const KEY: &str = "k3y-acme";
+pub const START_PAUSE: Duration = Duration::from_millis(125);
+pub const KEY: &str = "k3y-acme";
 
 /// A read, or an acknowledged write, of the item: when it was sent and when it was answered.
 struct Step {
@@ -32,6 +32,21 @@
     text.parse().unwrap_or(0)
 }
 
+/// Zones of the hosts.
+pub const ZONES: [&str; 9] = ["z1", "z1", "z1", "z2", "z2", "z2", "z3", "z3", "z3"];
+
+/// The operator's configuration.
+pub fn config() -> String {
+    "{\"version\":1,\"routes\":[\
+         {\"host\":\"orders\",\"service\":\"g1\",\"kind\":\"primary\",\"timeoutMs\":1000,\
+           \"targetLatencyMs\":200,\"priority\":1}],\
+         \"services\":[{\"name\":\"g1\",\"connectionLimit\":120}],\
+         \"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"k3y-acme\"],\
+           \"ratePerS\":2000,\"burstSize\":2000}],\
+         \"limits\":{\"transactionIdleMs\":3000,\"headerTimeoutMs\":3000}}"
+        .to_owned()
+}
+
 pub fn run(case: &Case) -> i32 {
     let record = &case.record;
     let store = Store::start();
@@ -40,17 +55,9 @@
     group.state.lock().unwrap().lag = Duration::from_millis(20);
     let promoted = group.clone();
     *store.on_promotion.lock().unwrap() = Some(Box::new(move |_, id| promoted.promote(id)));
-    let config = "{\"version\":1,\"routes\":[\
-         {\"host\":\"orders\",\"service\":\"g1\",\"kind\":\"primary\",\"timeoutMs\":1000,\
-           \"targetLatencyMs\":200,\"priority\":1}],\
-         \"services\":[{\"name\":\"g1\",\"connectionLimit\":120}],\
-         \"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"k3y-acme\"],\
-           \"ratePerS\":2000,\"burstSize\":2000}],\
-         \"limits\":{\"transactionIdleMs\":3000,\"headerTimeoutMs\":3000}}";
-    store.put("op", "config", config);
-    let zones = ["z1", "z1", "z1", "z2", "z2", "z2", "z3", "z3", "z3"];
-    let doors: Vec<Door> = zones.iter().map(|_| store.door()).collect();
-    let mut hosts: Vec<Host> = zones
+    store.put("op", "config", &config());
+    let doors: Vec<Door> = ZONES.iter().map(|_| store.door()).collect();
+    let mut hosts: Vec<Host> = ZONES
         .iter()
         .zip(&doors)
         .enumerate()
@@ -175,7 +182,7 @@
     }
     doors.iter().for_each(Door::open);
     // What the operator wrote is written again; the members do so with their next heartbeats.
-    store.put("op", "config", config);
+    store.put("op", "config", &config());
     std::thread::sleep(Duration::from_secs(6));
     is_over.store(true, Ordering::SeqCst);
     std::thread::sleep(Duration::from_millis(300));
--- a/review/lib2/main.rs
+++ b/review/lib2/main.rs
@@ -5,6 +5,7 @@
 mod drill;
 mod host;
 mod json;
+mod lost;
 mod member;
 mod share;
 mod store;
@@ -59,6 +60,7 @@
     };
     let code = match name.as_str() {
         "drill" => drill::run(&case),
+        "lost" => lost::run(&case),
         "share" => share::run(&case),
         _ => 2,
     };
--- a/review/lib2/member.rs
+++ b/review/lib2/member.rs
@@ -39,8 +39,14 @@
     pub work: Duration,
     /// Time from a commit to its application at the replicas.
     pub lag: Duration,
-    /// Members that have crashed.
+    /// Members that have crashed, or that no host reaches.
     pub dead: Vec<usize>,
+    /// A member that is cut off from the others, and the length of its log then.
+    pub isolated: Option<(usize, usize)>,
+    /// A primary that has been replaced and does not know it.
+    pub former: Option<usize>,
+    /// What it commits meanwhile. It is rolled back once it learns of the new term.
+    pub late: Vec<Commit>,
     streams: Vec<(usize, TcpStream)>,
     signatures: u64,
 }
@@ -68,6 +74,9 @@
                 work,
                 lag: Duration::from_millis(8),
                 dead: Vec::new(),
+                isolated: None,
+                former: None,
+                late: Vec::new(),
                 streams: Vec::new(),
                 signatures: 0,
             }),
@@ -106,7 +115,7 @@
     }
 
     fn entry(&self, index: usize, sequence: u64) -> String {
-        let role = match self.state.lock().unwrap().primary == index {
+        let role = match self.state.lock().unwrap().leads(index) {
             true => "primary",
             false => "replica",
         };
@@ -128,6 +137,22 @@
         state.streams.retain(|(member, _)| *member != index);
     }
 
+    /// A member is cut off from the others, which go on without it.
+    pub fn isolate(&self, index: usize) {
+        let mut state = self.state.lock().unwrap();
+        state.isolated = Some((index, state.log.len()));
+    }
+
+    /// The cut has healed. A primary that was replaced goes on for a second.
+    pub fn rejoin(self: &Arc<Self>) {
+        let group = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_secs(1));
+            let mut state = group.state.lock().unwrap();
+            (state.isolated, state.former) = (None, None);
+        });
+    }
+
     /// A member comes back with its log.
     pub fn revive(&self, index: usize) {
         self.state.lock().unwrap().dead.retain(|member| *member != index);
@@ -146,6 +171,8 @@
             std::thread::sleep(PROMOTE_TIME);
             let mut state = group.state.lock().unwrap();
             if state.primary != index {
+                let former = state.primary;
+                state.former = state.isolated.filter(|(it, _)| *it == former).map(|it| it.0);
                 state.term += 1;
                 state.primary = index;
             }
@@ -155,8 +182,16 @@
 }
 
 impl State {
+    /// Whether a member sees itself as the primary.
+    fn leads(&self, member: usize) -> bool {
+        self.primary == member || self.former == Some(member)
+    }
+
     /// Number of commits that a member has applied.
     fn applied(&self, member: usize) -> usize {
+        if let Some((_, count)) = self.isolated.filter(|(it, _)| *it == member) {
+            return count;
+        }
         if member == self.primary {
             return self.log.len();
         }
@@ -245,7 +280,12 @@
     let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
     let (name, arguments) = rest.split_once(' ').unwrap_or((rest, ""));
     match word {
-        "SET" | "DEALLOCATE" | "DEMOTE" | "PAUSE" | "RESUME" => Ok(own),
+        "SET" | "DEALLOCATE" | "PAUSE" | "RESUME" => Ok(own),
+        "DEMOTE" => {
+            let mut state = group.state.lock().unwrap();
+            state.former = state.former.filter(|former| *former != member);
+            Ok(own)
+        }
         "RESET" => {
             session.prepared.clear();
             Ok(own)
@@ -256,12 +296,16 @@
         }
         "STATUS" => {
             let state = group.state.lock().unwrap();
-            let role = if state.primary == member { "primary" } else { "replica" };
+            let role = if state.leads(member) { "primary" } else { "replica" };
             let position = state.position(state.applied(member));
-            Ok(format!("DATAROW {role} {} {position} {} 0 0 1\r\n{own}", state.term, state.term))
+            let term = match state.isolated {
+                Some((isolated, _)) if isolated == member => state.term - 1,
+                _ => state.term,
+            };
+            Ok(format!("DATAROW {role} {term} {position} {term} 0 0 1\r\n{own}"))
         }
         "BEGIN" => {
-            if rest != "READ" && group.state.lock().unwrap().primary != member {
+            if rest != "READ" && !group.state.lock().unwrap().leads(member) {
                 return Err("READONLY");
             }
             session.open = Some(Vec::new());
@@ -282,7 +326,7 @@
             let writes = session.open.take().unwrap_or_default();
             let mut state = group.state.lock().unwrap();
             if !writes.is_empty() {
-                if state.primary != member {
+                if !state.leads(member) {
                     return Err("READONLY");
                 }
                 commit(&mut state, member, id, writes);
@@ -308,8 +352,11 @@
 }
 
 fn commit(state: &mut State, member: usize, id: &str, writes: Vec<(String, String)>) {
-    let term = state.term;
-    state.log.push(Commit { at: Instant::now(), term, writes, id: id.to_owned(), member });
+    let (at, term, id) = (Instant::now(), state.term, id.to_owned());
+    match state.former == Some(member) {
+        true => state.late.push(Commit { at, term: term - 1, writes, id, member }),
+        false => state.log.push(Commit { at, term, writes, id, member }),
+    }
 }
 
 fn read(
@@ -338,7 +385,7 @@
     text: &str,
     rest: &str,
 ) -> Result<String, &'static str> {
-    if group.state.lock().unwrap().primary != member {
+    if !group.state.lock().unwrap().leads(member) {
         return Err("READONLY");
     }
     note(group, member, session, id, text);
