review: steadier start of case 8

Cause: in some runs the machine that is refused held little of the tenant's rate, or knew no position to read from. Change: the deployment is started until the machine lends a rate; orders go through two hosts.

--- a/review/lib2/share.rs
+++ b/review/lib2/share.rs
@@ -11,8 +11,11 @@
 use crate::store::{Door, Store};
 
 const TENANTS: usize = 16;
+/// Times that the deployment is started, at most, and the share that one machine has to hold.
+const STARTS: usize = 10;
+const MIN_HELD: u64 = 300_000;
 const RATE_PER_S: u64 = 400;
-const BURST: u64 = 117;
+const BURST: u64 = 20;
 const WINDOW: Duration = Duration::from_secs(5);
 /// `quotaOverage` and `quotaSlack` of the small deployments.
 const OVERAGE: f64 = 0.1;
@@ -81,8 +84,21 @@
     }
 }
 
-pub fn run(case: &Case) -> i32 {
-    let record = &case.record;
+/// A small deployment.
+struct Fleet {
+    store: Arc<Store>,
+    group: Arc<Group>,
+    doors: Vec<Door>,
+    hosts: Vec<Host>,
+}
+
+/// Millionths of a tenant's rate that one machine holds.
+fn held(store: &Store, number: usize) -> u64 {
+    let row = store.row("shares", &format!("t{number}"));
+    row.get("shares").get("front-2").get("units").number()
+}
+
+fn fleet(case: &Case) -> Option<Fleet> {
     let store = Store::start();
     let group = Group::start(&store, "g1", &["z1", "z2", "z3"], Duration::from_millis(2));
     let promoted = group.clone();
@@ -137,17 +153,28 @@
             Host::start(&case.program, &case.directory, &machine)
         })
         .collect();
-    if !wait_until(Duration::from_secs(20), || hosts.iter().all(Host::is_ready)) {
-        record.line("the hosts did not become ready");
-        return 2;
+    let are_ready = wait_until(Duration::from_secs(20), || hosts.iter().all(Host::is_ready));
+    are_ready.then_some(Fleet { store, group, doors, hosts })
+}
+
+pub fn run(case: &Case) -> i32 {
+    let record = &case.record;
+    // Hosts that start together do not always agree at once on who holds the rates. The case needs
+    // a machine that lends one to others.
+    let mut found = None;
+    for _ in 0..STARTS {
+        let Some(fleet) = fleet(case) else { continue };
+        record.line("all hosts are ready");
+        let store = fleet.store.clone();
+        let is_home = || (0..TENANTS).any(|number| held(&store, number) > MIN_HELD);
+        if wait_until(Duration::from_secs(3), is_home) {
+            found = Some(fleet);
+            break;
+        }
     }
-    record.line("all hosts are ready");
-    // The tenant of whose rate this machine holds most, as one of the hosts that lend it.
-    let held = |number: usize| {
-        let row = store.row("shares", &format!("t{number}"));
-        row.get("shares").get("front-2").get("units").number()
-    };
-    wait_until(Duration::from_secs(25), || (0..TENANTS).any(|number| held(number) > 300_000));
+    let Some(Fleet { store, group, doors, hosts }) = found else { return 2 };
+    let held = |number: usize| held(&store, number);
+    // The tenant of whose rate this machine holds most.
     let number = (0..TENANTS).max_by_key(|number| held(*number)).unwrap_or(0);
     let (tenant, key) = (format!("t{number}"), format!("k3y-t{number}"));
     record.line(&format!("front-2 holds {} millionths of the rate of {tenant}", held(number)));
@@ -164,12 +191,13 @@
     for (_, host) in hosts.iter().enumerate().filter(|(index, _)| *index != CUT) {
         sessions(host, 5, "stock", &key, &others);
     }
-    // Orders of another tenant, far below its rate.
-    let other_key = format!("k3y-t{}", (number + 1) % TENANTS);
-    sessions(&hosts[0], 2, "orders", &other_key, &writes);
+    // Orders of other tenants, far below their rates, through the other hosts of the zone.
+    for (host, other) in [(0, 1), (2, 2)] {
+        let other_key = format!("k3y-t{}", (number + other) % TENANTS);
+        sessions(&hosts[host], 2, "orders", &other_key, &writes);
+    }
     writes.pause_ms.store(150, Ordering::SeqCst);
     own.pause_ms.store(50, Ordering::SeqCst);
-    others.pause_ms.store(1_000, Ordering::SeqCst);
     // Shares follow the demand within some seconds.
     std::thread::sleep(Duration::from_secs(8));
     if case.with_trouble {
