--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,11 +6,19 @@
 program="$root/target/release/tanagerdeal"
 [ -x "$scenario" ] && [ -x "$program" ] || { echo "not built" >&2; exit 2; }
 folder=$(mktemp -d) || exit 2
-timeout -k 5 110 "$scenario" drill "$program" "$folder" "$case_folder/record.txt" "${TROUBLE:-1}"
+# Ends what a run that is cut short leaves behind, and no other process.
+clean() {
+    if [ -f "$folder/pids" ]; then
+        while read -r pid; do kill -9 "$pid" 2>/dev/null; done < "$folder/pids"
+    fi
+    rm -rf "$folder"
+}
+timeout -k 5 110 "$scenario" drill "$program" "$folder" "$case_folder/record.txt" "${TROUBLE:-1}" &
+child=$!
+trap 'kill $child 2>/dev/null; wait $child; clean; exit 2' TERM INT HUP
+wait $child
 code=$?
-# A run that was cut short leaves processes behind.
-if [ $code -gt 2 ] && [ -f "$folder/pids" ]; then
-    while read -r pid; do kill -9 "$pid" 2>/dev/null; done < "$folder/pids"
-fi
-rm -rf "$folder"
-case $code in 0|1) exit $code ;; *) exit 2 ;; esac
+case $code in
+    0|1) rm -rf "$folder"; exit $code ;;
+    *) clean; exit 2 ;;
+esac
