--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -25,10 +25,6 @@
         self.signature.as_deref().is_some_and(|signature| signature != "-") && self.state.is_some()
     }
 
-    pub fn error_word(&self) -> &str {
-        self.error.as_deref().and_then(|text| text.split(' ').next()).unwrap_or("")
-    }
-
     pub fn show(&self) -> String {
         match (&self.error, &self.signature, self.state) {
             (Some(error), ..) => format!("ERROR {error}"),
--- a/review/standins-3/src/deployment.rs
+++ b/review/standins-3/src/deployment.rs
@@ -1,4 +1,4 @@
-//! A small deployment: a store, one service of three members, and three hosts.
+//! A small deployment: a store, one service of three members, and some hosts.
 
 use std::time::Duration;
 
@@ -51,6 +51,7 @@
     /// Starts a deployment whose hosts are ready; an error tells why not.
     pub async fn start(
         folder: &Folder,
+        hosts: usize,
         sync_replicas: usize,
         record: &Record,
     ) -> Result<Self, String> {
@@ -60,7 +61,7 @@
         let database = database.await.map_err(text)?;
         store.put("op", "config", &configuration(sync_replicas));
         let mut deployment = Self { store, database, hosts: Vec::new() };
-        for (index, zone) in ZONES.iter().enumerate() {
+        for (index, zone) in ZONES.iter().cycle().take(hosts).enumerate() {
             let name = format!("front-{zone}-{index}");
             let (store, control) = (deployment.store.address(), deployment.database.control);
             let zones = ZONES.join(",");
--- a/review/standins-3/src/host.rs
+++ b/review/standins-3/src/host.rs
@@ -66,6 +66,18 @@
         Ok(Self { child, callers, admin, settings, log })
     }
 
+    /// Replaces a text in its settings file.
+    pub fn change_settings(&self, from: &str, to: &str) -> std::io::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        std::fs::write(&self.settings, text.replace(from, to))
+    }
+
+    /// The last line that it has written.
+    pub fn last_line(&self) -> String {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        log.lines().last().unwrap_or_default().to_owned()
+    }
+
     /// Starts the process again.
     pub fn restart(&mut self) -> std::io::Result<()> {
         self.child = spawn(&self.settings, &self.log)?;
--- a/review/standins-3/src/lost_sync.rs
+++ b/review/standins-3/src/lost_sync.rs
@@ -49,7 +49,7 @@
 }
 
 pub async fn play(record: &Record, folder: &Folder, has_trouble: bool) -> Result<Verdict, String> {
-    let deployment = Deployment::start(folder, 1, record).await?;
+    let deployment = Deployment::start(folder, 3, 1, record).await?;
     let Deployment { database, hosts, .. } = &deployment;
     let acknowledged = Acknowledged::default();
     for (index, host) in hosts.iter().enumerate() {
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -11,6 +11,7 @@
 mod host;
 mod lost_sync;
 mod record;
+mod settings_change;
 mod stray_entry;
 
 use std::path::{Path, PathBuf};
@@ -67,6 +68,7 @@
     let played = async {
         match case.as_str() {
             "lost-sync" => lost_sync::play(&record, &folder, has_trouble).await,
+            "settings-change" => settings_change::play(&record, &folder, has_trouble).await,
             "stray-entry" => stray_entry::play(&record, &folder, has_trouble).await,
             other => Err(format!("unknown case {other}")),
         }
--- a/review/standins-3/src/stray_entry.rs
+++ b/review/standins-3/src/stray_entry.rs
@@ -82,7 +82,7 @@
 }
 
 pub async fn play(record: &Record, folder: &Folder, has_trouble: bool) -> Result<Verdict, String> {
-    let deployment = Deployment::start(folder, 0, record).await?;
+    let deployment = Deployment::start(folder, 3, 0, record).await?;
     for host in &deployment.hosts {
         tokio::spawn(write_on(host.callers));
     }
