--- a/review/standins-3/src/database.rs
+++ b/review/standins-3/src/database.rs
@@ -450,10 +450,13 @@
                 }
                 (self.open, self.is_read_only) = (Some(Vec::new()), rest == "READ");
             }
-            "ROLLBACK" => (self.open, self.has_failed) = (None, false),
+            "ROLLBACK" => {
+                (self.open, self.has_failed) = (None, false);
+                self.is_read_only = false;
+            }
             "COMMIT" => {
                 let writes = self.open.take().unwrap_or_default();
-                self.has_failed = false;
+                (self.has_failed, self.is_read_only) = (false, false);
                 if !writes.is_empty() {
                     commit(database, index, id, writes).await?;
                 }
