--- a/review/standins-3/src/database.rs
+++ b/review/standins-3/src/database.rs
@@ -68,6 +68,8 @@
     pub lost: Vec<(String, String, Vec<String>)>,
     /// Statements that ran: member, id, text.
     pub runs: Vec<(String, String, String)>,
+    /// Reads: id, member, ids of the commits in its log.
+    pub reads: Vec<(String, String, Vec<String>)>,
     pub promotions: Vec<String>,
     pub record: Record,
 }
@@ -167,6 +169,7 @@
             acknowledged: Vec::new(),
             lost: Vec::new(),
             runs: Vec::new(),
+            reads: Vec::new(),
             promotions: Vec::new(),
             record: record.clone(),
         }));
@@ -523,7 +526,11 @@
         sleep(time).await;
     }
     let own = session.open.iter().flatten().rev().find(|(name, _)| name == item).cloned();
-    let service = database.lock();
+    let mut service = database.lock();
+    let member = &service.members[index];
+    let log = member.log.iter().map(|commit| commit.id.clone()).collect();
+    let entry = (id.to_owned(), member.id.clone(), log);
+    service.reads.push(entry);
     let log = service.members[index].log.iter().rev().flat_map(|commit| commit.writes.iter().rev());
     let known = log.into_iter().find(|(name, _)| name == item).cloned();
     let data = own.or(known).map_or("none".to_owned(), |(_, data)| data);
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod database;
 mod deployment;
+mod given_up;
 mod host;
 mod lost_sync;
 mod record;
@@ -67,6 +68,7 @@
     record.note(&format!("case {case}, disruption: {has_trouble}"));
     let played = async {
         match case.as_str() {
+            "given-up" => given_up::play(&record, &folder, has_trouble).await,
             "lost-sync" => lost_sync::play(&record, &folder, has_trouble).await,
             "settings-change" => settings_change::play(&record, &folder, has_trouble).await,
             "stray-entry" => stray_entry::play(&record, &folder, has_trouble).await,
