Log the address of a registered endpoint

Cause: whether an endpoint that crashed comes back with its log under its identity, under another one or elsewhere could not be told from the logs.

Ruled out: the identity alone tells nothing, as it changes with a crash.

Change: `endpoint registered` has the address.

--- a/crates/proxy/src/ledger/registrations.rs
+++ b/crates/proxy/src/ledger/registrations.rs
@@ -140,7 +140,7 @@
                 return;
             }
             let fields = json!({ "endpoint": id, "group": record.group, "domain": record.domain,
-                "role": format!("{:?}", record.role), "draining": record.is_draining,
+                "address": record.address.to_string(), "role": format!("{:?}", record.role), "draining": record.is_draining,
                 "born": record.born, "row_version": row.version, "is_new": key.is_none() });
             host_state.endpoints.register(record, now);
             host.registrations.record_change(row.version);
