Promote only endpoints with all acknowledged commits of a synchronous group

Cause: nothing read syncReplicas. The choice of the endpoint to promote waited 5 s for one that was known to have more, and left out those that drain. When the endpoint with the commits drained, or was down together with the primary for longer, one without them was promoted.

Ruled out: a longer wait for all (a clock again, and longer without synchronous replicas); a position that was seen as a condition (the primary shows some before a replica has received them).

Change: with synchronous replicas, the longest log that was told is promoted, if an endpoint that leads has told its own or no more endpoints are missing than there are synchronous replicas. Endpoints whose registration is gone are missing for 30 s. An endpoint that leaves is promoted if no other one has that log. Otherwise nothing is promoted. This works as any acknowledged commit is at the primary and at as many replicas, so one of those that told has it.

Groups without synchronous replicas take the former path.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -6,6 +6,7 @@
 //! its catalog, its primaries and its own lease are current. Messages between hosts carry loans,
 //! hints and requests, and any of them may be lost.
 
+pub mod absence;
 pub mod admission;
 pub mod capacity;
 pub mod catalog;
@@ -31,5 +32,6 @@
 pub mod state;
 pub mod statement;
 pub mod suspicion;
+pub mod sync;
 pub mod usage;
 pub mod version;
--- a/crates/core/src/ledger/catalog.rs
+++ b/crates/core/src/ledger/catalog.rs
@@ -52,10 +52,12 @@
         pub rate: CustomerRate,
     }
 
-    /// Limits that apply to each endpoint of a group.
+    /// Limits of a group.
     pub struct GroupLimits {
         /// Connections that an endpoint accepts from all hosts together.
         pub connections: u32,
+        /// Replicas that have received a commit before it is acknowledged.
+        pub sync_replicas: u32,
     }
 
     /// Records of one version of the configuration in their order, duplicates included.
@@ -187,6 +189,11 @@
         self.groups.get(name)
     }
 
+    /// Names and limits of all groups.
+    pub fn groups(&self) -> impl Iterator<Item = (&str, &GroupLimits)> {
+        self.groups.iter().map(|(name, limits)| (name.as_str(), limits))
+    }
+
     /// Whether the routes differ in priority.
     pub fn has_priorities(&self) -> bool {
         self.priorities.len() > 1
--- a/crates/core/src/ledger/catalog/check/difference.rs
+++ b/crates/core/src/ledger/catalog/check/difference.rs
@@ -187,10 +187,16 @@
             (None, Some(before)) => {
                 findings.add(entry, DifferenceRule::GroupRemoved, "no group", text(before));
             }
-            (Some(limits), Some(before)) if limits != before => {
-                findings.add(entry, DifferenceRule::Connections, text(limits), text(before));
+            (Some(limits), Some(before)) => {
+                if limits.connections != before.connections {
+                    findings.add(entry, DifferenceRule::Connections, text(limits), text(before));
+                }
+                if limits.sync_replicas != before.sync_replicas {
+                    let text = |limits: &GroupLimits| limits.sync_replicas.to_string();
+                    findings.add(entry, DifferenceRule::SyncReplicas, text(limits), text(before));
+                }
             }
-            _ => {}
+            (None, None) => {}
         }
     }
 }
--- a/crates/core/src/ledger/catalog/check/rule.rs
+++ b/crates/core/src/ledger/catalog/check/rule.rs
@@ -147,6 +147,8 @@
         GroupRemoved,
         /// Connections of a group's endpoints.
         Connections,
+        /// Synchronous replicas of a group.
+        SyncReplicas,
         /// Idle time of transactions.
         IdleTime,
         /// Time to name a database.
@@ -290,6 +292,7 @@
             Self::GroupAdded => "added",
             Self::GroupRemoved => "removed",
             Self::Connections => "connections of each endpoint",
+            Self::SyncReplicas => "synchronous replicas",
             Self::IdleTime => "idle time of transactions",
             Self::StartupLimit => "time to name a database",
         }
--- a/crates/core/src/ledger/endpoint.rs
+++ b/crates/core/src/ledger/endpoint.rs
@@ -10,6 +10,7 @@
 use slotmap::{SlotMap, new_key_type};
 use tanagerdeal_wire::{scalar_type, value_type};
 
+use super::absence::{AbsenceTable, SharedAbsence};
 use super::clock::BootInstant;
 
 /// Time for which an endpoint counts as lagging after its log lacked a position; others are
@@ -92,6 +93,8 @@
 pub struct EndpointState {
     /// Its registration.
     pub record: EndpointRecord,
+    /// When this host learned of it.
+    pub known_since: BootInstant,
     /// Newest applied position seen in a reply.
     pub position: LogPosition,
     /// Statements of this host in flight.
@@ -126,6 +129,8 @@
 pub struct EndpointTable {
     states: SlotMap<EndpointKey, EndpointState>,
     keys: HashMap<String, EndpointKey>,
+    /// Endpoints that were registered and are away.
+    pub absences: AbsenceTable,
 }
 
 impl fmt::Display for LogPosition {
@@ -146,9 +151,10 @@
 }
 
 impl EndpointState {
-    fn new(record: EndpointRecord) -> Self {
+    fn new(record: EndpointRecord, now: BootInstant) -> Self {
         Self {
             record,
+            known_since: now,
             position: LogPosition::default(),
             in_flight: 0,
             latency_us: 0.0,
@@ -257,6 +263,7 @@
     /// Applies a registration. Returns the key, and whether the process was not known before.
     pub fn register(&mut self, record: EndpointRecord, now: BootInstant) -> (EndpointKey, bool) {
         let known = self.keys.get(&record.id).copied();
+        self.absences.note_registered(&record);
         let is_same = |key| {
             self.states.get(key).is_some_and(|state: &EndpointState| {
                 state.record.born == record.born && state.record.address == record.address
@@ -268,9 +275,11 @@
                 (key, false)
             }
             _ => {
-                known.map(|key| self.states.remove(key));
+                let former = known.and_then(|key| self.states.remove(key));
+                let former = former.filter(|former| former.record.born != record.born);
+                former.iter().for_each(|it| self.absences.note_restarted(&it.record, now));
                 let id = record.id.clone();
-                let key = self.states.insert(EndpointState::new(record.clone()));
+                let key = self.states.insert(EndpointState::new(record.clone(), now));
                 self.states[key].adopt(record, now);
                 self.keys.insert(id, key);
                 (key, true)
@@ -287,18 +296,48 @@
     }
 
     /// Removes the endpoints whose registrations disappeared before `gone_before`, and returns
-    /// their identities.
-    pub fn remove_missing(&mut self, gone_before: BootInstant) -> Vec<String> {
+    /// their identities. They count as away from then on.
+    pub fn remove_missing(&mut self, gone_before: BootInstant, now: BootInstant) -> Vec<String> {
         let is_gone =
             |state: &EndpointState| state.missing_since.is_some_and(|since| since < gone_before);
         let gone = self.states.values().filter(|state| is_gone(state));
         let ids: Vec<String> = gone.map(|state| state.record.id.clone()).collect();
         for id in &ids {
-            self.remove(id);
+            let key = self.keys.remove(id);
+            let removed = key.and_then(|key| self.states.remove(key));
+            if let Some(state) = removed {
+                self.absences.note_removed(&state, self.has_successor(&state), now);
+            }
         }
         ids
     }
 
+    /// Applies what another host knows of an endpoint of a group that is away, unless it or its
+    /// successor is registered.
+    pub fn adopt_absence(&mut self, group: &str, shared: &SharedAbsence, now: BootInstant) {
+        let is_here = |record: &EndpointRecord| match record.id == shared.id {
+            true => record.born == shared.born,
+            false => Some(record.address) == shared.address,
+        };
+        if !self.of_group(group).any(|(_, state)| is_here(&state.record)) {
+            self.absences.adopt(group, shared, now);
+        }
+    }
+
+    /// Whether another endpoint of the group started later at the address of this one. It has taken
+    /// over the log there.
+    pub fn has_successor(&self, state: &EndpointState) -> bool {
+        let is_later = |other: &EndpointState| match (other.record.born, state.record.born) {
+            (Some(other), Some(born)) if other != born => other > born,
+            _ => other.known_since > state.known_since,
+        };
+        self.of_group(&state.record.group).any(|(_, other)| {
+            other.record.id != state.record.id
+                && other.record.address == state.record.address
+                && is_later(other)
+        })
+    }
+
     /// Removes an endpoint.
     pub fn remove(&mut self, id: &str) -> Option<EndpointKey> {
         let key = self.keys.remove(id)?;
--- a/crates/core/src/ledger/failover.rs
+++ b/crates/core/src/ledger/failover.rs
@@ -6,6 +6,7 @@
 //! is recorded in the row before it is called for, and `step` decides what follows from it.
 
 pub mod choice;
+mod complete;
 pub mod former;
 pub mod step;
 
@@ -43,6 +44,8 @@
         pub status: CandidateStatus,
         /// Whether it runs: it refuses requests for lack of a slot or connection, or replies to others.
         pub is_running: bool,
+        /// Whether another endpoint has taken over its log.
+        pub has_successor: bool,
     }
 }
 
--- a/crates/core/src/ledger/failover/choice.rs
+++ b/crates/core/src/ledger/failover/choice.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use super::complete::promote_complete;
 use super::step::{ChangeStep, ChangeView, is_old_primary};
 use super::{CandidateStatus, UnansweredCandidate, best_candidate};
 use crate::ledger::endpoint::LogPosition;
@@ -22,6 +23,9 @@
     candidates: impl Iterator<Item = &'s CandidateStatus> + Clone,
     view: ChangeView<'s, '_>,
 ) -> ChangeStep<'s> {
+    if view.sync_replicas > 0 {
+        return promote_complete(candidates, view);
+    }
     let best = best_of(candidates.clone(), view);
     if is_catching_up(best, view) || is_status_awaited(best, view) {
         return ChangeStep::Wait;
@@ -69,7 +73,7 @@
     let may_have_more = |status: &CandidateStatus| lacks(status.received) && !is_diverged(status);
     let is_complete = last_position(view).is_some_and(|last| best.is_some() && !lacks(last));
     let is_awaited = |candidate: &UnansweredCandidate| {
-        let UnansweredCandidate { status, is_running } = candidate;
+        let UnansweredCandidate { status, is_running, .. } = candidate;
         let is_old = status.id == view.record.primary;
         match is_old {
             true => *is_running && !view.is_leaving,
--- a/crates/core/src/ledger/failover/step.rs
+++ b/crates/core/src/ledger/failover/step.rs
@@ -9,6 +9,7 @@
 
 use super::choice::promote_best;
 use super::{CandidateStatus, UnansweredCandidate, newest_term, successor};
+use crate::ledger::absence::AbsentEndpoint;
 use crate::ledger::clock::StoreInstant;
 use crate::ledger::endpoint::{EndpointRole, LogPosition};
 use crate::ledger::group::{GroupRecord, PromotionRecord};
@@ -40,6 +41,10 @@
     pub statuses: &'s [CandidateStatus],
     /// The other registered endpoints.
     pub unanswered: &'s [UnansweredCandidate],
+    /// Endpoints that are not registered any more and may come back with their log.
+    pub absent: &'v [AbsentEndpoint],
+    /// Replicas that have received a commit before it is acknowledged.
+    pub sync_replicas: usize,
     /// Newest position of the old primary of which this host knows that it was acknowledged.
     pub acknowledged: LogPosition,
     /// Whether [`STATUS_WAIT_LIMIT`](super::choice::STATUS_WAIT_LIMIT) has passed.
@@ -70,6 +75,8 @@
     Wait,
     /// No endpoint may be promoted.
     NoCandidate,
+    /// An endpoint that is away may be the only one that has some acknowledged commits.
+    Withhold,
 }
 
 impl PromotionRecord {
@@ -92,6 +99,8 @@
     ///     is_verified: true,
     ///     statuses: &[],
     ///     unanswered: &[],
+    ///     absent: &[],
+    ///     sync_replicas: 0,
     ///     acknowledged: LogPosition::default(),
     ///     is_status_wait_over: false,
     ///     is_catch_up_over: false,
@@ -190,6 +199,8 @@
 ///     is_verified: true,
 ///     statuses: &[],
 ///     unanswered: &[],
+///     absent: &[],
+///     sync_replicas: 0,
 ///     acknowledged: LogPosition::default(),
 ///     is_status_wait_over: false,
 ///     is_catch_up_over: false,
@@ -257,7 +268,7 @@
 }
 
 /// Whether an endpoint is primary and none knows of a later term.
-fn leads(status: &CandidateStatus, view: ChangeView<'_, '_>) -> bool {
+pub(super) fn leads(status: &CandidateStatus, view: ChangeView<'_, '_>) -> bool {
     status.role == EndpointRole::Primary && status.term == newest_term(view.statuses)
 }
 
--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -11,11 +11,12 @@
 use super::clock::{BootInstant, StoreInstant};
 use super::endpoint::{EndpointKey, EndpointState, EndpointTable, LogPosition};
 use super::extension::{ExtensionTable, is_up_to_date};
-use super::group::{GroupEntry, GroupTable};
+use super::group::{GroupEntry, GroupRecord, GroupTable};
 use super::lease::{HostEntry, HostLease, HostRecord};
 use super::position::{PositionHistory, PrimaryObservation};
 use super::quota::{LimitTolerance, QuotaTable, ShareHost};
 use super::suspicion;
+use super::sync::SyncTable;
 use crate::hash::hash_bytes;
 
 /// Time for which a draining primary still gets new work while its successor is promoted. Work has
@@ -68,6 +69,8 @@
     pub remote_price: Duration,
     /// The configuration in effect, once one is known.
     pub catalog: Option<Arc<SiteCatalog>>,
+    /// Numbers of synchronous replicas that were lowered.
+    pub(super) lowered_sync: SyncTable,
     /// Until when that configuration counts as fresh.
     pub(super) catalog_deadline: BootInstant,
     /// Evacuated failure domains, and when this host learned of it.
@@ -111,6 +114,7 @@
             domain: domain.to_owned(),
             remote_price: REMOTE_PRICE,
             catalog: None,
+            lowered_sync: SyncTable::default(),
             catalog_deadline: BootInstant::from_micros(0),
             evacuated: HashMap::new(),
             restored_at: None,
@@ -230,6 +234,14 @@
         self.groups.note_lost(group, version, is_current);
     }
 
+    /// Records that the primary of a group is to be replaced. If it is not registered, it may still
+    /// come back.
+    pub fn note_lost_primary(&mut self, record: &GroupRecord, now: BootInstant) {
+        if self.endpoints.find(&record.primary).is_none() {
+            self.endpoints.absences.note_unregistered(&record.primary, &record.group, now);
+        }
+    }
+
     /// The minimum position for a read that began at `began_at`: the log position that a replica
     /// must have applied. `None` if only the primary can serve the read.
     pub fn min_read_position(
--- a/crates/core/src/ledger/state/observed.rs
+++ b/crates/core/src/ledger/state/observed.rs
@@ -17,6 +17,7 @@
     ) {
         if self.is_permit_valid(group, permit, now) {
             self.positions.entry(group.to_owned()).or_default().observe(observation);
+            self.endpoints.absences.note_position(group, &observation);
             self.unsent_observations.insert(group.to_owned(), observation);
         }
     }
@@ -27,6 +28,7 @@
             return;
         };
         let observation = PrimaryObservation::adopt(shared, &clock);
+        self.endpoints.absences.note_position(group, &observation);
         self.positions.entry(group.to_owned()).or_default().observe(observation);
     }
 
--- a/crates/core/tests/ledger/catalog_check.rs
+++ b/crates/core/tests/ledger/catalog_check.rs
@@ -30,7 +30,7 @@
         version: 7,
         routes: vec![route(ReadConsistency::Bounded(Duration::from_millis(1_500)))],
         customers: vec![customer("quarry", &[KEY])],
-        groups: vec![("g".to_owned(), GroupLimits { connections: 20 })],
+        groups: vec![("g".to_owned(), GroupLimits { connections: 20, sync_replicas: 0 })],
         transaction_idle: Duration::from_secs(3),
         startup_limit: Duration::from_secs(3),
         findings: Vec::new(),
@@ -192,7 +192,7 @@
 fn unused_entries_are_warned_of() {
     let finding = only(|records| records.customers[0].keys.clear());
     expect_that!(finding.rule, eq(WarningRule::NoKeys.into()));
-    let other = ("h".to_owned(), GroupLimits { connections: 1 });
+    let other = ("h".to_owned(), GroupLimits { connections: 1, sync_replicas: 0 });
     let finding = only(|records| records.groups.push(other.clone()));
     expect_that!(finding.rule, eq(WarningRule::UnusedGroup.into()));
     let finding = only(|records| records.routes[0].is_open = true);
@@ -322,6 +322,7 @@
     let changes = differences(|records| {
         records.customers[0].rate = CustomerRate { rate_per_s: 50, burst: 60 };
         records.groups[0].1.connections = 30;
+        records.groups[0].1.sync_replicas = 1;
         records.transaction_idle = Duration::from_secs(4);
         records.startup_limit = Duration::from_secs(5);
     });
@@ -334,6 +335,7 @@
             ends_with(
                 "group \"g\": connections of each endpoint: 30 connections, before: 20 connections"
             ),
+            ends_with("group \"g\": synchronous replicas: 1, before: 0"),
             ends_with("idle time of transactions: 4000 ms, before: 3000 ms"),
             ends_with("time to name a database: 5000 ms, before: 3000 ms"),
         ]
--- a/crates/core/tests/ledger/main.rs
+++ b/crates/core/tests/ledger/main.rs
@@ -5,6 +5,7 @@
 mod catalog_check;
 mod choice;
 mod connections;
+mod durability;
 mod epoch;
 mod extension;
 mod failover;
--- a/crates/core/tests/ledger/promotion.rs
+++ b/crates/core/tests/ledger/promotion.rs
@@ -57,6 +57,8 @@
         is_verified: true,
         statuses,
         unanswered: &[],
+        absent: &[],
+        sync_replicas: 0,
         acknowledged: LogPosition::default(),
         is_status_wait_over: false,
         is_catch_up_over: false,
@@ -71,7 +73,7 @@
 fn untold(id: &str, number: u64, is_running: bool) -> UnansweredCandidate {
     let known = status(id, EndpointRole::Replica, 0, 0);
     let status = CandidateStatus { received: position(3, number), ..known };
-    UnansweredCandidate { status, is_running }
+    UnansweredCandidate { status, is_running, has_successor: false }
 }
 
 /// A view of a lost primary with a replica that has received up to 7 and another one that has not
--- a/crates/core/tests/ledger/promotion/model.rs
+++ b/crates/core/tests/ledger/promotion/model.rs
@@ -127,6 +127,8 @@
             is_verified: true,
             statuses: &statuses,
             unanswered: &unanswered,
+            absent: &[],
+            sync_replicas: 0,
             acknowledged: position(3, 7),
             is_status_wait_over: waited >= STATUS_WAIT_LIMIT,
             is_catch_up_over: waited >= CATCH_UP_LIMIT,
@@ -145,7 +147,7 @@
                 self.call(promotion, delay, is_answered);
                 None
             }
-            ChangeStep::Wait | ChangeStep::NoCandidate => None,
+            ChangeStep::Wait | ChangeStep::NoCandidate | ChangeStep::Withhold => None,
         }
     }
 
--- a/crates/core/tests/ledger/state.rs
+++ b/crates/core/tests/ledger/state.rs
@@ -113,12 +113,12 @@
     let mut state = host_state();
     state.endpoints.note_missing("p", at(1_000));
     state.endpoints.note_missing("p", at(4_000));
-    expect_that!(state.endpoints.remove_missing(at(900)), is_empty());
+    expect_that!(state.endpoints.remove_missing(at(900), at(9_000)), is_empty());
     expect_that!(state.primary_permit("g", at(4_000)), ok(anything()));
     state.endpoints.register(endpoint("p", "d1", EndpointRole::Primary), at(4_500));
-    expect_that!(state.endpoints.remove_missing(at(5_000)), is_empty());
+    expect_that!(state.endpoints.remove_missing(at(5_000), at(9_000)), is_empty());
     state.endpoints.note_missing("p", at(6_000));
-    expect_that!(state.endpoints.remove_missing(at(6_001)), elements_are![eq("p")]);
+    expect_that!(state.endpoints.remove_missing(at(6_001), at(9_000)), elements_are![eq("p")]);
     expect_that!(state.primary_permit("g", at(6_100)), err(eq(PrimaryRefusal::Unregistered)));
 }
 
--- a/crates/core/tests/ledger/verification.rs
+++ b/crates/core/tests/ledger/verification.rs
@@ -153,7 +153,7 @@
 
 fn silent(id: &str) -> UnansweredCandidate {
     let status = status(id, EndpointRole::Replica, 0);
-    UnansweredCandidate { status, is_running: false }
+    UnansweredCandidate { status, is_running: false, has_successor: false }
 }
 
 /// Guards against a primary that is verified although an endpoint may lead a later term.
@@ -184,6 +184,8 @@
         is_verified: false,
         statuses: &statuses,
         unanswered: &unanswered,
+        absent: &[],
+        sync_replicas: 0,
         acknowledged: position(3, 7),
         is_status_wait_over: true,
         is_catch_up_over: true,
--- a/crates/core/tests/ledger/verification/model.rs
+++ b/crates/core/tests/ledger/verification/model.rs
@@ -212,6 +212,8 @@
             is_verified,
             statuses: &statuses,
             unanswered: &unanswered,
+            absent: &[],
+            sync_replicas: 0,
             acknowledged: position(3, 7),
             is_status_wait_over: true,
             is_catch_up_over: true,
@@ -238,7 +240,7 @@
                     }
                 }
             }
-            ChangeStep::Wait | ChangeStep::NoCandidate => (),
+            ChangeStep::Wait | ChangeStep::NoCandidate | ChangeStep::Withhold => (),
         }
     }
 
--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -55,6 +55,8 @@
 const REFUSED_STATUS_PAUSE: Duration = Duration::from_millis(20);
 /// Pause before a failed change of a group is retried.
 const FAILED_CHANGE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Absent endpoints of a group that are sent with a confirmation; more would not fit a datagram.
+const MAX_SHARED_ABSENCES: usize = 6;
 /// Customer name for the proxy's own connections to endpoints.
 const PROXY_NAME: &str = "-";
 
@@ -272,7 +274,9 @@
             let (host_state, now) = (host.state.borrow(), boot_now());
             let granted = host_state.extensions.granted(now);
             let newest = host_state.observations(&record.group, HISTORY_REACH, now).pop();
-            ConfirmationPayload::new(host.incarnation, granted, newest)
+            let absent = host_state.endpoints.absences.of_group(&record.group, now);
+            let absent = absent.take(MAX_SHARED_ABSENCES).map(|absent| absent.share(now)).collect();
+            ConfirmationPayload::new(host.incarnation, granted, newest, absent)
         };
         let name = host.settings.host.clone();
         let confirmed =
@@ -300,6 +304,7 @@
     };
     let host_state = host.state.borrow();
     let state = host_state.endpoints.get(key)?;
+    let has_successor = host_state.endpoints.has_successor(state);
     let is_running = is_refused || state.replied_at >= Some(asked_at);
     let record = &state.record;
     let status = CandidateStatus {
@@ -314,7 +319,7 @@
     };
     Some(match row {
         Some(_) => StatusAnswer::Told(status),
-        None => StatusAnswer::Untold(UnansweredCandidate { status, is_running }),
+        None => StatusAnswer::Untold(UnansweredCandidate { status, is_running, has_successor }),
     })
 }
 
--- a/crates/proxy/src/ledger/failover/change.rs
+++ b/crates/proxy/src/ledger/failover/change.rs
@@ -38,6 +38,8 @@
     Unconfirmed,
     #[error("no endpoint is eligible for promotion")]
     NoCandidate,
+    #[error("an endpoint that is away may be the only one with some acknowledged commits")]
+    Withheld,
     #[error("the chosen endpoint did not become primary")]
     NotPromoted,
     #[error("the old primary replies again")]
@@ -182,7 +184,7 @@
                 self.publish(GroupRecord { verified_era, ..self.record.clone() }).await
             }
             // While a promotion may take effect, the mark stays for the next attempt.
-            Err(ChangeError::NoCandidate | ChangeError::Unconfirmed)
+            Err(ChangeError::NoCandidate | ChangeError::Withheld | ChangeError::Unconfirmed)
                 if self.record.promotion().is_none() =>
             {
                 self.publish(self.record.clone()).await
--- a/crates/proxy/src/ledger/failover/promotion.rs
+++ b/crates/proxy/src/ledger/failover/promotion.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use tanagerdeal_adapter::control::{CallOutcome, DutyCredential, PromotionCall};
+use tanagerdeal_core::ledger::absence::AbsentEndpoint;
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::endpoint::{EndpointKey, EndpointRole};
 use tanagerdeal_core::ledger::failover::choice::{CATCH_UP_LIMIT, STATUS_WAIT_LIMIT};
@@ -91,6 +92,7 @@
     /// Takes steps until an endpoint leads a later term. Returns its status.
     pub(super) async fn await_new_primary(&mut self) -> Result<CandidateStatus, ChangeError> {
         let mut promotions = 0;
+        self.host.state.borrow_mut().note_lost_primary(&self.record, boot_now());
         self.status_wait_until = boot_now().after(STATUS_WAIT_LIMIT);
         self.catch_up_until = boot_now().after(CATCH_UP_LIMIT);
         loop {
@@ -104,6 +106,10 @@
                 ChangeStep::Publish(found) => return Ok(found.clone()),
                 ChangeStep::Keep(_) => return Err(ChangeError::Recovered),
                 ChangeStep::NoCandidate => return Err(ChangeError::NoCandidate),
+                ChangeStep::Withhold => {
+                    self.log_withheld(&statuses);
+                    return Err(ChangeError::Withheld);
+                }
                 ChangeStep::Promote(_) if promotions == MAX_PROMOTIONS => {
                     return Err(ChangeError::NotPromoted);
                 }
@@ -132,6 +138,18 @@
         self.logged_unanswered = endpoints;
     }
 
+    /// Logs why no endpoint is promoted.
+    fn log_withheld(&self, statuses: &GroupStatuses) {
+        let fields = self.decide(statuses, |view| {
+            let absent: Vec<&str> = view.absent.iter().map(|absent| absent.id.as_str()).collect();
+            json!({ "group": self.record.group, "sync_replicas": view.sync_replicas,
+                "seen": view.acknowledged.to_string(), "absent": absent,
+                "candidates": candidate_fields(view.statuses),
+                "unanswered": statuses.unanswered_ids() })
+        });
+        journal::event("takeover", "withheld", fields);
+    }
+
     /// What this host knows, to be passed to a decision.
     fn decide<'s, T>(
         &self,
@@ -139,19 +157,24 @@
         decision: impl FnOnce(ChangeView<'s, '_>) -> T,
     ) -> T {
         let (state, now) = (self.host.state.borrow(), boot_now());
-        let newest = state.positions.get(&self.record.group).and_then(PositionHistory::newest);
+        let group = &self.record.group;
+        let newest = state.positions.get(group).and_then(PositionHistory::newest);
+        let absent: Vec<AbsentEndpoint> =
+            state.endpoints.absences.of_group(group, now).cloned().collect();
         decision(ChangeView {
             record: &self.record,
             is_verified: self.is_verified,
             statuses: &statuses.answered,
             unanswered: &statuses.unanswered,
+            absent: &absent,
+            sync_replicas: state.sync_replicas(group, now),
             acknowledged: newest.map(|newest| newest.position).unwrap_or_default(),
             is_status_wait_over: now >= self.status_wait_until,
             is_catch_up_over: now >= self.catch_up_until,
             is_leaving: self.reason == ChangeReason::Leaving,
             is_accepted: self.calls.accepted_at.is_some(),
             is_call_over: self.is_call_over(),
-            primaries: &|domain| state.primaries_in(domain, &self.record.group),
+            primaries: &|domain| state.primaries_in(domain, group),
         })
     }
 
@@ -174,13 +197,13 @@
         chosen: &CandidateStatus,
         statuses: &GroupStatuses,
     ) -> Result<(), ChangeError> {
-        let candidates = statuses.answered.iter().map(|status| {
-            json!({ "endpoint": status.id, "received": status.received.to_string(),
-                    "eligible": status.is_eligible })
+        let fields = self.decide(statuses, |view| {
+            let absent: Vec<&str> = view.absent.iter().map(|absent| absent.id.as_str()).collect();
+            json!({ "group": self.record.group, "endpoint": chosen.id, "token": self.token,
+                "candidates": candidate_fields(view.statuses), "absent": absent,
+                "sync_replicas": view.sync_replicas, "seen": view.acknowledged.to_string(),
+                "unanswered": statuses.unanswered_ids() })
         });
-        let fields = json!({ "group": self.record.group, "endpoint": chosen.id,
-            "token": self.token, "candidates": candidates.collect::<Vec<_>>(),
-            "unanswered": statuses.unanswered_ids() });
         journal::event("takeover", "chosen", fields);
         let is_chosen = |former: &PromotionRecord| former.endpoint == chosen.id;
         if !self.record.promotion().is_some_and(is_chosen) || self.is_call_over() {
@@ -278,3 +301,12 @@
         None
     }
 }
+
+/// The endpoints that have told their status, as they are logged.
+fn candidate_fields(statuses: &[CandidateStatus]) -> Vec<Value> {
+    let fields = statuses.iter().map(|status| {
+        json!({ "endpoint": status.id, "received": status.received.to_string(),
+                "eligible": status.is_eligible })
+    });
+    fields.collect()
+}
--- a/crates/proxy/src/ledger/follow.rs
+++ b/crates/proxy/src/ledger/follow.rs
@@ -180,7 +180,7 @@
         host_state.quota.set_rate(&customer.name, rate.rate_per_s, rate.burst, now);
     }
     let version = catalog.version;
-    host_state.catalog = Some(Arc::new(catalog));
+    host_state.adopt_catalog(Arc::new(catalog), now);
     host.metrics.catalog.set(i64::try_from(version).unwrap_or(i64::MAX));
     let fields = json!({ "version": version, "former": former, "row_version": row.version,
                          "unreadable_entries": problems.len(), "first_problem": problems.first() });
--- a/crates/proxy/src/ledger/peers.rs
+++ b/crates/proxy/src/ledger/peers.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 use sha2::Sha256;
 use tanagerdeal_adapter::store::{RowName, RowTransaction};
+use tanagerdeal_core::ledger::absence::SharedAbsence;
 use tanagerdeal_core::ledger::clock::BootInstant;
 use tanagerdeal_core::ledger::extension::GrantedExtensions;
 use tanagerdeal_core::ledger::failover::HostConfirmation;
@@ -60,6 +61,8 @@
         pub(super) unknown_ms: u32,
         /// The newest position of the old primary that the process knows. Earlier builds lack it.
         pub(super) newest: Option<SharedObservation>,
+        /// Endpoints of the group that the process knows to be away. Earlier builds lack them.
+        pub(super) absent: Vec<SharedAbsence>,
     }
 
     /// A message between hosts. It is encoded with postcard, so the order of the variants is part
@@ -107,6 +110,7 @@
         incarnation: u64,
         granted: GrantedExtensions,
         newest: Option<SharedObservation>,
+        absent: Vec<SharedAbsence>,
     ) -> Self {
         // Rounded up, so that an extension never appears to end early.
         let millis = |left: Duration| u32::try_from(left.as_millis() + 1).unwrap_or(u32::MAX);
@@ -116,6 +120,7 @@
             extensions: extensions.collect(),
             unknown_ms: millis(granted.unknown),
             newest,
+            absent,
         }
     }
 }
@@ -233,7 +238,7 @@
     let mut mac = Hmac::<Sha256>::new_from_slice(secret).ok()?;
     mac.update(body);
     mac.verify_truncated_left(received_code).ok()?;
-    // Messages of earlier builds end without `ConfirmationPayload::newest`, or without the last
+    // Messages of earlier builds end without `ConfirmationPayload::absent` and `newest`, or without the last
     // fields of a group's row: `GroupRecord::verified_era`, before that `GroupRecord::term_start`,
     // and before that `PendingChange::promotion`.
     let with_absent =
@@ -308,6 +313,9 @@
         Some(PeerMessage::GroupUpdateConfirmed { group, version, host: name, payload }) => {
             let newest = payload.newest;
             newest.iter().for_each(|newest| host.state.borrow_mut().note_last(&group, newest));
+            for absent in &payload.absent {
+                host.state.borrow_mut().endpoints.adopt_absence(&group, absent, boot_now());
+            }
             let confirmation = HostConfirmation::new(
                 payload.incarnation,
                 GrantedExtensions::from(payload),
--- a/crates/proxy/src/ledger/registrations.rs
+++ b/crates/proxy/src/ledger/registrations.rs
@@ -161,8 +161,9 @@
 }
 
 fn remove_missing(host: &HostContext) {
-    let gone_before = boot_now().before(MISSING_GRACE);
-    let removed = host.state.borrow_mut().endpoints.remove_missing(gone_before);
+    let now = boot_now();
+    let gone_before = now.before(MISSING_GRACE);
+    let removed = host.state.borrow_mut().endpoints.remove_missing(gone_before, now);
     for id in removed {
         journal::event("endpoint", "removed", json!({ "endpoint": id }));
     }
--- a/crates/proxy/tests/site/main.rs
+++ b/crates/proxy/tests/site/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod candidates;
+mod durability;
 mod failures;
 mod framing;
 mod freshness;
