Count endpoints that were lost for good as missing

Callers could have seen: a commit that was acknowledged by the primary and a replica is gone, when the replica was lost for good, nothing was written for 30 s, and the primary crashed then.

Cause: an endpoint that had been away for 30 s was not missing any more, so fewer logs seemed to be unknown. But what it took along is then at the primary alone.

Change: the number of endpoints that are missing has no time limit; only whether one may come back has. A position of the primary that was seen later, and that others have reached, settles it as before.

--- a/crates/core/src/ledger/absence.rs
+++ b/crates/core/src/ledger/absence.rs
@@ -89,6 +89,21 @@
         self.reach.is_none_or(|reach| reach > received)
     }
 
+    /// Whether the endpoint may still come back with its log.
+    ///
+    /// ```
+    /// use tanagerdeal_core::ledger::absence::{AbsenceTable, RETURN_LIMIT};
+    /// use tanagerdeal_core::ledger::clock::BootInstant;
+    ///
+    /// let (mut table, now) = (AbsenceTable::default(), BootInstant::from_micros(0));
+    /// table.note_unregistered("e1", "g1", now);
+    /// let absent = table.of_group("g1").next().unwrap();
+    /// assert!(absent.may_return(now) && !absent.may_return(now.after(RETURN_LIMIT)));
+    /// ```
+    pub fn may_return(&self, now: BootInstant) -> bool {
+        now < self.since.after(RETURN_LIMIT)
+    }
+
     /// Converts the entry for other hosts.
     pub fn share(&self, now: BootInstant) -> SharedAbsence {
         let away_ms = u32::try_from(now.since(self.since).as_millis()).unwrap_or(u32::MAX);
@@ -184,21 +199,9 @@
         }
     }
 
-    /// Endpoints of a group that may still come back.
-    ///
-    /// ```
-    /// use tanagerdeal_core::ledger::absence::{AbsenceTable, RETURN_LIMIT};
-    /// use tanagerdeal_core::ledger::clock::BootInstant;
-    ///
-    /// let (mut table, now) = (AbsenceTable::default(), BootInstant::from_micros(0));
-    /// table.note_unregistered("e1", "g1", now);
-    /// assert_eq!(table.of_group("g1", now).count(), 1);
-    /// assert_eq!(table.of_group("g1", now.after(RETURN_LIMIT)).count(), 0);
-    /// ```
-    pub fn of_group(&self, group: &str, now: BootInstant) -> impl Iterator<Item = &AbsentEndpoint> {
-        let may_return = move |entry: &&AbsentEndpoint| {
-            entry.group == group && !entry.is_back && now < entry.since.after(RETURN_LIMIT)
-        };
-        self.entries.iter().filter(may_return)
+    /// Endpoints of a group that are not back. Those that cannot come back any more took what only
+    /// they had along.
+    pub fn of_group(&self, group: &str) -> impl Iterator<Item = &AbsentEndpoint> {
+        self.entries.iter().filter(move |entry| entry.group == group && !entry.is_back)
     }
 }
--- a/crates/core/src/ledger/failover/choice.rs
+++ b/crates/core/src/ledger/failover/choice.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use super::complete::promote_complete;
-use super::step::{ChangeStep, ChangeView, is_old_primary};
+use super::step::{ChangeStep, ChangeView, is_old_primary, leads};
 use super::{CandidateStatus, UnansweredCandidate, best_candidate};
+use crate::ledger::absence::AbsentEndpoint;
 use crate::ledger::endpoint::LogPosition;
 
 /// Longest wait for an endpoint that may have received more of the log than the others. A primary is
@@ -35,6 +36,30 @@
     best_of(candidates.chain(others), view).map_or(ChangeStep::NoCandidate, ChangeStep::Promote)
 }
 
+/// Whether an endpoint has told that it leads the present term, perhaps under another identity.
+pub(super) fn has_leader(view: ChangeView<'_, '_>) -> bool {
+    let is_present = |status: &CandidateStatus| status.term >= view.record.term;
+    view.statuses.iter().any(|status| is_present(status) && leads(status, view))
+}
+
+/// Number of endpoints whose logs were not told and may have had commits beyond a position.
+pub(super) fn missing(received: LogPosition, view: ChangeView<'_, '_>) -> usize {
+    let absent = view.absent.iter().filter(|absent| absent.may_have_more(received));
+    untold(view).count() + absent.count()
+}
+
+/// Whether an endpoint whose log was not told may come back with commits beyond a position.
+pub(super) fn may_be_surpassed(received: LogPosition, view: ChangeView<'_, '_>) -> bool {
+    let may_surpass =
+        |absent: &AbsentEndpoint| absent.may_have_more(received) && absent.may_return(view.now);
+    untold(view).next().is_some() || view.absent.iter().any(may_surpass)
+}
+
+/// Registered endpoints that have not told their logs.
+fn untold<'s>(view: ChangeView<'s, '_>) -> impl Iterator<Item = &'s UnansweredCandidate> {
+    view.unanswered.iter().filter(|candidate| !candidate.has_successor)
+}
+
 /// The candidate that has received most. Those with commits that were given up come last: a
 /// promotion would bring these back after reads that missed them.
 fn best_of<'s>(
--- a/crates/core/src/ledger/failover/complete.rs
+++ b/crates/core/src/ledger/failover/complete.rs
@@ -5,7 +5,8 @@
 //! endpoint that leads has told its own, or if too few endpoints are missing to have a commit among
 //! themselves.
 
-use super::step::{ChangeStep, ChangeView, leads};
+use super::choice::{has_leader, may_be_surpassed, missing};
+use super::step::{ChangeStep, ChangeView};
 use super::{CandidateStatus, best_candidate};
 use crate::ledger::endpoint::LogPosition;
 
@@ -28,11 +29,22 @@
         _ if !view.is_status_wait_over => ChangeStep::Wait,
         // What was seen beyond its log was not acknowledged.
         (Some(best), None) => ChangeStep::Promote(best),
-        _ if is_nobody_away(view) => {
-            let furthest = candidates.max_by_key(|it| (it.received, it.is_eligible));
-            furthest.map_or(ChangeStep::NoCandidate, ChangeStep::Promote)
+        _ => promote_furthest(candidates, view),
+    }
+}
+
+/// Promotes the endpoint with the longest log once nobody can come back with more.
+fn promote_furthest<'s>(
+    candidates: impl Iterator<Item = &'s CandidateStatus>,
+    view: ChangeView<'s, '_>,
+) -> ChangeStep<'s> {
+    match candidates.max_by_key(|status| (status.received, status.is_eligible)) {
+        _ if has_leader(view) => ChangeStep::Withhold,
+        Some(furthest) if !may_be_surpassed(furthest.received, view) => {
+            ChangeStep::Promote(furthest)
         }
-        _ => ChangeStep::Withhold,
+        Some(_) => ChangeStep::Withhold,
+        None => ChangeStep::NoCandidate,
     }
 }
 
@@ -46,16 +58,8 @@
 /// Whether the longest log that was told, which reaches up to `longest`, has every acknowledged
 /// commit. The present term began with those of the terms before.
 fn is_proven(longest: LogPosition, view: ChangeView<'_, '_>) -> bool {
-    let untold = view.unanswered.iter().filter(|candidate| !candidate.has_successor).count();
-    let absent = view.absent.iter().filter(|absent| absent.may_have_more(longest)).count();
     Some(longest) >= view.record.term_start
-        && (has_leader(view) || untold + absent <= view.sync_replicas)
-}
-
-/// Whether an endpoint has told that it leads the present term, perhaps under another identity.
-fn has_leader(view: ChangeView<'_, '_>) -> bool {
-    let is_present = |status: &CandidateStatus| status.term >= view.record.term;
-    view.statuses.iter().any(|status| is_present(status) && leads(status, view))
+        && (has_leader(view) || missing(longest, view) <= view.sync_replicas)
 }
 
 /// Newest position that was seen of the group's primaries, unless it was given up.
@@ -63,10 +67,3 @@
     let seen = Some(view.acknowledged).filter(|seen| !view.record.is_diverged(*seen));
     seen.unwrap_or_default()
 }
-
-/// Whether no endpoint leads, and every one has told its status or is lost for good.
-fn is_nobody_away(view: ChangeView<'_, '_>) -> bool {
-    !has_leader(view)
-        && view.absent.is_empty()
-        && view.unanswered.iter().all(|candidate| candidate.has_successor)
-}
--- a/crates/core/src/ledger/failover/step.rs
+++ b/crates/core/src/ledger/failover/step.rs
@@ -10,7 +10,7 @@
 use super::choice::promote_best;
 use super::{CandidateStatus, UnansweredCandidate, newest_term, successor};
 use crate::ledger::absence::AbsentEndpoint;
-use crate::ledger::clock::StoreInstant;
+use crate::ledger::clock::{BootInstant, StoreInstant};
 use crate::ledger::endpoint::{EndpointRole, LogPosition};
 use crate::ledger::group::{GroupRecord, PromotionRecord};
 
@@ -57,6 +57,8 @@
     pub is_accepted: bool,
     /// Whether the recorded promotion can no longer take effect.
     pub is_call_over: bool,
+    /// Time of the decision.
+    pub now: BootInstant,
     /// Number of primaries in a failure domain.
     pub primaries: &'v dyn Fn(&str) -> usize,
 }
@@ -86,7 +88,7 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use tanagerdeal_core::ledger::clock::StoreInstant;
+    /// use tanagerdeal_core::ledger::clock::{BootInstant, StoreInstant};
     /// use tanagerdeal_core::ledger::endpoint::LogPosition;
     /// use tanagerdeal_core::ledger::failover::step::ChangeView;
     /// use tanagerdeal_core::ledger::group::{GroupRecord, PromotionRecord};
@@ -107,6 +109,7 @@
     ///     is_leaving: false,
     ///     is_accepted: false,
     ///     is_call_over: true,
+    ///     now: BootInstant::from_micros(0),
     ///     primaries: &|_| 0,
     /// };
     /// let now = StoreInstant::from_millis(0);
@@ -187,6 +190,7 @@
 /// accepts a call for the present primary and changes nothing.
 ///
 /// ```
+/// use tanagerdeal_core::ledger::clock::BootInstant;
 /// use tanagerdeal_core::ledger::endpoint::LogPosition;
 /// use tanagerdeal_core::ledger::failover::step::{ChangeStep, ChangeView, next_step};
 /// use tanagerdeal_core::ledger::group::GroupRecord;
@@ -207,6 +211,7 @@
 ///     is_leaving: false,
 ///     is_accepted: false,
 ///     is_call_over: true,
+///     now: BootInstant::from_micros(0),
 ///     primaries: &|_| 0,
 /// };
 /// assert_eq!(next_step(view), ChangeStep::NoCandidate);
--- a/crates/core/tests/ledger/durability.rs
+++ b/crates/core/tests/ledger/durability.rs
@@ -101,6 +101,7 @@
         is_leaving: false,
         is_accepted: false,
         is_call_over: true,
+        now: at(0),
         primaries: &|_| 0,
     }
 }
@@ -131,7 +132,7 @@
     let (statuses, unanswered) = ([replica("r1", 7)], [untold("p")]);
     let mut table = AbsenceTable::default();
     table.note_unregistered("r2", "g", at(1_000));
-    let absent: Vec<AbsentEndpoint> = table.of_group("g", at(2_000)).cloned().collect();
+    let absent: Vec<AbsentEndpoint> = table.of_group("g").cloned().collect();
     let view = ChangeView { absent: &absent, ..lost(&record, &statuses, &unanswered) };
     expect_that!(next_step(view), eq(ChangeStep::Wait));
     for (number, step) in [(7, ChangeStep::Promote(&statuses[0])), (8, ChangeStep::Wait)] {
@@ -141,6 +142,26 @@
     }
 }
 
+/// Guards against a promotion beside an endpoint that was lost for good, while another one that may
+/// have the commits that it took along can come back: the time alone proves nothing.
+#[gtest]
+fn an_endpoint_that_was_lost_for_good_is_missing_until_nobody_can_come_back() {
+    let record = group(1, "p", None).record;
+    let (statuses, unanswered) = ([replica("r1", 7)], [untold("p")]);
+    let mut table = AbsenceTable::default();
+    table.note_unregistered("r2", "g", at(1_000));
+    let absent: Vec<AbsentEndpoint> = table.of_group("g").cloned().collect();
+    let view = ChangeView {
+        absent: &absent,
+        is_status_wait_over: true,
+        now: at(1_000).after(RETURN_LIMIT),
+        ..lost(&record, &statuses, &unanswered)
+    };
+    expect_that!(next_step(view), eq(ChangeStep::Withhold));
+    let is_alone = ChangeView { unanswered: &[], ..view };
+    expect_that!(next_step(is_alone), eq(ChangeStep::Promote(&statuses[0])));
+}
+
 /// Guards against a wait for a position that a reply of the primary showed before any replica had
 /// received it: nobody was told that it was committed.
 #[gtest]
@@ -192,7 +213,8 @@
 }
 
 fn away(table: &EndpointTable, now_ms: u64) -> Vec<&str> {
-    table.absences.of_group("g", at(now_ms)).map(|absent| absent.id.as_str()).collect()
+    let absent = table.absences.of_group("g").filter(|absent| absent.may_return(at(now_ms)));
+    absent.map(|absent| absent.id.as_str()).collect()
 }
 
 /// Guards against an endpoint that is forgotten while it is down, and against a wait for one that is
@@ -227,7 +249,7 @@
     expect_that!(away(&table, 2_000), elements_are![eq(&"e1")]);
     let observation = PrimaryObservation { sent_at: at(3_000), position: position(1, 4) };
     table.absences.note_position("g", &observation);
-    let reach = table.absences.of_group("g", at(3_000)).map(|absent| absent.reach).next();
+    let reach = table.absences.of_group("g").map(|absent| absent.reach).next();
     expect_that!(reach, some(some(eq(position(1, 4)))));
     let over = 1_000 + RETURN_LIMIT.as_millis() as u64;
     expect_that!(away(&table, over), is_empty());
@@ -241,7 +263,7 @@
     table.note_missing("e1", at(1_000));
     table.remove_missing(at(2_000), at(6_000));
     let shared: Vec<_> =
-        table.absences.of_group("g", at(7_000)).map(|absent| absent.share(at(7_000))).collect();
+        table.absences.of_group("g").map(|absent| absent.share(at(7_000))).collect();
     let mut started = EndpointTable::default();
     started.adopt_absence("g", &shared[0], at(500_000));
     expect_that!(away(&started, 500_000), elements_are![eq(&"e1")]);
--- a/crates/core/tests/ledger/durability/model.rs
+++ b/crates/core/tests/ledger/durability/model.rs
@@ -271,7 +271,7 @@
     fn replace_host(&mut self) {
         let now = self.clock();
         let absent: Vec<_> =
-            self.endpoints.absences.of_group("g", now).map(|absent| absent.share(now)).collect();
+            self.endpoints.absences.of_group("g").map(|absent| absent.share(now)).collect();
         let known: Vec<(EndpointRecord, Option<BootInstant>)> = self
             .endpoints
             .of_group("g")
@@ -382,9 +382,7 @@
         let began_at = *self.began_at.get_or_insert(self.now);
         let waited = Duration::from_millis(self.now - began_at);
         let (statuses, unanswered) = self.statuses();
-        let now = self.clock();
-        let absent: Vec<AbsentEndpoint> =
-            self.endpoints.absences.of_group("g", now).cloned().collect();
+        let absent: Vec<AbsentEndpoint> = self.endpoints.absences.of_group("g").cloned().collect();
         let record = self.record.clone();
         let view = ChangeView {
             record: &record,
@@ -399,6 +397,7 @@
             is_leaving,
             is_accepted: false,
             is_call_over: true,
+            now: at(self.now),
             primaries: &|_| 0,
         };
         match next_step(view) {
@@ -435,12 +434,13 @@
     }
 
     fn publish(&mut self, found: &CandidateStatus) {
-        let is_later = found.term > self.record.term;
-        self.record.term_start = if is_later { found.term_start() } else { self.record.term_start };
-        (self.record.primary, self.record.term) = (found.id.clone(), found.term);
-        if is_later {
+        if found.term > self.record.term {
             self.seen = LogPosition::default();
         }
+        let is_later = found.term > self.record.term;
+        let former = self.record.term_start;
+        self.record.term_start = if is_later { found.term_start() } else { former };
+        (self.record.primary, self.record.term) = (found.id.clone(), found.term);
         self.began_at = None;
     }
 
--- a/crates/core/tests/ledger/promotion.rs
+++ b/crates/core/tests/ledger/promotion.rs
@@ -13,7 +13,7 @@
 use tanagerdeal_core::ledger::failover::{CandidateStatus, UnansweredCandidate};
 use tanagerdeal_core::ledger::group::{GroupRecord, PendingChange, PromotionRecord};
 
-use crate::support::{position, store_at};
+use crate::support::{at, position, store_at};
 
 fn status(id: &str, role: EndpointRole, term: u64, number: u64) -> CandidateStatus {
     CandidateStatus {
@@ -65,6 +65,7 @@
         is_leaving: false,
         is_accepted: false,
         is_call_over: record.promotion().is_none(),
+        now: at(0),
         primaries: &|_| 0,
     }
 }
--- a/crates/core/tests/ledger/promotion/model.rs
+++ b/crates/core/tests/ledger/promotion/model.rs
@@ -15,7 +15,7 @@
 use tanagerdeal_core::ledger::group::{GroupRecord, PromotionRecord};
 
 use super::{row, status, untold};
-use crate::support::{position, store_at};
+use crate::support::{at, position, store_at};
 
 /// Endpoints of a group as the platform promotes them, and the coordinators of one failover.
 struct PlatformModel {
@@ -135,6 +135,7 @@
             is_leaving: false,
             is_accepted: self.accepted_at.is_some(),
             is_call_over: self.is_call_over(),
+            now: at(self.now),
             primaries: &|_| 0,
         };
         let member_of = |id: &str| MEMBERS.iter().position(|known| *known == id).unwrap();
--- a/crates/core/tests/ledger/verification.rs
+++ b/crates/core/tests/ledger/verification.rs
@@ -192,6 +192,7 @@
         is_leaving: false,
         is_accepted: false,
         is_call_over: true,
+        now: at(0),
         primaries: &|_| 0,
     };
     expect_that!(next_step(view), eq(ChangeStep::Promote(&statuses[0])));
--- a/crates/core/tests/ledger/verification/model.rs
+++ b/crates/core/tests/ledger/verification/model.rs
@@ -220,6 +220,7 @@
             is_leaving,
             is_accepted: false,
             is_call_over: record.promotion().is_none_or(is_settled),
+            now: at(self.now),
             primaries: &|_| 0,
         };
         match next_step(view) {
--- a/crates/proxy/src/ledger/failover.rs
+++ b/crates/proxy/src/ledger/failover.rs
@@ -274,7 +274,7 @@
             let (host_state, now) = (host.state.borrow(), boot_now());
             let granted = host_state.extensions.granted(now);
             let newest = host_state.observations(&record.group, HISTORY_REACH, now).pop();
-            let absent = host_state.endpoints.absences.of_group(&record.group, now);
+            let absent = host_state.endpoints.absences.of_group(&record.group);
             let absent = absent.take(MAX_SHARED_ABSENCES).map(|absent| absent.share(now)).collect();
             ConfirmationPayload::new(host.incarnation, granted, newest, absent)
         };
--- a/crates/proxy/src/ledger/failover/promotion.rs
+++ b/crates/proxy/src/ledger/failover/promotion.rs
@@ -160,7 +160,7 @@
         let group = &self.record.group;
         let newest = state.positions.get(group).and_then(PositionHistory::newest);
         let absent: Vec<AbsentEndpoint> =
-            state.endpoints.absences.of_group(group, now).cloned().collect();
+            state.endpoints.absences.of_group(group).cloned().collect();
         decision(ChangeView {
             record: &self.record,
             is_verified: self.is_verified,
@@ -174,6 +174,7 @@
             is_leaving: self.reason == ChangeReason::Leaving,
             is_accepted: self.calls.accepted_at.is_some(),
             is_call_over: self.is_call_over(),
+            now,
             primaries: &|domain| state.primaries_in(domain, group),
         })
     }
