Promote no log that was given up while a later term may come back

Cause: a log that was given up was the last choice, but was promoted after the wait of 5 s. The endpoint with the later term is down for 7 s. The row also knew the start of the newest term only.

Change: such a log is promoted only if every other one was told, or is lost for good, and all were given up. An endpoint that leaves and has none of these commits goes before it. The row keeps the starts of 16 former terms.

--- a/crates/core/src/ledger/failover/choice.rs
+++ b/crates/core/src/ledger/failover/choice.rs
@@ -33,7 +33,29 @@
     }
     // Those that run and never answered have received at least what is known of them.
     let others = running(view).filter(|status| status.id != view.record.primary);
-    best_of(candidates.chain(others), view).map_or(ChangeStep::NoCandidate, ChangeStep::Promote)
+    match best_of(candidates.clone().chain(others), view) {
+        None => ChangeStep::NoCandidate,
+        Some(best) if view.record.is_diverged(best.received) => {
+            promote_given_up(best, candidates, view)
+        }
+        Some(best) => ChangeStep::Promote(best),
+    }
+}
+
+/// Promotes an endpoint with commits that were given up only if no log without them is left. One
+/// that has to leave is promoted before it.
+fn promote_given_up<'s>(
+    best: &'s CandidateStatus,
+    mut candidates: impl Iterator<Item = &'s CandidateStatus>,
+    view: ChangeView<'s, '_>,
+) -> ChangeStep<'s> {
+    let leaving = candidates.find(|status| !view.record.is_diverged(status.received));
+    match leaving {
+        _ if has_leader(view) => ChangeStep::Withhold,
+        Some(leaving) => ChangeStep::Promote(leaving),
+        None if may_be_surpassed(best.received, view) => ChangeStep::Withhold,
+        None => ChangeStep::Promote(best),
+    }
 }
 
 /// Whether an endpoint has told that it leads the present term, perhaps under another identity.
--- a/crates/core/src/ledger/failover/step.rs
+++ b/crates/core/src/ledger/failover/step.rs
@@ -77,7 +77,8 @@
     Wait,
     /// No endpoint may be promoted.
     NoCandidate,
-    /// An endpoint that is away may be the only one that has some acknowledged commits.
+    /// An endpoint that is away may be the only one that has some acknowledged commits, or a later
+    /// term.
     Withhold,
 }
 
@@ -95,7 +96,16 @@
     ///
     /// let (group, primary) = ("g1".to_owned(), "e1".to_owned());
     /// let (change, term_start) = (None, None);
-    /// let record = GroupRecord { group, term: 4, primary, change, term_start, verified_era: 1 };
+    /// let former_starts = Vec::new();
+    /// let record = GroupRecord {
+    ///     group,
+    ///     term: 4,
+    ///     primary,
+    ///     change,
+    ///     term_start,
+    ///     verified_era: 1,
+    ///     former_starts,
+    /// };
     /// let view = ChangeView {
     ///     record: &record,
     ///     is_verified: true,
@@ -197,7 +207,16 @@
 ///
 /// let (group, primary) = ("g1".to_owned(), "e1".to_owned());
 /// let (change, term_start) = (None, None);
-/// let record = GroupRecord { group, term: 1, primary, change, term_start, verified_era: 1 };
+/// let former_starts = Vec::new();
+/// let record = GroupRecord {
+///     group,
+///     term: 1,
+///     primary,
+///     change,
+///     term_start,
+///     verified_era: 1,
+///     former_starts,
+/// };
 /// let view = ChangeView {
 ///     record: &record,
 ///     is_verified: true,
--- a/crates/core/src/ledger/group.rs
+++ b/crates/core/src/ledger/group.rs
@@ -13,6 +13,9 @@
 /// before the names of groups, so a read of the table in several pages returns it with the first.
 pub const GROUP_EPOCH_KEY: &str = "!epoch";
 
+/// Beginnings of terms that are kept in the row of a group.
+const MAX_FORMER_STARTS: usize = 16;
+
 wire_type! {
     /// The row of a group.
     pub struct GroupRecord {
@@ -32,6 +35,18 @@
         /// rows of earlier eras. Rows of earlier builds lack it.
         #[serde(default)]
         pub verified_era: u64,
+        /// Beginnings of terms before that of the primary, oldest first. Rows of earlier builds lack
+        /// them.
+        #[serde(default)]
+        pub former_starts: Vec<TermStart>,
+    }
+
+    /// The beginning of a term.
+    pub struct TermStart {
+        /// The term.
+        pub term: u64,
+        /// Position with which it began. What former terms have beyond it was given up.
+        pub start: LogPosition,
     }
 
     /// Mark in a group's row that its failover is in progress.
@@ -71,15 +86,41 @@
     ///
     /// let (group, primary) = ("g1".to_owned(), "e1".to_owned());
     /// let (change, term_start) = (None, None);
-    /// let record = GroupRecord { group, term: 1, primary, change, term_start, verified_era: 1 };
+    /// let former_starts = Vec::new();
+    /// let record = GroupRecord {
+    ///     group,
+    ///     term: 1,
+    ///     primary,
+    ///     change,
+    ///     term_start,
+    ///     verified_era: 1,
+    ///     former_starts,
+    /// };
     /// assert!(record.promotion().is_none());
     /// ```
     pub fn promotion(&self) -> Option<&PromotionRecord> {
         self.change.as_ref()?.promotion.as_ref()
     }
 
-    /// Whether a log that reaches up to a position has commits that were given up when the
-    /// primary's term began.
+    /// The row when an endpoint leads, whose term began with a position if that is known. An endpoint
+    /// that has crashed may lead the present term under another identity.
+    pub fn succeeded_by(&self, primary: &str, term: u64, start: Option<LogPosition>) -> Self {
+        let is_later = term > self.term;
+        let own = self.term_start.filter(|_| is_later);
+        let own = own.map(|start| TermStart { term: self.term, start });
+        let starts: Vec<TermStart> = self.former_starts.iter().cloned().chain(own).collect();
+        let surplus = starts.len().saturating_sub(MAX_FORMER_STARTS);
+        Self {
+            term,
+            primary: primary.to_owned(),
+            term_start: if is_later { start } else { self.term_start.or(start) },
+            former_starts: starts[surplus..].to_vec(),
+            ..self.clone()
+        }
+    }
+
+    /// Whether a log that reaches up to a position has commits that were given up when a later term
+    /// began.
     ///
     /// ```
     /// use tanagerdeal_core::ledger::endpoint::LogPosition;
@@ -89,12 +130,25 @@
     /// let (group, primary) = ("g1".to_owned(), "e1".to_owned());
     /// let term_start = Some(at(3, 40));
     /// let change = None;
-    /// let record = GroupRecord { group, term: 4, primary, change, term_start, verified_era: 1 };
+    /// let former_starts = Vec::new();
+    /// let record = GroupRecord {
+    ///     group,
+    ///     term: 4,
+    ///     primary,
+    ///     change,
+    ///     term_start,
+    ///     verified_era: 1,
+    ///     former_starts,
+    /// };
     /// assert!(record.is_diverged(at(3, 41)));
     /// assert!(!record.is_diverged(at(3, 40)) && !record.is_diverged(at(4, 41)));
+    /// let later = record.succeeded_by("e2", 5, Some(at(4, 60)));
+    /// assert!(later.is_diverged(at(3, 41)) && !later.is_diverged(at(4, 60)));
     /// ```
     pub fn is_diverged(&self, received: LogPosition) -> bool {
-        received.term < self.term && self.term_start.is_some_and(|start| received > start)
+        let own = self.term_start.map(|start| (self.term, start));
+        let former = self.former_starts.iter().map(|former| (former.term, former.start));
+        former.chain(own).any(|(term, start)| received.term < term && received > start)
     }
 }
 
@@ -143,7 +197,16 @@
     ///
     /// let (group, primary) = ("g1".to_owned(), "e1".to_owned());
     /// let (change, term_start) = (None, None);
-    /// let record = GroupRecord { group, term: 1, primary, change, term_start, verified_era: 1 };
+    /// let former_starts = Vec::new();
+    /// let record = GroupRecord {
+    ///     group,
+    ///     term: 1,
+    ///     primary,
+    ///     change,
+    ///     term_start,
+    ///     verified_era: 1,
+    ///     former_starts,
+    /// };
     /// assert!(GroupEntry { version: version_in(1, 7), record: record.clone() }.is_verified());
     /// assert!(!GroupEntry { version: version_in(2, 7), record }.is_verified());
     /// ```
--- a/crates/core/tests/ledger/durability.rs
+++ b/crates/core/tests/ledger/durability.rs
@@ -162,6 +162,35 @@
     expect_that!(next_step(is_alone), eq(ChangeStep::Promote(&statuses[0])));
 }
 
+/// Guards against a log that was given up and is promoted while the one that has the later term is
+/// down, or answers and has to leave (review/13).
+#[gtest]
+fn a_log_that_was_given_up_waits_for_the_later_term() {
+    let record = group(1, "p", None).record;
+    let record = GroupRecord { term: 2, term_start: Some(position(1, 5)), ..record };
+    let (given_up, unanswered) = (replica("r1", 7), [untold("p")]);
+    let mut later = replica("p", 0);
+    (later.received, later.term) = (position(2, 6), 2);
+    later.is_eligible = false;
+    let alone = [given_up.clone()];
+    let view = ChangeView {
+        sync_replicas: 0,
+        is_status_wait_over: true,
+        ..lost(&record, &alone, &unanswered)
+    };
+    expect_that!(next_step(view), eq(ChangeStep::Withhold));
+    let gone = ChangeView { unanswered: &[], ..view };
+    expect_that!(next_step(gone), eq(ChangeStep::Promote(&alone[0])));
+    let leaving = [given_up.clone(), later.clone()];
+    let has_leaving = ChangeView { statuses: &leaving, unanswered: &[], ..view };
+    expect_that!(next_step(has_leaving), eq(ChangeStep::Promote(&leaving[1])));
+    later.role = EndpointRole::Primary;
+    let leading = [given_up, later];
+    let leader =
+        ChangeView { statuses: &leading, is_leaving: true, is_catch_up_over: true, ..has_leaving };
+    expect_that!(next_step(leader), eq(ChangeStep::Withhold));
+}
+
 /// Guards against a wait for a position that a reply of the primary showed before any replica had
 /// received it: nobody was told that it was committed.
 #[gtest]
@@ -288,4 +317,14 @@
         prop_assert!(model.serves_when_healed());
         prop_assert_eq!(model.lost, 0);
     }
+
+    /// Guards against commits that a promotion gave up and a later one brings back, after reads that
+    /// missed them (review/13), and against a group that stays without primary for that.
+    #[test]
+    fn commits_that_were_given_up_stay_away(events in events()) {
+        let mut model = played(0, 0, &events);
+        prop_assert_eq!(model.returned, 0);
+        prop_assert!(model.serves_when_healed());
+        prop_assert_eq!(model.returned, 0);
+    }
 }
--- a/crates/core/tests/ledger/durability/model.rs
+++ b/crates/core/tests/ledger/durability/model.rs
@@ -140,6 +140,7 @@
             change: None,
             term_start: None,
             verified_era: 0,
+            former_starts: Vec::new(),
         };
         let mut model = Self {
             now: 0,
@@ -437,10 +438,7 @@
         if found.term > self.record.term {
             self.seen = LogPosition::default();
         }
-        let is_later = found.term > self.record.term;
-        let former = self.record.term_start;
-        self.record.term_start = if is_later { found.term_start() } else { former };
-        (self.record.primary, self.record.term) = (found.id.clone(), found.term);
+        self.record = self.record.succeeded_by(&found.id, found.term, found.term_start());
         self.began_at = None;
     }
 
--- a/crates/core/tests/ledger/epoch.rs
+++ b/crates/core/tests/ledger/epoch.rs
@@ -62,6 +62,7 @@
         change: None,
         term_start: None,
         verified_era: 0,
+        former_starts: Vec::new(),
     };
     GroupEntry { version, record }
 }
--- a/crates/core/tests/ledger/isolation.rs
+++ b/crates/core/tests/ledger/isolation.rs
@@ -26,6 +26,7 @@
             change: None,
             term_start: None,
             verified_era: 0,
+            former_starts: Vec::new(),
         };
         state.apply_group(GroupEntry { version: 1, record }, at(1));
     }
--- a/crates/core/tests/ledger/promotion.rs
+++ b/crates/core/tests/ledger/promotion.rs
@@ -45,6 +45,7 @@
         change,
         term_start: None,
         verified_era: 0,
+        former_starts: Vec::new(),
     };
     let promotion = promoted.map(|id| PromotionRecord::new(id, view(&record, &[]), 1, store_at(0)));
     record.change.as_mut().unwrap().promotion = promotion;
--- a/crates/core/tests/ledger/support.rs
+++ b/crates/core/tests/ledger/support.rs
@@ -46,6 +46,7 @@
         change,
         term_start: None,
         verified_era: 0,
+        former_starts: Vec::new(),
     };
     GroupEntry { version, record }
 }
--- a/crates/proxy/src/ledger/failover/change.rs
+++ b/crates/proxy/src/ledger/failover/change.rs
@@ -191,14 +191,8 @@
             }
             Err(error) => return Err(*error),
             Ok(status) => {
-                let record = GroupRecord {
-                    primary: status.id.clone(),
-                    term: status.term,
-                    term_start: status.term_start(),
-                    verified_era,
-                    ..self.record.clone()
-                };
-                self.publish(record).await
+                let record = self.record.succeeded_by(&status.id, status.term, status.term_start());
+                self.publish(GroupRecord { verified_era, ..record }).await
             }
         }?;
         result.map(|status| status.id)
--- a/crates/proxy/src/ledger/failover/verification.rs
+++ b/crates/proxy/src/ledger/failover/verification.rs
@@ -36,17 +36,6 @@
 
 /// The row of a group that an endpoint leads.
 fn verified_record(record: &GroupRecord, leader: &CandidateStatus, era: u64) -> GroupRecord {
-    let is_known = leader.id == record.primary && leader.term == record.term;
-    let term_start = match is_known {
-        true => record.term_start,
-        false => leader.term_start(),
-    };
-    GroupRecord {
-        group: record.group.clone(),
-        term: leader.term,
-        primary: leader.id.clone(),
-        change: None,
-        term_start,
-        verified_era: era,
-    }
+    let led = record.succeeded_by(&leader.id, leader.term, leader.term_start());
+    GroupRecord { change: None, verified_era: era, ..led }
 }
--- a/crates/proxy/src/ledger/lease.rs
+++ b/crates/proxy/src/ledger/lease.rs
@@ -345,6 +345,7 @@
                 change: None,
                 term_start: None,
                 verified_era: FIRST_ERA,
+                former_starts: Vec::new(),
             })
         })
         .collect()
--- a/crates/proxy/src/ledger/peers.rs
+++ b/crates/proxy/src/ledger/peers.rs
@@ -42,7 +42,7 @@
 /// Longest accepted datagram; a renewal request with eight suspects has about 400 bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Encoding of the fields that messages of earlier builds may lack at their end.
-const ABSENT_FIELDS: [u8; 3] = [0; 3];
+const ABSENT_FIELDS: [u8; 4] = [0; 4];
 /// Pause after a socket error.
 const SOCKET_ERROR_PAUSE: Duration = Duration::from_millis(40);
 /// Capacity of the queue of outgoing messages.
@@ -239,8 +239,8 @@
     mac.update(body);
     mac.verify_truncated_left(received_code).ok()?;
     // Messages of earlier builds end without `ConfirmationPayload::absent` and `newest`, or without the last
-    // fields of a group's row: `GroupRecord::verified_era`, before that `GroupRecord::term_start`,
-    // and before that `PendingChange::promotion`.
+    // fields of a group's row: `GroupRecord::former_starts`, before that `GroupRecord::verified_era`
+    // and `GroupRecord::term_start`, and before these `PendingChange::promotion`.
     let with_absent =
         |count: usize| postcard::from_bytes(&[body, &ABSENT_FIELDS[..count]].concat());
     (0..=ABSENT_FIELDS.len()).find_map(|count| with_absent(count).ok())
