Read every figure of the settings as a fraction, with a range

Cause: some figures were read as whole numbers.

Ruled out: a default in place of a figure that is refused (a process that serves by other limits than those that were set).

Change: one reader for all figures, with a range each.

--- a/crates/proxy/src/ledger/settings.rs
+++ b/crates/proxy/src/ledger/settings.rs
@@ -1,10 +1,13 @@
 //! Settings of a host that coordinates through the platform's store.
 
+mod figure;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::str::FromStr;
 use std::time::Duration;
 
+use figure::{FigureRule, MAX_TIME_S};
 use ini::{Ini, ParseOption};
 use tanagerdeal_core::ledger::duty::MIN_DUTY_TERM;
 use tanagerdeal_core::ledger::lease::MAX_RENEW_INTERVAL;
@@ -13,8 +16,26 @@
 
 /// Value of a setting that a template left empty. It is treated as missing.
 const EMPTY_VALUE: &str = "";
-/// Default of `shutdown_s`, in seconds.
-const DEFAULT_SHUTDOWN_S: u64 = 6;
+/// Time that a shutdown may take.
+const SHUTDOWN: FigureRule = FigureRule::seconds("limits", "shutdown_s", 6.0);
+/// Time in which a configuration takes effect.
+const CONFIG_APPLY: FigureRule = FigureRule::millis("limits", "config_apply_ms", 3_000.0);
+/// Time in which work to a leaving endpoint stops.
+const DRAIN: FigureRule = FigureRule::millis("limits", "drain_ms", 7_000.0);
+/// Time within which a duty must not go to another host and back.
+const DUTY_LEASE: FigureRule = FigureRule::millis("duties", "lease_ms", 0.0);
+/// Descriptors that the process may have open.
+const DESCRIPTORS: FigureRule = FigureRule::new("limits", "descriptors", 1_024.0, (0.0, 1e9));
+/// Speed of the network link, in Mbit/s.
+const LINK: FigureRule = FigureRule::new("limits", "link_mbps", 0.0, (0.0, 1e9));
+/// Processors that the host has.
+const PROCESSOR: FigureRule = FigureRule::new("limits", "processor", 1.0, (0.001, 1_024.0));
+/// Part by which a window may exceed a customer's rate.
+const RATE_OVERAGE: FigureRule = FigureRule::new("limits", "rate_overage", 0.0, (0.0, 1e9));
+/// Operations by which a window may exceed it beside that.
+const RATE_SLACK: FigureRule = FigureRule::new("limits", "rate_slack", 0.0, (0.0, 1e9));
+/// Length of that window.
+const RATE_WINDOW: FigureRule = FigureRule::seconds("limits", "rate_window_s", 0.0);
 
 /// Settings of a host.
 #[derive(Clone, Debug, PartialEq)]
@@ -163,28 +184,16 @@
     ),
 ];
 
-/// Default of `config_apply_ms`, in milliseconds.
-const DEFAULT_CONFIG_APPLY_MS: u64 = 3_000;
 /// Interval between lease renewals as a percentage of `config_apply_ms`. The rest covers a relay
 /// that does not answer within 0.6 s and this host's own call to the store after that.
-const RENEW_PERCENT: u64 = 70;
-/// Default of `drain_ms`, in milliseconds.
-const DEFAULT_DRAIN_MS: u64 = 7_000;
-/// Part of `drain_ms` that the pause between polls must leave free, in milliseconds: the poll
-/// itself, and the time for which a leaving primary still receives work.
-const DRAIN_RESERVE_MS: u64 = 4_400;
-/// Shortest pause between polls, in milliseconds. The users pay for each poll.
-const MIN_POLL_PAUSE_MS: u64 = 500;
+const RENEW_PERCENT: u32 = 70;
+/// Part of `drain_ms` that the pause between polls must leave free: the poll itself, and the time for
+/// which a leaving primary still receives work.
+const DRAIN_RESERVE: Duration = Duration::from_millis(4_400);
+/// Shortest pause between polls. The users pay for each poll.
+const MIN_POLL_PAUSE: Duration = Duration::from_millis(500);
 /// Shortest window and lateness of usage reports, in seconds.
 const MIN_USAGE_WINDOW_S: f64 = 1.0;
-/// Longest window and lateness of usage reports, in seconds.
-const MAX_USAGE_S: f64 = 86_400.0;
-/// Default and bounds of `processor`, in processors.
-const DEFAULT_PROCESSORS: f64 = 1.0;
-const MIN_PROCESSORS: f64 = 0.001;
-const MAX_PROCESSORS: f64 = 1_024.0;
-/// Default of `descriptors`.
-const DEFAULT_DESCRIPTORS: usize = 1_024;
 
 /// Returns a list of all settings with their help texts.
 ///
@@ -226,8 +235,7 @@
         let ini = Ini::load_from_str_opt(text, option).map_err(|error| {
             SiteSettingsError::File { file: "settings".to_owned(), reason: error.to_string() }
         })?;
-        let config_apply_ms =
-            value_or_default(&ini, "limits", "config_apply_ms", DEFAULT_CONFIG_APPLY_MS)?;
+        let config_limit = CONFIG_APPLY.read_millis(&ini)?;
         let settings = Self {
             host: required_text(&ini, "host", "name")?.to_owned(),
             domain: required_text(&ini, "host", "domain")?.to_owned(),
@@ -241,32 +249,21 @@
             peers: required_value(&ini, "listen", "peers")?,
             store: required_text(&ini, "platform", "store")?.to_owned(),
             control: required_text(&ini, "platform", "control")?.to_owned(),
-            shutdown_limit: Duration::from_secs(value_or_default(
-                &ini,
-                "limits",
-                "shutdown_s",
-                DEFAULT_SHUTDOWN_S,
-            )?),
-            descriptors: value_or_default(&ini, "limits", "descriptors", DEFAULT_DESCRIPTORS)?,
-            link_mbps: whole_mbps(value_or_default(&ini, "limits", "link_mbps", 0.0)?),
-            renew_interval: renew_interval(config_apply_ms),
-            config_limit: Duration::from_millis(config_apply_ms),
-            registration_pause: registration_pause(value_or_default(
-                &ini,
-                "limits",
-                "drain_ms",
-                DEFAULT_DRAIN_MS,
-            )?),
+            shutdown_limit: SHUTDOWN.read_seconds(&ini)?,
+            descriptors: DESCRIPTORS.read(&ini)? as usize,
+            link_mbps: LINK.read(&ini)? as u32,
+            renew_interval: renew_interval(config_limit),
+            config_limit,
+            registration_pause: registration_pause(DRAIN.read_millis(&ini)?),
             tolerance: LimitTolerance {
-                overage: value_or_default(&ini, "limits", "rate_overage", 0.0)?,
-                window_s: value_or_default(&ini, "limits", "rate_window_s", 0.0)?,
-                slack: value_or_default(&ini, "limits", "rate_slack", 0.0)?,
+                overage: RATE_OVERAGE.read(&ini)?,
+                window_s: RATE_WINDOW.read(&ini)?,
+                slack: RATE_SLACK.read(&ini)?,
             },
-            duty_term: Duration::from_millis(value_or_default(&ini, "duties", "lease_ms", 0)?)
-                .max(MIN_DUTY_TERM),
+            duty_term: DUTY_LEASE.read_millis(&ini)?.max(MIN_DUTY_TERM),
             usage: usage_settings(&ini)?,
             forwarding: optional_value(&ini, "listen", "forwarding")?,
-            processor: processor(&ini)?,
+            processor: (PROCESSOR.read(&ini)? * 1_000.0).round() as u32,
             pooling: value_or_default(&ini, "endpoints", "pooling", FeatureMode::Auto)?,
             scheduling: value_or_default(&ini, "endpoints", "scheduling", FeatureMode::Auto)?,
         };
@@ -282,21 +279,6 @@
     }
 }
 
-fn processor(ini: &Ini) -> Result<u32, SiteSettingsError> {
-    let processors: f64 = value_or_default(ini, "limits", "processor", DEFAULT_PROCESSORS)?;
-    match processors {
-        value if (MIN_PROCESSORS..=MAX_PROCESSORS).contains(&value) => {
-            Ok((value * 1_000.0).round() as u32)
-        }
-        value => Err(SiteSettingsError::Value {
-            section: "limits",
-            key: "processor",
-            value: value.to_string(),
-            reason: format!("must be between {MIN_PROCESSORS} and {MAX_PROCESSORS}"),
-        }),
-    }
-}
-
 fn usage_settings(ini: &Ini) -> Result<Option<UsageSettings>, SiteSettingsError> {
     let window_s: f64 = value_or_default(ini, "duties", "usage_window_s", 0.0)?;
     let late_s: f64 = value_or_default(ini, "duties", "usage_late_s", 2.0 * window_s)?;
@@ -306,10 +288,10 @@
     };
     match (window_s, late_s) {
         (0.0, _) => Ok(None),
-        (window_s, _) if !(MIN_USAGE_WINDOW_S..=MAX_USAGE_S).contains(&window_s) => {
+        (window_s, _) if !(MIN_USAGE_WINDOW_S..=MAX_TIME_S).contains(&window_s) => {
             invalid("usage_window_s", window_s, "must be between 1 and 86400")
         }
-        (_, late_s) if !(MIN_USAGE_WINDOW_S..=MAX_USAGE_S).contains(&late_s) => {
+        (_, late_s) if !(MIN_USAGE_WINDOW_S..=MAX_TIME_S).contains(&late_s) => {
             invalid("usage_late_s", late_s, "must be between 1 and 86400")
         }
         (window_s, late_s) => Ok(Some(UsageSettings {
@@ -319,17 +301,12 @@
     }
 }
 
-fn renew_interval(config_apply_ms: u64) -> Duration {
-    Duration::from_millis(config_apply_ms * RENEW_PERCENT / 100).min(MAX_RENEW_INTERVAL)
-}
-
-/// Drops the fraction of a link speed, as platforms may give a fractional one.
-fn whole_mbps(mbps: f64) -> u32 {
-    mbps as u32
+fn renew_interval(config_limit: Duration) -> Duration {
+    (config_limit * RENEW_PERCENT / 100).min(MAX_RENEW_INTERVAL)
 }
 
-fn registration_pause(drain_ms: u64) -> Duration {
-    Duration::from_millis(drain_ms.saturating_sub(DRAIN_RESERVE_MS).max(MIN_POLL_PAUSE_MS))
+fn registration_pause(drain_limit: Duration) -> Duration {
+    drain_limit.saturating_sub(DRAIN_RESERVE).max(MIN_POLL_PAUSE)
 }
 
 fn required_text<'a>(
--- a/crates/proxy/tests/site/settings.rs
+++ b/crates/proxy/tests/site/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of a host that coordinates through the platform's store.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use tanagerdeal::ledger::{SiteSettings, SiteSettingsError};
 use tanagerdeal_core::ledger::pooling::FeatureMode;
@@ -66,3 +68,44 @@
         expect_that!(error, all!(starts_with(name), contains_substring(limits)));
     }
 }
+
+/// Guards against a process that ends at each start, as the platform gives a fraction for a figure
+/// (review/14).
+#[gtest]
+fn every_figure_may_be_a_fraction() {
+    let settings = parse(
+        "[limits]\nshutdown_s = 6.5\ndescriptors = 4200.0\nlink_mbps = 1000.5\nprocessor = 0.25\n\
+         config_apply_ms = 3000.5\ndrain_ms = 7000.5\nrate_overage = 0.1\nrate_slack = 20.5\n\
+         rate_window_s = 5.5\n[duties]\nlease_ms = 6000.5\nusage_window_s = 2.5\n\
+         usage_late_s = 5.5\n",
+    )
+    .unwrap();
+    expect_that!(settings.shutdown_limit, eq(Duration::from_millis(6_500)));
+    expect_that!(settings.descriptors, eq(4_200));
+    expect_that!(settings.link_mbps, eq(1_000));
+    expect_that!(settings.config_limit, eq(Duration::from_micros(3_000_500)));
+    expect_that!(settings.registration_pause, eq(Duration::from_micros(2_600_500)));
+    expect_that!(settings.duty_term, eq(Duration::from_micros(6_000_500)));
+}
+
+/// Guards against a figure without a meaning that is taken, and against an error that does not name
+/// the setting, the value and the range.
+#[gtest]
+fn figures_out_of_their_range_are_refused() {
+    let seconds = "between 0 and 86400";
+    let cases = [
+        ("limits", "shutdown_s", "-1", seconds),
+        ("limits", "shutdown_s", "inf", seconds),
+        ("limits", "config_apply_ms", "1e12", "between 0 and 86400000"),
+        ("limits", "drain_ms", "NaN", "between 0 and 86400000"),
+        ("limits", "rate_window_s", "86401", seconds),
+        ("limits", "rate_slack", "-0.5", "between 0 and 1000000000"),
+        ("duties", "lease_ms", "-1", "between 0 and 86400000"),
+        ("limits", "descriptors", "many", "invalid float"),
+    ];
+    for (section, key, value, limits) in cases {
+        let error = parse(&format!("[{section}]\n{key} = {value}\n")).unwrap_err().to_string();
+        let name = format!("[{section}] {key} = ");
+        expect_that!(error, all!(starts_with(name), contains_substring(limits)));
+    }
+}
