Take no forwarded statement on a primary shortly before the lease ends

Cause: a pool host took statements until the end of its lease. The reply of one that was under way then may come from a primary that was replaced, so it is in doubt. The text of the failure ("connection lost: the primary is being changed") is that of ConnectionError::Revoked after sending.

Ruled out: a fault of the test. The statement had run, and the client's host could have run it itself.

Change: a forwarded statement on a primary needs a lease that lasts 0.4 s more; the client's host runs it otherwise. a_lasting_permit_ends_before_ the_lease tests the decision. A statement that takes longer is in doubt as before.

--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -162,6 +162,24 @@
         }
     }
 
+    /// A permit to use the primary of a group for a statement that may take until `until`. The lease
+    /// lasts until then, unless it is lost: a reply that arrives after its end is in doubt.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason why the primary may not be used for that time.
+    pub fn lasting_permit(
+        &self,
+        group: &str,
+        until: BootInstant,
+        now: BootInstant,
+    ) -> Result<PrimaryPermit, PrimaryRefusal> {
+        match self.has_lease_for(group, until) {
+            true => self.primary_permit(group, now),
+            false => Err(PrimaryRefusal::NoLease),
+        }
+    }
+
     /// Whether an endpoint is draining or its failure domain is evacuated.
     pub fn is_leaving(&self, state: &EndpointState) -> bool {
         state.draining_since.is_some() || self.evacuated.contains_key(&state.record.domain)
--- a/crates/core/tests/ledger/state.rs
+++ b/crates/core/tests/ledger/state.rs
@@ -25,6 +25,18 @@
     expect_that!(state.primary_permit("g", end), err(eq(PrimaryRefusal::NoLease)));
 }
 
+/// Guards against a statement that another host has forwarded and that is in doubt, as the lease ends
+/// while it is under way.
+#[gtest]
+fn a_lasting_permit_ends_before_the_lease() {
+    let state = host_state();
+    let last = LEASE_TERM.as_millis() as u64 - 1;
+    expect_that!(state.primary_permit("g", at(last)), ok(anything()));
+    expect_that!(state.lasting_permit("g", at(last), at(last - 400)), ok(anything()));
+    let refusal = err(eq(PrimaryRefusal::NoLease));
+    expect_that!(state.lasting_permit("g", at(last + 400), at(last)), refusal);
+}
+
 /// Guards against a lease that ends for other hosts before it ends for its holder.
 #[gtest]
 fn the_stored_end_is_later_than_the_own_one() {
--- a/crates/proxy/src/ledger/forward/server.rs
+++ b/crates/proxy/src/ledger/forward/server.rs
@@ -30,6 +30,9 @@
 /// Time after the start of a shutdown in which statements of hosts that have not heard of it are
 /// still taken.
 const LEAVING_GRACE: Duration = Duration::from_secs(1);
+/// Time for which the lease must still run when a statement of another host begins on a primary. The
+/// other host runs it itself otherwise; one that is under way when the lease ends is in doubt.
+const LEASE_RESERVE: Duration = Duration::from_millis(400);
 /// Pause after a failed `accept`, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -218,7 +221,7 @@
     endpoint: EndpointKey,
     now: BootInstant,
 ) -> Result<PrimaryPermit, RunError> {
-    match host_state.primary_permit(group, now) {
+    match host_state.lasting_permit(group, now.after(LEASE_RESERVE), now) {
         Ok(permit) if permit.endpoint == endpoint => Ok(permit),
         // The client's host then probes the primary as well.
         Err(refusal @ PrimaryRefusal::Unreachable) => {
