Let endpoints of a group with a synchronous replica crash in the soak

Cause: the soak had no group with synchronous replicas, no endpoint that came back, and checked the last acknowledged write of a client only.

Change: seeds from 4000 on run with one synchronous replica. A replica receives nothing, then the primary crashes, at times with the other one, for 7.5 to 9 s. Every acknowledged write has to be there at the end.

--- a/crates/proxy/tests/site/soak.rs
+++ b/crates/proxy/tests/site/soak.rs
@@ -6,7 +6,9 @@
 //!
 //! Seeds from 500 on delay promotions; seeds from 1000 on run with pooled connections; from 2000 on,
 //! without these, endpoints refuse requests and one replica receives nothing more at some time; from
-//! 3000 on, instead of that, the store is restored from copies, and primaries that were replaced go on.
+//! 3000 on, instead of that, the store is restored from copies, and primaries that were replaced go on;
+//! from 4000 on, instead of these, one replica is synchronous, and endpoints crash and come back while
+//! another one receives nothing.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -35,6 +37,8 @@
 const FIXED_REFUSING_SEED: u64 = 2_001;
 /// The same with a store that is restored.
 const FIXED_RESTORING_SEED: u64 = 3_001;
+/// The same with a synchronous replica.
+const FIXED_SYNCHRONOUS_SEED: u64 = 4_001;
 /// Length of these runs.
 const FIXED_SECONDS: u64 = 8;
 /// Seeds that failed once, with the cause. 101: a stand-in that was held as a replica stayed held
@@ -64,11 +68,16 @@
 /// Time for which a primary that was replaced goes on then, unless it is told of its successor.
 const FORMER_PRIMARY_TIME: Duration = Duration::from_millis(6_000);
 
+/// Seeds from this one on run a group with a synchronous replica.
+const FIRST_SYNCHRONOUS_SEED: u64 = 4_000;
+/// Longest time for which endpoints are down then.
+const LONGEST_CRASH_MS: u64 = 9_000;
+
 /// What a client knows of its own item; only this client writes it.
 #[derive(Default)]
 struct ItemHistory {
-    /// Data of the last write that was acknowledged.
-    acknowledged: Option<u64>,
+    /// Data of the writes that were acknowledged.
+    acknowledged: Vec<u64>,
     /// Writes whose outcome is unknown.
     unknown: Vec<u64>,
     /// Writes that were refused with the promise that nothing is kept.
@@ -127,7 +136,7 @@
     fn note(&mut self, data: u64, reply: &ClientReply, own: &mut Option<u64>) -> bool {
         match reply.failure.as_deref() {
             None if reply.state == "I" => {
-                self.history.acknowledged = Some(data);
+                self.history.acknowledged.push(data);
                 *own = Some(data);
                 self.done.fetch_add(1, Ordering::SeqCst);
                 true
@@ -219,8 +228,20 @@
     }
 }
 
+/// A configuration of the group with keys of the customer.
+fn soak_configuration(version: u64, keys: &[&str], seed: u64) -> serde_json::Value {
+    let mut config = configuration(version, "g1", &[("acme", keys, 5_000)]);
+    config["services"][0]["syncReplicas"] = sync_replicas(seed).into();
+    config
+}
+
+/// Synchronous replicas of a run.
+fn sync_replicas(seed: u64) -> usize {
+    usize::from(seed >= FIRST_SYNCHRONOUS_SEED)
+}
+
 /// Injects faults in series until the time is over, and takes them back.
-async fn disturb(relayed: &mut RelayedSite, random: &mut StdRng, span: Duration) {
+async fn disturb(relayed: &mut RelayedSite, random: &mut StdRng, span: Duration, seed: u64) {
     let end = Instant::now() + span;
     let (mut version, mut killed) = (1_001, false);
     while Instant::now() < end {
@@ -261,8 +282,7 @@
             5 => {
                 let keys: &[&str] =
                     if random.random_range(0..2) == 0 { &[KEY] } else { &[KEY, OTHER_KEY] };
-                let config = configuration(version, "g1", &[("acme", keys, 5_000)]);
-                site.store.put("op", "config", &config);
+                site.store.put("op", "config", &soak_configuration(version, keys, seed));
                 version += 1;
             }
             6 if !killed => {
@@ -306,6 +326,40 @@
     }
 }
 
+/// Lets a replica receive nothing, then the primary crash, at times with the other replica, in series
+/// until the time is over. Then all of them run and receive.
+async fn crash_endpoints(group: &StandinGroup, mut random: StdRng, span: Duration) {
+    let end = Instant::now() + span;
+    while Instant::now() < end {
+        sleep(Duration::from_millis(random.random_range(300..1_500))).await;
+        let Some(primary) = group.primary() else { continue };
+        let count = group.members.len();
+        let deaf = (primary + random.random_range(1..count)) % count;
+        group.deafen(deaf);
+        sleep(Duration::from_millis(random.random_range(300..1_500))).await;
+        let other = (0..count).find(|index| ![primary, deaf].contains(index));
+        let beside = other.filter(|_| random.random_range(0..3) > 0);
+        let mut down: Vec<usize> = beside.into_iter().chain([primary]).collect();
+        down.iter().for_each(|index| group.kill(*index));
+        if random.random_range(0..2) == 0 {
+            down.reverse();
+        }
+        let time = random.random_range(LONGEST_CRASH_MS - 1_500..LONGEST_CRASH_MS);
+        sleep(Duration::from_millis(time)).await;
+        for index in down {
+            group.revive(index).await.unwrap();
+            sleep(Duration::from_millis(random.random_range(0..900))).await;
+        }
+        group.undeafen(deaf);
+    }
+    for index in 0..group.members.len() {
+        group.undeafen(index);
+        if !group.is_running(index) {
+            group.revive(index).await.unwrap();
+        }
+    }
+}
+
 /// Restores the store again and again from copies that are some seconds old, until the time is over.
 async fn restore_store(store: &StandinStore, mut random: StdRng, span: Duration) {
     let end = Instant::now() + span;
@@ -320,8 +374,14 @@
     }
 }
 
-/// Each write takes effect at most once, an acknowledged one exactly once, a refused one never.
-fn check_log(group: &StandinGroup, client: &SoakClient, violations: &mut Vec<String>) {
+/// Each write takes effect at most once, the last one that was acknowledged exactly once, and a refused
+/// one never. With a synchronous replica, every acknowledged one takes effect.
+fn check_log(
+    group: &StandinGroup,
+    client: &SoakClient,
+    is_synchronous: bool,
+    violations: &mut Vec<String>,
+) {
     let mut counts: HashMap<u64, usize> = HashMap::new();
     for data in 1..=client.next {
         counts.insert(data, group.commits(&client.item, &data.to_string()));
@@ -331,9 +391,11 @@
     violations.extend(twice.map(|(data, _)| format!("{}: {data} ran twice", client.item)));
     let refused = client.history.refused.iter().filter(|data| count(data) > 0);
     violations.extend(refused.map(|data| format!("{}: {data} was refused", client.item)));
-    if let Some(data) = client.history.acknowledged.filter(|data| count(data) != 1) {
-        violations.push(format!("{}: {data} was acknowledged and is gone", client.item));
-    }
+    let acknowledged = &client.history.acknowledged;
+    let first_checked = if is_synchronous { 0 } else { acknowledged.len().saturating_sub(1) };
+    let gone = acknowledged[first_checked..].iter().filter(|data| count(data) != 1);
+    violations
+        .extend(gone.map(|data| format!("{}: {data} was acknowledged and is gone", client.item)));
 }
 
 async fn soak(seed: u64, span: Duration) -> Vec<String> {
@@ -347,13 +409,14 @@
         FIRST_DELAYED_SEED..FIRST_REFUSING_SEED => {
             relayed.site.group.delay_promotions(DELAY_STEP * steps);
         }
-        FIRST_RESTORING_SEED.. => {
+        FIRST_RESTORING_SEED..FIRST_SYNCHRONOUS_SEED => {
             relayed.site.group.delay_promotions(DELAY_STEP * (1 + steps));
             relayed.site.group.prolong_former(FORMER_PRIMARY_TIME);
         }
         _ => (),
     }
-    relayed.site.store.put("op", "config", &configuration(1_000, "g1", &[("acme", &[KEY], 5_000)]));
+    relayed.site.group.replicate_to(sync_replicas(seed));
+    relayed.site.store.put("op", "config", &soak_configuration(1_000, &[KEY], seed));
     let hosts = relayed.callers.clone();
     let (is_over, done) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
     let clients: Vec<_> = (0..CLIENTS)
@@ -377,11 +440,14 @@
             FIRST_REFUSING_SEED..FIRST_RESTORING_SEED => {
                 disturb_endpoints(&endpoints, random, span).await;
             }
-            FIRST_RESTORING_SEED.. => restore_store(&store, random, span).await,
+            FIRST_RESTORING_SEED..FIRST_SYNCHRONOUS_SEED => {
+                restore_store(&store, random, span).await;
+            }
+            FIRST_SYNCHRONOUS_SEED.. => crash_endpoints(&endpoints, random, span).await,
             _ => (),
         }
     });
-    disturb(&mut relayed, &mut random, span).await;
+    disturb(&mut relayed, &mut random, span, seed).await;
     disturbing.await.unwrap();
     let site = &mut relayed.site;
     // Afterwards every host serves again.
@@ -396,7 +462,7 @@
     let mut violations = Vec::new();
     for client in clients {
         let client = client.await.unwrap();
-        check_log(&site.group, &client, &mut violations);
+        check_log(&site.group, &client, sync_replicas(seed) > 0, &mut violations);
         violations.extend(client.violations);
     }
     println!("seed {seed}: {} operations done", done.load(Ordering::SeqCst));
@@ -412,7 +478,8 @@
         Some(range) => range.collect(),
         None => REGRESSION_SEEDS
             .into_iter()
-            .chain([FIXED_SEED, FIXED_DELAYED_SEED, FIXED_REFUSING_SEED, FIXED_RESTORING_SEED])
+            .chain([FIXED_SEED, FIXED_DELAYED_SEED, FIXED_REFUSING_SEED])
+            .chain([FIXED_RESTORING_SEED, FIXED_SYNCHRONOUS_SEED])
             .collect(),
     }
 }
@@ -420,7 +487,9 @@
 /// Guards against writes that run twice or get lost, refusals that are not true, sessions that miss
 /// their own writes, and hosts that do not serve again, while processes are killed, paused and
 /// restarted, connections are delayed, reset, cut one way and silenced, the store refuses calls,
-/// replicas fall behind, endpoints refuse requests, a primary is lost and the store is restored.
+/// replicas fall behind, endpoints refuse requests, a primary is lost and the store is restored; and
+/// against acknowledged commits of a group with a synchronous replica that are lost while endpoints
+/// crash.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_random_faults() {
     let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|text| text.parse().ok());
