Give the registration of a test the version as a text

Its entry had the number 1 as `version`, which the page shows as a text ("v1"), so it named no endpoint.

Change: the entry has a text. What the test expects is as before.

--- a/crates/proxy/tests/site/restore.rs
+++ b/crates/proxy/tests/site/restore.rs
@@ -105,7 +105,7 @@
     let site = SiteDeployment::start(1).await;
     // An endpoint that does not write its row again by itself.
     let put_state = |state: &str| {
-        let row = json!({ "service": "g1", "address": "127.0.0.1:9", "zone": "d3", "version": 1,
+        let row = json!({ "service": "g1", "address": "127.0.0.1:9", "zone": "d3", "version": "v1",
             "slots": 2, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
             "databaseRole": "replica" });
         site.store.put("servers", "g1-9", &row);
