Let a lowered number of synchronous replicas count for 15 s only

Cause: each configuration that followed within 15 s extended the time, also if it did not lower the number. In a storm of configurations a group without synchronous replicas would have waited as one with them.

Evidence: a_lowered_number_counts_for_a_while_only fails before (1 in place of 0).

Change: only a configuration that lowers the number sets the time.

Result: the test passes.

--- a/crates/core/src/ledger/sync.rs
+++ b/crates/core/src/ledger/sync.rs
@@ -28,8 +28,9 @@
     fn note_change(&mut self, former: &SiteCatalog, catalog: &SiteCatalog, now: BootInstant) {
         self.lowered.retain(|_, (_, until)| now < *until);
         for (group, limits) in former.groups() {
-            let number = limits.sync_replicas.max(self.active(group, now));
-            if number > catalog.group(group).map_or(0, |limits| limits.sync_replicas) {
+            if limits.sync_replicas > catalog.group(group).map_or(0, |limits| limits.sync_replicas)
+            {
+                let number = limits.sync_replicas.max(self.active(group, now));
                 self.lowered.insert(group.to_owned(), (number, now.after(LOWERED_TERM)));
             }
         }
--- a/crates/core/tests/ledger/durability.rs
+++ b/crates/core/tests/ledger/durability.rs
@@ -2,19 +2,23 @@
 
 mod model;
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use googletest::prelude::*;
 use model::{GroupEvent, GroupModel, events};
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
 use proptest::test_runner::{RngAlgorithm, RngSeed, TestRng, TestRunner};
 use tanagerdeal_core::ledger::absence::{AbsenceTable, AbsentEndpoint, RETURN_LIMIT};
+use tanagerdeal_core::ledger::catalog::{GroupLimits, SiteCatalog};
 use tanagerdeal_core::ledger::endpoint::{EndpointRecord, EndpointRole, EndpointTable};
 use tanagerdeal_core::ledger::failover::step::{ChangeStep, ChangeView, next_step};
 use tanagerdeal_core::ledger::failover::{CandidateStatus, UnansweredCandidate};
 use tanagerdeal_core::ledger::group::GroupRecord;
 use tanagerdeal_core::ledger::position::PrimaryObservation;
 
-use crate::support::{at, endpoint, group, position};
+use crate::support::{at, endpoint, group, host_state, position};
 
 /// Series of events in which the choice without synchronous replicas has to lose commits.
 const SERIES: usize = 2_000;
@@ -236,6 +240,22 @@
     expect_that!(next_step(view), eq(ChangeStep::Promote(&caught_up[1])));
 }
 
+/// Guards against a number of synchronous replicas that was lowered and counts for as long as
+/// configurations follow each other.
+#[gtest]
+fn a_lowered_number_counts_for_a_while_only() {
+    let mut state = host_state();
+    let versions = [(2, 0, 1), (3, 1_000, 0), (4, 10_000, 0), (5, 14_000, 0)];
+    for (version, now_ms, sync_replicas) in versions {
+        let groups = vec![("g".to_owned(), GroupLimits { connections: 20, sync_replicas })];
+        let limit = Duration::from_secs(3);
+        let catalog = SiteCatalog::new(version, Vec::new(), Vec::new(), groups, limit, limit);
+        state.adopt_catalog(Arc::new(catalog), at(now_ms));
+    }
+    expect_that!(state.sync_replicas("g", at(15_900)), eq(1));
+    expect_that!(state.sync_replicas("g", at(16_000)), eq(0));
+}
+
 fn registered(id: &str, port: u16, born: u64) -> EndpointRecord {
     let record = endpoint(id, "d1", EndpointRole::Replica);
     EndpointRecord { address: ([10, 0, 0, 1], port).into(), born: Some(born), ..record }
