--- a/crates/proxy/src/ledger/failover/promotion.rs
+++ b/crates/proxy/src/ledger/failover/promotion.rs
@@ -107,7 +107,8 @@
                 ChangeStep::Keep(_) => return Err(ChangeError::Recovered),
                 ChangeStep::NoCandidate => return Err(ChangeError::NoCandidate),
                 ChangeStep::Withhold => {
-                    self.log_withheld(&statuses);
+                    let fields = self.decide(&statuses, choice_fields);
+                    journal::event("takeover", "withheld", fields);
                     return Err(ChangeError::Withheld);
                 }
                 ChangeStep::Promote(_) if promotions == MAX_PROMOTIONS => {
@@ -138,18 +139,6 @@
         self.logged_unanswered = endpoints;
     }
 
-    /// Logs why no endpoint is promoted.
-    fn log_withheld(&self, statuses: &GroupStatuses) {
-        let fields = self.decide(statuses, |view| {
-            let absent: Vec<&str> = view.absent.iter().map(|absent| absent.id.as_str()).collect();
-            json!({ "group": self.record.group, "sync_replicas": view.sync_replicas,
-                "seen": view.acknowledged.to_string(), "absent": absent,
-                "candidates": candidate_fields(view.statuses),
-                "unanswered": statuses.unanswered_ids() })
-        });
-        journal::event("takeover", "withheld", fields);
-    }
-
     /// What this host knows, to be passed to a decision.
     fn decide<'s, T>(
         &self,
@@ -198,13 +187,8 @@
         chosen: &CandidateStatus,
         statuses: &GroupStatuses,
     ) -> Result<(), ChangeError> {
-        let fields = self.decide(statuses, |view| {
-            let absent: Vec<&str> = view.absent.iter().map(|absent| absent.id.as_str()).collect();
-            json!({ "group": self.record.group, "endpoint": chosen.id, "token": self.token,
-                "candidates": candidate_fields(view.statuses), "absent": absent,
-                "sync_replicas": view.sync_replicas, "seen": view.acknowledged.to_string(),
-                "unanswered": statuses.unanswered_ids() })
-        });
+        let mut fields = self.decide(statuses, choice_fields);
+        (fields["endpoint"], fields["token"]) = (json!(chosen.id), json!(self.token));
         journal::event("takeover", "chosen", fields);
         let is_chosen = |former: &PromotionRecord| former.endpoint == chosen.id;
         if !self.record.promotion().is_some_and(is_chosen) || self.is_call_over() {
@@ -303,11 +287,15 @@
     }
 }
 
-/// The endpoints that have told their status, as they are logged.
-fn candidate_fields(statuses: &[CandidateStatus]) -> Vec<Value> {
-    let fields = statuses.iter().map(|status| {
+/// What a choice is made from, as it is logged.
+fn choice_fields(view: ChangeView<'_, '_>) -> Value {
+    let candidates = view.statuses.iter().map(|status| {
         json!({ "endpoint": status.id, "received": status.received.to_string(),
                 "eligible": status.is_eligible })
     });
-    fields.collect()
+    let unanswered = view.unanswered.iter().map(|candidate| &candidate.status.id);
+    let absent = view.absent.iter().map(|absent| &absent.id);
+    json!({ "group": view.record.group, "sync_replicas": view.sync_replicas,
+        "seen": view.acknowledged.to_string(), "candidates": candidates.collect::<Vec<_>>(),
+        "unanswered": unanswered.collect::<Vec<_>>(), "absent": absent.collect::<Vec<_>>() })
 }
